--- /dev/null
+++ b/comfreyshelf/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m comfreyshelf``."""
+
+from comfreyshelf.ui import main
+
+main()
--- /dev/null
+++ b/comfreyshelf/entry.py
@@ -0,0 +1,99 @@
+"""The entry process: callers' HTTP, the folded log, request routing, and owned domains."""
+
+import time
+
+from absl import logging
+
+from comfreyshelf.api import Front, Root
+from comfreyshelf.ids import EntryId, TargetId, ZoneId
+from comfreyshelf.journal import Appender, LedgerReader
+from comfreyshelf.kernel import Kernel, Service
+from comfreyshelf.log import HttpLog, LogClient
+from comfreyshelf.membership import Roster
+from comfreyshelf.messages import AnyMessage, RequestAnswer, StartDisproved
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.owner import FromTarget, Owner
+from comfreyshelf.records import EntryDown
+from comfreyshelf.router import Router
+from comfreyshelf.settings import EntrySettings
+from comfreyshelf.transport import Hub
+from comfreyshelf.web import WebServer
+
+LEAVE_TIMEOUT_S = 2.0
+
+
+class Entry(Service):
+    """An entry process; any number may run, and each may be replaced at any time."""
+
+    def __init__(self, cfg: EntrySettings, log: LogClient | None = None) -> None:
+        self._cfg = cfg
+        self._log = log or HttpLog(cfg.log_url)
+        self.kernel = Kernel()
+        self.metrics = self.kernel.register("metrics", Metrics())
+        self.roster = Roster()
+        self.reader = self.kernel.register("ledger", LedgerReader(self._log, self.metrics))
+        self.appender = self.kernel.register(
+            "appender", Appender(cfg.name, self._log, self.reader, self.metrics)
+        )
+        self.owner = self.kernel.register(
+            "owner", Owner(cfg, self.reader, self.appender, self.roster, self.metrics)
+        )
+        self.router = Router(ZoneId(cfg.zone), self.roster, self.metrics)
+        self.hub = self.kernel.register(
+            "hub", Hub(cfg.pipe_address, self.metrics, self._on_message)
+        )
+        self.owner.attach(self.hub)
+        self.router.attach(self.hub)
+        self.front = Front(
+            cfg.name, self.reader, self.appender, self.roster, self.router, self.metrics
+        )
+        self.web = self.kernel.register(
+            "api", WebServer(cfg.http_address, Root(self.front), cfg.http_threads)
+        )
+
+    def start(self) -> None:
+        """Start all services."""
+        self.kernel.start()
+        logging.info("entry %s listens on %s", self._cfg.name, self._cfg.http_address)
+
+    def stop(self) -> None:
+        """Leave the domains to others, finish the requests under way, and stop."""
+        self.front.stopping = True
+        self.owner.leave()
+        if self.reader.log_up:
+            body = EntryDown(EntryId(self._cfg.name))
+            self.appender.submit(body, LEAVE_TIMEOUT_S).result()
+        self.kernel.stop()
+        self._log.close()
+        logging.info("entry %s stopped", self._cfg.name)
+
+    def wait_ready(self, timeout_s: float) -> bool:
+        """Wait until the log has been read to its end."""
+        return self.reader.caught_up.wait(timeout_s)
+
+    def _on_message(self, target: TargetId, message: AnyMessage) -> None:
+        if isinstance(message, RequestAnswer | StartDisproved):
+            self.router.receive(message)
+        else:
+            self.owner.send(FromTarget(target, message))
+
+
+def wait_for_stop(service: Service, should_stop: "StopFlag") -> None:
+    """Run a service until a signal asks it to stop."""
+    service.start()
+    try:
+        while not should_stop.is_set:
+            time.sleep(0.1)
+    finally:
+        service.stop()
+
+
+class StopFlag:
+    """Set by a signal handler."""
+
+    def __init__(self) -> None:
+        self.is_set = False
+
+    def set(self, *_: object) -> None:
+        """Ask for a stop."""
+        self.is_set = True
--- /dev/null
+++ b/comfreyshelf/events.py
@@ -0,0 +1,121 @@
+"""Input events of the scheduler core."""
+
+import msgspec
+
+from comfreyshelf.config import Config
+from comfreyshelf.ids import Attempt, JobId, TargetId
+from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.reasons import RefusalReason
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Base of all events."""
+
+
+class ConfigInForce(Event, frozen=True):
+    """A newer configuration is in force."""
+
+    config: Config
+
+
+class WorkerSeen(Event, frozen=True):
+    """A status of a worker with the parts it holds; the first one adds the worker."""
+
+    worker: WorkerInfo
+    parts: tuple[HeldPart, ...] = ()
+
+
+class WorkerLost(Event, frozen=True):
+    """The lease of a target lapsed; everything on it is gone."""
+
+    target: TargetId
+
+
+class JobQueued(Event, frozen=True):
+    """A job entered the domain's queue; `attempt` is the newest attempt so far."""
+
+    job: Job
+    attempt: Attempt = Attempt(0)
+
+
+class JobResumed(Event, frozen=True):
+    """After a takeover: a job with an open attempt in the log."""
+
+    job: Job
+    attempt: Attempt
+    placements: tuple[Placement, ...]
+
+
+class JobClosed(Event, frozen=True):
+    """The log shows that a job is finished, cancelled, refused or routed elsewhere."""
+
+    job: JobId
+
+
+class Reserved(Event, frozen=True):
+    """A target reserved all of its parts of an attempt."""
+
+    job: JobId
+    attempt: Attempt
+    target: TargetId
+
+
+class ReserveRefused(Event, frozen=True):
+    """A target refused a reservation; it never starts these parts."""
+
+    job: JobId
+    attempt: Attempt
+    target: TargetId
+    reason: RefusalReason
+
+
+class StartRecorded(Event, frozen=True):
+    """The fold accepted or rejected `AttemptStarted`."""
+
+    job: JobId
+    attempt: Attempt
+    accepted: bool
+
+
+class PartEnded(Event, frozen=True):
+    """A part finished, failed or stopped; `run_s` is how long it ran in seconds.
+
+    `started` is False when the target proves that the part never started.
+    """
+
+    job: JobId
+    attempt: Attempt
+    part: int
+    target: TargetId
+    state: PartState
+    result: bytes = b""
+    run_s: float = 0.0
+    started: bool = True
+    checkpointed: bool = False
+
+
+class UsageSeen(Event, frozen=True):
+    """Usage of a part as the platform reports it, with a lag; `busy` is a share from 0 to 1."""
+
+    job: JobId
+    part: int
+    target: TargetId
+    busy: float
+    memory_gb: float
+
+
+class ProbeEnded(Event, frozen=True):
+    """A probe of a quarantined worker passed or failed."""
+
+    target: TargetId
+    passed: bool
+
+
+class LogState(Event, frozen=True):
+    """The log became reachable or unreachable."""
+
+    up: bool
+
+
+class Tick(Event, frozen=True):
+    """Time passed."""
--- /dev/null
+++ b/comfreyshelf/gangs.py
@@ -0,0 +1,87 @@
+"""One attempt of a gang: reserve everywhere, record, commit, then finish or stop as a whole."""
+
+from enum import Enum
+
+import msgspec
+
+from comfreyshelf.ids import Attempt, TargetId
+from comfreyshelf.model import AttemptOutcome, Job, PartState, Placement
+
+
+class Phase(Enum):
+    """Phase of an attempt."""
+
+    RESERVING = "reserving"
+    RECORDING = "recording"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Part(msgspec.Struct):
+    """What the owner knows of one part; `state` is None until it ended."""
+
+    placement: Placement
+    state: PartState | None = None
+    result: bytes = b""
+    started: bool = True
+    checkpointed: bool = False
+
+
+class Gang(msgspec.Struct):
+    """An attempt of `job` on its placements.
+
+    `reserved` are the targets that confirmed their reservation, `since` is when the phase began in
+    seconds. While stopping, `outcome` is what to record once every part has ended.
+    """
+
+    job: Job
+    attempt: Attempt
+    parts: list[Part]
+    since: float
+    phase: Phase = Phase.RESERVING
+    reserved: set[TargetId] = set()
+    outcome: AttemptOutcome | None = None
+    recorded: bool = False
+    finish_sent: bool = False
+
+    @property
+    def targets(self) -> list[TargetId]:
+        """Targets of the attempt, each once, in order of part."""
+        return list(dict.fromkeys(part.placement.target for part in self.parts))
+
+    def on(self, target: TargetId) -> list[Part]:
+        """The parts on one target."""
+        return [part for part in self.parts if part.placement.target == target]
+
+    @property
+    def fully_reserved(self) -> bool:
+        """Whether every target confirmed its reservation."""
+        return self.reserved.issuperset(self.targets)
+
+    @property
+    def ended(self) -> bool:
+        """Whether every part has ended."""
+        return all(part.state is not None for part in self.parts)
+
+    @property
+    def whole(self) -> bool:
+        """Whether every part finished with its result."""
+        return all(part.state is PartState.FINISHED for part in self.parts)
+
+    @property
+    def result(self) -> bytes:
+        """The results of all parts in order of part."""
+        return b"".join(part.result for part in self.parts)
+
+    def final_outcome(self) -> AttemptOutcome:
+        """What to record for a stopped attempt.
+
+        A non-idempotent job may be requeued only if no part started, or if every part that started
+        was stopped at a checkpoint from which it can go on.
+        """
+        outcome = self.outcome or AttemptOutcome.FAILED
+        if self.job.idempotent or not self.recorded:
+            return outcome
+        if all(not part.started or part.checkpointed for part in self.parts):
+            return outcome
+        return AttemptOutcome.MAY_HAVE_RUN
--- /dev/null
+++ b/comfreyshelf/journal.py
@@ -0,0 +1,216 @@
+"""The entry's tasks around the log: reading and folding it, and appending to it."""
+
+import queue
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from concurrent.futures import Future
+
+import msgspec
+from absl import logging
+
+from comfreyshelf.errors import LogUnavailableError, RecordError
+from comfreyshelf.ids import Offset, RecordId
+from comfreyshelf.ledger import Ledger, Verdict
+from comfreyshelf.log import LogClient, Page
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.reasons import RetryReason
+from comfreyshelf.records import AnyBody, Record, decode_record, encode_record
+from comfreyshelf.tasks import Poller, Task
+
+READ_WAIT_S = 0.5
+# One failed read may be a lost packet; a second without any answer counts as an outage.
+OUTAGE_AFTER_S = 1.0
+MAX_BATCH = 64
+RETRY_DELAY_S = 0.5
+
+RecordListener = Callable[[Record, Verdict], None]
+StateListener = Callable[[bool], None]
+
+
+class LedgerReader(Poller):
+    """Reads the log and folds it; holds the only writable reference to the ledger.
+
+    Listeners run in the reader's thread after each record and must return at once. Other threads
+    read the ledger while holding `lock`, which also wakes waiters when records were applied.
+    """
+
+    def __init__(self, log: LogClient, metrics: Metrics) -> None:
+        super().__init__("ledger-reader")
+        self.lock = threading.Condition()
+        self.ledger = Ledger()
+        self.log_up = False
+        self.caught_up = threading.Event()
+        self._log = log
+        self._metrics = metrics
+        self._record_listeners: list[RecordListener] = []
+        self._state_listeners: list[StateListener] = []
+        self._answered_at = time.monotonic()
+
+    def on_record(self, listener: RecordListener) -> None:
+        """Call `listener` after each record is applied."""
+        self._record_listeners.append(listener)
+
+    def on_state(self, listener: StateListener) -> None:
+        """Call `listener` when the log becomes reachable or unreachable."""
+        self._state_listeners.append(listener)
+
+    def wait_until(self, ready: Callable[[Ledger], bool], timeout_s: float) -> bool:
+        """Wait until `ready(ledger)` holds; it is checked under the lock."""
+        with self.lock:
+            return self.lock.wait_for(lambda: ready(self.ledger), timeout_s)
+
+    def poll(self) -> None:
+        """Read one page and apply it."""
+        try:
+            page = self._log.read(self.ledger.next_offset, READ_WAIT_S)
+        except LogUnavailableError:
+            self._metrics.retried(RetryReason.LOG_UNAVAILABLE)
+            if time.monotonic() - self._answered_at > OUTAGE_AFTER_S:
+                self._set_state(False)
+            self.wait(0.1)
+            return
+        self._answered_at = time.monotonic()
+        self._apply(page)
+        if not page.items:
+            self.caught_up.set()
+            self._set_state(True)
+
+    def _apply(self, page: Page) -> None:
+        for offset, data in page.items:
+            try:
+                record = decode_record(data)
+            except RecordError:
+                self._metrics.count("record_damaged")
+                with self.lock:
+                    self.ledger.skip(Offset(offset))
+                continue
+            with self.lock:
+                verdict = self.ledger.apply(Offset(offset), record)
+                self.lock.notify_all()
+            for listener in self._record_listeners:
+                listener(record, verdict)
+
+    def _set_state(self, up: bool) -> None:
+        if up == self.log_up:
+            return
+        self.log_up = up
+        logging.info("log service is %s", "reachable" if up else "unreachable")
+        self._metrics.gauge("log_up", float(up))
+        for listener in self._state_listeners:
+            listener(up)
+
+
+class Pending(msgspec.Struct):
+    """A record to append; `until` is when to give up, in monotonic seconds, or 0 for never."""
+
+    record: Record
+    future: "Future[AppendResult]"
+    until: float
+    tried: bool = False
+
+
+class AppendResult(msgspec.Struct, frozen=True):
+    """What became of an append.
+
+    `verdict` is None if that is not known in time; `tried` False proves that nothing was sent.
+    """
+
+    verdict: Verdict | None
+    tried: bool
+
+
+class Appender(Task[Pending]):
+    """Appends records in batches and settles lost answers by reading their ids back.
+
+    A batch without an answer is sent again under the same record ids, which the fold counts once,
+    and only after the reader did not find them.
+    """
+
+    def __init__(self, name: str, log: LogClient, reader: LedgerReader, metrics: Metrics) -> None:
+        super().__init__("appender", tick_s=0.1)
+        self._writer = name
+        self._log = log
+        self._reader = reader
+        self._metrics = metrics
+        self._unsent: list[Pending] = []
+        self._waiting: dict[RecordId, Pending] = {}
+        self._retry_at = 0.0
+        self._lock = threading.Lock()
+        reader.on_record(self._settle)
+
+    def submit(self, body: AnyBody, give_up_s: float = 0.0) -> "Future[AppendResult]":
+        """Append a body; the future resolves when the fold has read it.
+
+        With `give_up_s` it resolves after that many seconds at the latest.
+        """
+        record = Record(RecordId(uuid.uuid4().hex), self._writer, time.time(), body)
+        future: Future[AppendResult] = Future()
+        until = time.monotonic() + give_up_s if give_up_s else 0.0
+        self.send(Pending(record, future, until))
+        return future
+
+    def handle(self, message: Pending) -> None:
+        """Collect a batch and send it."""
+        self._unsent.append(message)
+        while len(self._unsent) < MAX_BATCH:
+            try:
+                more = self._inbox.get_nowait()
+            except queue.Empty:
+                break
+            if more is None:
+                self._inbox.put(None)
+                break
+            self._unsent.append(more)
+        if time.monotonic() >= self._retry_at:
+            self._flush()
+
+    def tick(self) -> None:
+        """Give up on overdue records and try the others again."""
+        now = time.monotonic()
+        with self._lock:
+            overdue = [item for item in self._waiting.values() if item.until and now > item.until]
+            for item in overdue:
+                del self._waiting[item.record.id]
+        overdue += [item for item in self._unsent if item.until and now > item.until]
+        self._unsent = [item for item in self._unsent if not item.until or now <= item.until]
+        for item in overdue:
+            item.future.set_result(AppendResult(None, item.tried))
+        if self._unsent and now >= self._retry_at:
+            self._flush()
+
+    def close(self) -> None:
+        """Send what is left once more."""
+        if self._unsent:
+            self._flush()
+
+    def _flush(self) -> None:
+        self._unsent = [item for item in self._unsent if not self._is_settled(item)]
+        batch = self._unsent[:MAX_BATCH]
+        if not batch:
+            return
+        with self._lock:
+            for item in batch:
+                item.tried = True
+                self._waiting[item.record.id] = item
+        started = time.monotonic()
+        try:
+            self._log.append([encode_record(item.record) for item in batch])
+        except LogUnavailableError:
+            self._metrics.retried(RetryReason.LOG_ANSWER_LOST)
+            self._retry_at = time.monotonic() + RETRY_DELAY_S
+            return
+        self._metrics.record_latency("log_append", time.monotonic() - started)
+        self._metrics.count("log_appends")
+        self._unsent = self._unsent[MAX_BATCH:]
+
+    def _is_settled(self, item: Pending) -> bool:
+        with self._reader.lock:
+            return self._reader.ledger.verdict(item.record.id) is not None
+
+    def _settle(self, record: Record, verdict: Verdict) -> None:
+        with self._lock:
+            item = self._waiting.pop(record.id, None)
+        if item is not None:
+            item.future.set_result(AppendResult(verdict, True))
--- /dev/null
+++ b/comfreyshelf/kernel.py
@@ -0,0 +1,84 @@
+"""The micro-kernel of a process: a cherrypy bus and a table of services by name."""
+
+from abc import ABC, abstractmethod
+from contextlib import ExitStack
+from types import TracebackType
+from typing import TypeVar
+
+from cherrypy.process.wspbus import Bus
+
+S = TypeVar("S", bound="Service")
+
+
+class Service(ABC):
+    """A part of a process that the kernel starts and stops."""
+
+    @abstractmethod
+    def start(self) -> None:
+        """Open sockets and start tasks."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Finish what is under way and close everything."""
+
+
+class Kernel:
+    """Starts services in order of registration and stops them in reverse order.
+
+    Each service subscribes to the bus, and finds the others by name:
+
+        kernel = Kernel()
+        kernel.register("metrics", Metrics())
+        kernel.find("metrics", Metrics).count("requests")
+    """
+
+    def __init__(self) -> None:
+        self.bus = Bus()
+        self._services: dict[str, Service] = {}
+        self._stack = ExitStack()
+
+    def register(self, name: str, service: S) -> S:
+        """Add a service under a name that is not yet taken."""
+        if name in self._services:
+            raise ValueError(f"service '{name}' is registered twice")
+        self._services[name] = service
+        return service
+
+    def find(self, name: str, kind: type[S]) -> S:
+        """The service of that name; raises LookupError if it is missing or of another kind."""
+        service = self._services.get(name)
+        if not isinstance(service, kind):
+            raise LookupError(f"no service '{name}' of type {kind.__name__}")
+        return service
+
+    def names(self) -> list[str]:
+        """Names of all services in order of registration."""
+        return list(self._services)
+
+    def start(self) -> None:
+        """Start all services; if one fails, stop those that were started."""
+        try:
+            for service in self._services.values():
+                service.start()
+                self._stack.callback(service.stop)
+        except BaseException:
+            self._stack.close()
+            raise
+        self.bus.start()
+
+    def stop(self) -> None:
+        """Stop all services that were started."""
+        self._stack.close()
+        self.bus.exit()
+
+    def __enter__(self) -> "Kernel":
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
--- /dev/null
+++ b/comfreyshelf/ledger.py
@@ -0,0 +1,357 @@
+"""The fold of the log: every process applies the same records with the same rules."""
+
+from collections import Counter, OrderedDict
+
+import msgspec
+
+from comfreyshelf.config import EMPTY_CONFIG, Config, parse_config
+from comfreyshelf.ids import (
+    Attempt,
+    CallerId,
+    DomainId,
+    EntryId,
+    Epoch,
+    JobId,
+    Offset,
+    OperatorId,
+    OrganisationId,
+    RecordId,
+    Version,
+)
+from comfreyshelf.model import AttemptOutcome, Job, JobState, Placement
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import (
+    AttemptEnded,
+    AttemptStarted,
+    Body,
+    ConfigPublished,
+    DomainClaimed,
+    DomainRenewed,
+    EntryDown,
+    EntryUp,
+    JobAccepted,
+    JobFinished,
+    JobRefused,
+    JobRouted,
+    JobsCancelled,
+    Record,
+    RequestStarted,
+    SnapshotChunk,
+)
+
+MAX_RECORD_IDS = 200_000
+FINAL_JOB_RETENTION_S = 3600.0
+REQUEST_KEY_RETENTION_S = 3600.0
+
+
+class JobEntry(msgspec.Struct):
+    """State of one job; `attempt` is the number of the newest attempt, 0 before the first."""
+
+    job: Job
+    domain: DomainId
+    state: JobState = JobState.QUEUED
+    attempt: Attempt = Attempt(0)
+    placements: tuple[Placement, ...] = ()
+    result: bytes = b""
+    digest: str = ""
+    reason: RefusalReason | None = None
+    ended_at: float = 0.0
+
+
+class DomainEntry(msgspec.Struct):
+    """Ownership of one domain; `renewed_at` is the time in the newest claim or renewal."""
+
+    epoch: Epoch = Epoch(0)
+    owner: EntryId = EntryId("")
+    renewed_at: float = 0.0
+
+
+class EntryInfo(msgspec.Struct):
+    """An entry as it announced itself."""
+
+    entry: EntryId
+    zone: str
+    http_address: str
+    pipe_address: str
+    renewed_at: float
+
+
+class ConfigEntry(msgspec.Struct):
+    """One accepted configuration text."""
+
+    version: Version
+    text: str
+    operator: OperatorId
+    time: float
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Whether a record was accepted; `reason` says why not."""
+
+    accepted: bool
+    reason: str = ""
+
+
+ACCEPTED = Verdict(True)
+
+CallerKey = tuple[OrganisationId, CallerId, str]
+
+
+class LedgerState(msgspec.Struct):
+    """Everything that the fold keeps; encodable, so that a snapshot is this struct."""
+
+    config: ConfigEntry | None = None
+    history: list[ConfigEntry] = []
+    jobs: dict[JobId, JobEntry] = {}
+    domains: dict[DomainId, DomainEntry] = {}
+    entries: dict[EntryId, EntryInfo] = {}
+    requests: dict[str, tuple[EntryId, float]] = {}
+    record_ids: list[RecordId] = []
+
+
+class Ledger:
+    """Folds records in offset order; `next_offset` is the offset to read next.
+
+    `apply` returns the verdict on each record. Verdicts of the newest record ids are kept, so a
+    writer whose answer was lost can look up what became of its record.
+    """
+
+    def __init__(self) -> None:
+        self.state = LedgerState()
+        self.config: Config = EMPTY_CONFIG
+        self.next_offset = Offset(0)
+        self.counters: Counter[str] = Counter()
+        self.time = 0.0
+        self._verdicts: OrderedDict[RecordId, Verdict] = OrderedDict()
+        self._keys: dict[CallerKey, JobId] = {}
+        self._ended: OrderedDict[JobId, float] = OrderedDict()
+
+    def apply(self, offset: Offset, record: Record) -> Verdict:
+        """Apply the record at `offset`; a record id that was seen before counts once."""
+        self.next_offset = Offset(offset + 1)
+        if record.id in self._verdicts:
+            self.counters["record_repeated"] += 1
+            return Verdict(False, "repeated")
+        self.time = max(self.time, record.time)
+        verdict = self._dispatch(record, record.body)
+        self._remember(record.id, verdict)
+        kind = "accepted" if verdict.accepted else "rejected"
+        self.counters[f"record_{kind}"] += 1
+        self._forget_old()
+        return verdict
+
+    def skip(self, offset: Offset) -> None:
+        """Pass over a damaged record."""
+        self.next_offset = Offset(offset + 1)
+        self.counters["record_damaged"] += 1
+
+    def verdict(self, record: RecordId) -> Verdict | None:
+        """What became of a record, or None if it was not read yet."""
+        return self._verdicts.get(record)
+
+    def job_by_key(self, organisation: OrganisationId, caller: CallerId, key: str) -> JobId | None:
+        """The job that a caller's client key names."""
+        return self._keys.get((organisation, caller, key))
+
+    def restore(self, state: LedgerState, covers: Offset) -> None:
+        """Replace everything by a snapshot that covers the offsets below `covers`."""
+        self.state = state
+        self.next_offset = covers
+        self._verdicts = OrderedDict((record, ACCEPTED) for record in state.record_ids)
+        self._keys = {self._key(entry.job): entry.job.id for entry in state.jobs.values()}
+        ended = [entry for entry in state.jobs.values() if entry.state.final]
+        ended.sort(key=lambda entry: entry.ended_at)
+        self._ended = OrderedDict((entry.job.id, entry.ended_at) for entry in ended)
+        if state.config is not None:
+            self.config = parse_config(state.config.text, state.config.version).default_value(
+                EMPTY_CONFIG
+            )
+
+    def snapshot_state(self) -> LedgerState:
+        """The state to put into a snapshot."""
+        self.state.record_ids = list(self._verdicts)
+        return self.state
+
+    @staticmethod
+    def _key(job: Job) -> CallerKey:
+        return (job.organisation, job.caller, job.key)
+
+    def _remember(self, record: RecordId, verdict: Verdict) -> None:
+        self._verdicts[record] = verdict
+        if len(self._verdicts) > MAX_RECORD_IDS:
+            self._verdicts.popitem(last=False)
+
+    def _forget_old(self) -> None:
+        while self._ended:
+            job, ended_at = next(iter(self._ended.items()))
+            if self.time - ended_at < FINAL_JOB_RETENTION_S:
+                return
+            del self._ended[job]
+            entry = self.state.jobs.pop(job)
+            self._keys.pop(self._key(entry.job), None)
+
+    def _dispatch(self, record: Record, body: Body) -> Verdict:  # noqa: PLR0912
+        match body:
+            case ConfigPublished():
+                return self._publish(record, body)
+            case EntryUp():
+                return self._entry_up(record, body)
+            case EntryDown():
+                self.state.entries.pop(body.entry, None)
+                return ACCEPTED
+            case DomainClaimed():
+                return self._claim(record, body)
+            case DomainRenewed():
+                return self._renew(record, body)
+            case JobAccepted():
+                return self._accept(body)
+            case JobRouted():
+                return self._route(body)
+            case AttemptStarted():
+                return self._start(body)
+            case AttemptEnded():
+                return self._end(record, body)
+            case JobFinished():
+                return self._finish(record, body)
+            case JobsCancelled():
+                return self._cancel(record, body)
+            case JobRefused():
+                return self._refuse(record, body)
+            case RequestStarted():
+                return self._request(record, body)
+            case SnapshotChunk():
+                return ACCEPTED
+        return Verdict(False, "unknown record type")
+
+    def _publish(self, record: Record, body: ConfigPublished) -> Verdict:
+        current = self.config.version
+        if body.base != current or body.version != current + 1:
+            return Verdict(False, f"version {current} is in force")
+        parsed = parse_config(body.text, body.version)
+        if parsed.is_error():
+            return Verdict(False, "invalid text")
+        self.config = parsed.ok
+        entry = ConfigEntry(body.version, body.text, body.operator, record.time)
+        self.state.config = entry
+        self.state.history.append(entry)
+        del self.state.history[:-20]
+        return ACCEPTED
+
+    def _entry_up(self, record: Record, body: EntryUp) -> Verdict:
+        self.state.entries[body.entry] = EntryInfo(
+            body.entry, body.zone, body.http_address, body.pipe_address, record.time
+        )
+        return ACCEPTED
+
+    def _claim(self, record: Record, body: DomainClaimed) -> Verdict:
+        domain = self.state.domains.setdefault(body.domain, DomainEntry())
+        if body.base_epoch != domain.epoch or body.epoch != domain.epoch + 1:
+            return Verdict(False, f"epoch {domain.epoch} is current")
+        domain.epoch = body.epoch
+        domain.owner = body.entry
+        domain.renewed_at = record.time
+        return ACCEPTED
+
+    def _renew(self, record: Record, body: DomainRenewed) -> Verdict:
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        domain = self.state.domains[body.domain]
+        domain.renewed_at = max(domain.renewed_at, record.time)
+        return ACCEPTED
+
+    def _is_owner(self, domain: DomainId, epoch: Epoch) -> bool:
+        entry = self.state.domains.get(domain)
+        return entry is not None and entry.epoch == epoch
+
+    def _accept(self, body: JobAccepted) -> Verdict:
+        job = body.job
+        if job.id in self.state.jobs:
+            return Verdict(False, "job id is known")
+        if self._key(job) in self._keys:
+            return Verdict(False, "client key is known")
+        self.state.jobs[job.id] = JobEntry(job, body.domain)
+        self._keys[self._key(job)] = job.id
+        return ACCEPTED
+
+    def _route(self, body: JobRouted) -> Verdict:
+        entry = self.state.jobs.get(body.job)
+        if entry is None or entry.state is not JobState.QUEUED or entry.domain != body.domain:
+            return Verdict(False, "job is not queued there")
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        entry.domain = body.to
+        return ACCEPTED
+
+    def _start(self, body: AttemptStarted) -> Verdict:
+        entry = self.state.jobs.get(body.job)
+        if entry is None or entry.state is not JobState.QUEUED or entry.domain != body.domain:
+            return Verdict(False, "job is not queued")
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        if body.attempt <= entry.attempt:
+            return Verdict(False, "old attempt")
+        entry.state = JobState.RUNNING
+        entry.attempt = body.attempt
+        entry.placements = body.placements
+        return ACCEPTED
+
+    def _end(self, record: Record, body: AttemptEnded) -> Verdict:
+        entry = self.state.jobs.get(body.job)
+        if entry is None or entry.state is not JobState.RUNNING or entry.attempt != body.attempt:
+            return Verdict(False, "attempt is not open")
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        entry.placements = ()
+        if body.outcome is AttemptOutcome.MAY_HAVE_RUN:
+            entry.reason = RefusalReason.MAY_HAVE_RUN
+            self._close(record, entry, JobState.MAY_HAVE_RUN)
+        else:
+            entry.state = JobState.QUEUED
+        return ACCEPTED
+
+    def _finish(self, record: Record, body: JobFinished) -> Verdict:
+        entry = self.state.jobs.get(body.job)
+        if entry is None:
+            return Verdict(False, "job is unknown")
+        if entry.state.final:
+            self.counters["result_dropped"] += 1
+            return Verdict(False, "job has ended")
+        entry.result = body.result
+        entry.digest = body.digest
+        entry.attempt = max(entry.attempt, body.attempt)
+        self._close(record, entry, JobState.FINISHED)
+        return ACCEPTED
+
+    def _cancel(self, record: Record, body: JobsCancelled) -> Verdict:
+        cancelled = 0
+        for job in body.jobs:
+            entry = self.state.jobs.get(job)
+            if entry is None or entry.state.final or entry.job.organisation != body.organisation:
+                continue
+            self._close(record, entry, JobState.CANCELLED)
+            cancelled += 1
+        return ACCEPTED if cancelled else Verdict(False, "no job to cancel")
+
+    def _refuse(self, record: Record, body: JobRefused) -> Verdict:
+        entry = self.state.jobs.get(body.job)
+        if entry is None or entry.state is not JobState.QUEUED:
+            return Verdict(False, "job is not queued")
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        entry.reason = body.reason
+        self._close(record, entry, JobState.REFUSED)
+        return ACCEPTED
+
+    def _request(self, record: Record, body: RequestStarted) -> Verdict:
+        key = f"{body.organisation}/{body.caller}/{body.key}"
+        known = self.state.requests.get(key)
+        if known is not None and record.time - known[1] < REQUEST_KEY_RETENTION_S:
+            return Verdict(False, "request key is known")
+        self.state.requests[key] = (body.entry, record.time)
+        return ACCEPTED
+
+    def _close(self, record: Record, entry: JobEntry, state: JobState) -> None:
+        entry.state = state
+        entry.ended_at = record.time
+        entry.placements = ()
+        self._ended[entry.job.id] = record.time
--- /dev/null
+++ b/comfreyshelf/log.py
@@ -0,0 +1,141 @@
+"""Clients of the platform's append-only log."""
+
+import threading
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+import msgspec
+import urllib3
+
+from comfreyshelf.errors import LogUnavailableError
+from comfreyshelf.ids import Offset
+
+READ_LIMIT = 1000
+_REMEDY = "wait until the log service answers again"
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Records from a read; `oldest` is the oldest offset that the log still keeps.
+
+    `items` are pairs of offset and data. `next` is the offset to read from next.
+    """
+
+    items: list[tuple[int, bytes]]
+    next: int
+    oldest: int
+
+
+class LogClient(ABC):
+    """An append-only log with offsets; every method raises LogUnavailableError on an outage."""
+
+    @abstractmethod
+    def append(self, batch: Sequence[bytes]) -> list[Offset]:
+        """Append records in order and return their offsets.
+
+        After LogUnavailableError the append may still have taken effect.
+        """
+
+    @abstractmethod
+    def read(self, offset: Offset, wait_s: float = 0.0) -> Page:
+        """Read up to READ_LIMIT records from `offset`, waiting up to `wait_s` for the first."""
+
+    def close(self) -> None:  # noqa: B027
+        """Release connections."""
+
+
+class MemoryLog(LogClient):
+    """An in-memory log with faults for tests: outages, lost answers and expiry."""
+
+    def __init__(self) -> None:
+        self._records: list[bytes] = []
+        self._times: list[float] = []
+        self._oldest = 0
+        self._changed = threading.Condition()
+        self.down = False
+        self.lost_answers = 0
+        self.delay_s = 0.0
+        self.appends = 0
+
+    def append(self, batch: Sequence[bytes]) -> list[Offset]:
+        """Append unless down; a lost answer raises after the append took effect."""
+        self._delay()
+        with self._changed:
+            self._check_up()
+            first = len(self._records)
+            self._records.extend(batch)
+            self._times.extend([time.time()] * len(batch))
+            self.appends += 1
+            self._changed.notify_all()
+            if self.lost_answers > 0:
+                self.lost_answers -= 1
+                raise LogUnavailableError("the answer of the log was lost", _REMEDY)
+        return [Offset(first + index) for index in range(len(batch))]
+
+    def read(self, offset: Offset, wait_s: float = 0.0) -> Page:
+        """Read retained records; an expired offset continues at the oldest one."""
+        self._delay()
+        with self._changed:
+            self._check_up()
+            if offset >= len(self._records) and wait_s > 0:
+                self._changed.wait(wait_s)
+            self._check_up()
+            first = max(int(offset), self._oldest)
+            data = self._records[first : first + READ_LIMIT]
+            items = [(first + index, record) for index, record in enumerate(data)]
+            return Page(items, first + len(data), self._oldest)
+
+    def expire(self, seconds: float) -> None:
+        """Drop records older than `seconds`."""
+        horizon = time.time() - seconds
+        with self._changed:
+            while self._oldest < len(self._records) and self._times[self._oldest] < horizon:
+                self._records[self._oldest] = b""
+                self._oldest += 1
+
+    def expire_before(self, offset: int) -> None:
+        """Drop the records below `offset`."""
+        with self._changed:
+            self._oldest = max(self._oldest, min(offset, len(self._records)))
+
+    def _delay(self) -> None:
+        if self.delay_s > 0:
+            time.sleep(self.delay_s)
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise LogUnavailableError("the log is down", _REMEDY)
+
+
+class HttpLog(LogClient):
+    """A client of the log service over HTTP; bodies are msgpack."""
+
+    def __init__(self, url: str, timeout_s: float = 2.0) -> None:
+        self._url = url.rstrip("/") + "/records"
+        self._timeout_s = timeout_s
+        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+
+    def append(self, batch: Sequence[bytes]) -> list[Offset]:
+        """POST the batch; any failure leaves it open whether it took effect."""
+        body = msgspec.msgpack.encode(list(batch))
+        data = self._request("POST", self._url, self._timeout_s, body)
+        return [Offset(offset) for offset in msgspec.msgpack.decode(data, type=list[int])]
+
+    def read(self, offset: Offset, wait_s: float = 0.0) -> Page:
+        """GET records by long poll."""
+        url = f"{self._url}?offset={offset}&wait_ms={int(wait_s * 1000)}"
+        data = self._request("GET", url, self._timeout_s + wait_s)
+        return msgspec.msgpack.decode(data, type=Page)
+
+    def close(self) -> None:
+        """Close pooled connections."""
+        self._pool.clear()
+
+    def _request(self, method: str, url: str, timeout_s: float, body: bytes | None = None) -> bytes:
+        try:
+            answer = self._pool.request(method, url, body=body, timeout=timeout_s)
+        except urllib3.exceptions.HTTPError as exc:
+            raise LogUnavailableError(f"the log did not answer: {exc}", _REMEDY) from exc
+        if answer.status != 200:
+            raise LogUnavailableError(f"the log answered status {answer.status}", _REMEDY)
+        return answer.data
--- /dev/null
+++ b/comfreyshelf/messages.py
@@ -0,0 +1,225 @@
+"""Messages between entries and target processes, coded as msgpack."""
+
+import msgspec
+
+from comfreyshelf.errors import RecordError
+from comfreyshelf.ids import Attempt, DomainId, EntryId, Epoch, JobId, RequestId, TargetId, Version
+from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.reasons import RefusalReason
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, omit_defaults=True):
+    """Base of all messages."""
+
+
+class RunnerLoad(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Load of the local runner of one service."""
+
+    service: str
+    running: int = 0
+    waiting: int = 0
+    healthy: bool = True
+
+
+class Status(Message, frozen=True, tag=True):
+    """Target to entry: what the target has and holds; `sent_at` is the target's own clock."""
+
+    worker: WorkerInfo
+    sent_at: float
+    epoch: Epoch
+    version: Version
+    parts: tuple[HeldPart, ...] = ()
+    runners: tuple[RunnerLoad, ...] = ()
+    draining: bool = False
+
+
+class ServiceSlots(msgspec.Struct, frozen=True):
+    """Admission limits of one service's runner."""
+
+    service: str
+    slots: int
+    connections: int
+
+
+class Welcome(Message, frozen=True, tag=True):
+    """Entry to target: configuration, entries and lease.
+
+    `echo` is `sent_at` of the status that this answers, so the lease of `lease_s` counts from the
+    moment when the target asked. A `lease_s` of 0 renews nothing.
+    """
+
+    entry: EntryId
+    domain: DomainId
+    epoch: Epoch
+    version: Version
+    owner: bool
+    echo: float = 0.0
+    lease_s: float = 0.0
+    draining: bool = False
+    entries: tuple[str, ...] = ()
+    services: tuple[ServiceSlots, ...] = ()
+
+
+class Reserve(Message, frozen=True, tag=True):
+    """Reserve parts of an attempt for a limited time."""
+
+    epoch: Epoch
+    version: Version
+    job: Job
+    attempt: Attempt
+    placements: tuple[Placement, ...]
+
+
+class ReserveAnswer(Message, frozen=True, tag=True):
+    """Whether all the parts were reserved; `reason` is None if they were."""
+
+    target: TargetId
+    job: JobId
+    attempt: Attempt
+    reason: RefusalReason | None = None
+
+
+class Commit(Message, frozen=True, tag=True):
+    """Start the reserved parts of an attempt."""
+
+    epoch: Epoch
+    job: JobId
+    attempt: Attempt
+
+
+class Release(Message, frozen=True, tag=True):
+    """Drop a reservation and refuse the attempt from now on."""
+
+    epoch: Epoch
+    job: JobId
+    attempt: Attempt
+
+
+class Stop(Message, frozen=True, tag=True):
+    """Stop the parts of an attempt, after a checkpoint if `checkpoint`."""
+
+    epoch: Epoch
+    job: JobId
+    attempt: Attempt
+    checkpoint: bool = False
+
+
+class Forget(Message, frozen=True, tag=True):
+    """The result of an attempt is recorded or no longer wanted."""
+
+    epoch: Epoch
+    job: JobId
+    attempt: Attempt
+
+
+class Probe(Message, frozen=True, tag=True):
+    """Run a short probe on the worker."""
+
+    epoch: Epoch
+
+
+class ProbeAnswer(Message, frozen=True, tag=True):
+    """Outcome of a probe."""
+
+    target: TargetId
+    passed: bool
+
+
+class PartReport(Message, frozen=True, tag=True):
+    """A part ended; it is sent again until the owner sends `Forget`."""
+
+    target: TargetId
+    job: JobId
+    attempt: Attempt
+    part: int
+    state: PartState
+    result: bytes = b""
+    run_s: float = 0.0
+    started: bool = True
+    checkpointed: bool = False
+
+
+class UsageReport(Message, frozen=True, tag=True):
+    """Usage of a part as the platform reports it, with a lag."""
+
+    target: TargetId
+    job: JobId
+    part: int
+    busy: float
+    memory_gb: float
+
+
+class RunRequest(Message, frozen=True, tag=True):
+    """Send a short request to the local runner within `timeout_s`."""
+
+    request: RequestId
+    service: str
+    version: Version
+    timeout_s: float
+    body: bytes
+    idempotent: bool = True
+
+
+class RequestAnswer(Message, frozen=True, tag=True):
+    """The whole answer of a runner, or why it was refused.
+
+    `started` False proves that the request never started here and never will.
+    """
+
+    target: TargetId
+    request: RequestId
+    started: bool
+    ok: bool = False
+    body: bytes = b""
+    digest: str = ""
+    reason: RefusalReason | None = None
+
+
+class DisproveStart(Message, frozen=True, tag=True):
+    """Ask for a proof that a request has not started and never will."""
+
+    request: RequestId
+
+
+class StartDisproved(Message, frozen=True, tag=True):
+    """Answer to `DisproveStart`; `disproved` False means that the request may have run."""
+
+    target: TargetId
+    request: RequestId
+    disproved: bool
+
+
+AnyMessage = (
+    Status
+    | Welcome
+    | Reserve
+    | ReserveAnswer
+    | Commit
+    | Release
+    | Stop
+    | Forget
+    | Probe
+    | ProbeAnswer
+    | PartReport
+    | UsageReport
+    | RunRequest
+    | RequestAnswer
+    | DisproveStart
+    | StartDisproved
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode_message(message: AnyMessage) -> bytes:
+    """Encode a message."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> AnyMessage:
+    """Decode a message; raises RecordError if it is damaged or of an unknown type."""
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
+        raise RecordError(f"unreadable message: {exc}", "drop it and count it") from exc
--- /dev/null
+++ b/comfreyshelf/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and latency histograms of one process."""
+
+import threading
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from comfreyshelf.kernel import Service
+from comfreyshelf.reasons import RefusalReason, RetryReason
+
+_LOWEST_US = 1
+_HIGHEST_US = 24 * 3600 * 1_000_000
+_DIGITS = 2
+_QUANTILES = (50.0, 90.0, 99.0, 100.0)
+
+
+class Metrics(Service):
+    """Thread-safe counters and hdrhistogram latencies; rendered as Prometheus text."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def start(self) -> None:
+        """Every refusal and retry reason is shown from the start, at zero."""
+        for refusal in RefusalReason:
+            self.count(f'refusals{{reason="{refusal.value}"}}', 0)
+        for retry in RetryReason:
+            self.count(f'retries{{reason="{retry.value}"}}', 0)
+
+    def stop(self) -> None:
+        """Nothing to close."""
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counters[name] += by
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.count(f'refusals{{reason="{reason.value}"}}')
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self.count(f'retries{{reason="{reason.value}"}}')
+
+    def bytes_sent(self, link: str, size: int) -> None:
+        """Count control bytes sent over a link, named by the zone or role at its far end."""
+        self.count(f'control_bytes{{link="{link}",direction="out"}}', size)
+
+    def bytes_received(self, link: str, size: int) -> None:
+        """Count control bytes received over a link."""
+        self.count(f'control_bytes{{link="{link}",direction="in"}}', size)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        with self._lock:
+            self._gauges[name] = value
+
+    def record_latency(self, name: str, seconds: float) -> None:
+        """Record a latency in seconds."""
+        with self._lock:
+            histogram = self._histograms.get(name)
+            if histogram is None:
+                histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+                self._histograms[name] = histogram
+            histogram.record_value(max(_LOWEST_US, int(seconds * 1e6)))
+
+    def value(self, name: str) -> float:
+        """The value of a counter or gauge, 0 if it is unknown."""
+        with self._lock:
+            return self._counters.get(name, self._gauges.get(name, 0))
+
+    def quantile(self, name: str, percent: float) -> float:
+        """A quantile of a latency in seconds, 0 if nothing was recorded."""
+        with self._lock:
+            histogram = self._histograms.get(name)
+            return histogram.get_value_at_percentile(percent) / 1e6 if histogram else 0.0
+
+    def render(self) -> str:
+        """All metrics in the Prometheus text format."""
+        with self._lock:
+            lines = [f"comfreyshelf_{name} {value}" for name, value in self._counters.items()]
+            lines += [f"comfreyshelf_{name} {value}" for name, value in self._gauges.items()]
+            for name, histogram in self._histograms.items():
+                lines += [
+                    f'comfreyshelf_{name}_seconds{{quantile="{percent / 100:g}"}} '
+                    f"{histogram.get_value_at_percentile(percent) / 1e6:.6f}"
+                    for percent in _QUANTILES
+                ]
+                lines.append(f"comfreyshelf_{name}_seconds_count {histogram.get_total_count()}")
+        return "\n".join(sorted(lines)) + "\n"
--- /dev/null
+++ b/comfreyshelf/plugins/__init__.py
@@ -0,0 +1,34 @@
+"""Policies and services registered by name."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from comfreyshelf.errors import UserError
+
+T = TypeVar("T")
+
+
+class Registry(dict[str, Callable[[], T]]):
+    """Factories by name.
+
+    placers: Registry[Placer] = Registry("placement policy")
+    placers.add("firstfit", FirstFit)
+    placers.make("firstfit")
+    """
+
+    def __init__(self, what: str) -> None:
+        super().__init__()
+        self._what = what
+
+    def add(self, name: str, factory: Callable[[], T]) -> None:
+        """Register a factory under a name that is not yet taken."""
+        if name in self:
+            raise ValueError(f"{self._what} '{name}' is registered twice")
+        self[name] = factory
+
+    def make(self, name: str) -> T:
+        """Make a new instance; raises UserError for an unknown name."""
+        if name not in self:
+            known = ", ".join(sorted(self))
+            raise UserError(f"unknown {self._what} '{name}'", f"use one of: {known}")
+        return self[name]()
--- /dev/null
+++ b/comfreyshelf/plugins/placers.py
@@ -0,0 +1,7 @@
+"""Placement policies by name."""
+
+from comfreyshelf.placement import FirstFit, Placer
+from comfreyshelf.plugins import Registry
+
+placers: Registry[Placer] = Registry("placement policy")
+placers.add("firstfit", FirstFit)
--- /dev/null
+++ b/comfreyshelf/records.py
@@ -0,0 +1,199 @@
+"""Log records and their versioned msgpack codec."""
+
+import msgspec
+
+from comfreyshelf.errors import RecordError
+from comfreyshelf.ids import (
+    Attempt,
+    CallerId,
+    DomainId,
+    EntryId,
+    Epoch,
+    JobId,
+    Offset,
+    OperatorId,
+    OrganisationId,
+    RecordId,
+    Version,
+    ZoneId,
+)
+from comfreyshelf.model import AttemptOutcome, Job, Placement
+from comfreyshelf.reasons import RefusalReason
+
+FORMAT_VERSION = 1
+
+
+class Body(msgspec.Struct, frozen=True, tag=True):
+    """Base of all record bodies."""
+
+
+class ConfigPublished(Body, frozen=True, tag=True):
+    """A configuration text; valid if `base` is the version in force when it is read."""
+
+    version: Version
+    base: Version
+    text: str
+    operator: OperatorId
+
+
+class EntryUp(Body, frozen=True, tag=True):
+    """An entry announces or renews its addresses (`ip:port`)."""
+
+    entry: EntryId
+    zone: ZoneId
+    http_address: str
+    pipe_address: str
+
+
+class EntryDown(Body, frozen=True, tag=True):
+    """An entry leaves after a graceful shutdown."""
+
+    entry: EntryId
+
+
+class DomainClaimed(Body, frozen=True, tag=True):
+    """An entry claims a domain; valid if `base_epoch` is the current epoch."""
+
+    domain: DomainId
+    epoch: Epoch
+    base_epoch: Epoch
+    entry: EntryId
+
+
+class DomainRenewed(Body, frozen=True, tag=True):
+    """The owner of a domain shows that it is alive."""
+
+    domain: DomainId
+    epoch: Epoch
+    entry: EntryId
+
+
+class JobAccepted(Body, frozen=True, tag=True):
+    """A job enters `domain`; the first record of a caller's client key wins."""
+
+    job: Job
+    domain: DomainId
+
+
+class JobRouted(Body, frozen=True, tag=True):
+    """The owner hands a queued job to another domain."""
+
+    job: JobId
+    domain: DomainId
+    to: DomainId
+    epoch: Epoch
+
+
+class AttemptStarted(Body, frozen=True, tag=True):
+    """An attempt may start; valid under the current epoch when no attempt of the job is open."""
+
+    job: JobId
+    attempt: Attempt
+    domain: DomainId
+    epoch: Epoch
+    placements: tuple[Placement, ...]
+
+
+class AttemptEnded(Body, frozen=True, tag=True):
+    """An attempt ended without a result; `MAY_HAVE_RUN` is final, the others requeue the job."""
+
+    job: JobId
+    attempt: Attempt
+    domain: DomainId
+    epoch: Epoch
+    outcome: AttemptOutcome
+
+
+class JobFinished(Body, frozen=True, tag=True):
+    """The whole result of a job and its SHA-256 digest in hex; the first record wins."""
+
+    job: JobId
+    attempt: Attempt
+    domain: DomainId
+    epoch: Epoch
+    result: bytes
+    digest: str
+
+
+class JobsCancelled(Body, frozen=True, tag=True):
+    """A batch of cancellations by one caller of one organisation."""
+
+    jobs: tuple[JobId, ...]
+    organisation: OrganisationId
+    caller: CallerId
+
+
+class JobRefused(Body, frozen=True, tag=True):
+    """A queued job can never run."""
+
+    job: JobId
+    domain: DomainId
+    epoch: Epoch
+    reason: RefusalReason
+
+
+class RequestStarted(Body, frozen=True, tag=True):
+    """A keyed non-idempotent request is about to be sent; the first record of a key wins."""
+
+    organisation: OrganisationId
+    caller: CallerId
+    key: str
+    entry: EntryId
+
+
+class SnapshotChunk(Body, frozen=True, tag=True):
+    """One chunk of a snapshot of the fold that covers all offsets below `covers`."""
+
+    snapshot: str
+    covers: Offset
+    index: int
+    count: int
+    data: bytes
+
+
+AnyBody = (
+    ConfigPublished
+    | EntryUp
+    | EntryDown
+    | DomainClaimed
+    | DomainRenewed
+    | JobAccepted
+    | JobRouted
+    | AttemptStarted
+    | AttemptEnded
+    | JobFinished
+    | JobsCancelled
+    | JobRefused
+    | RequestStarted
+    | SnapshotChunk
+)
+
+
+class Record(msgspec.Struct, frozen=True):
+    """A record body in its envelope; `time` is in seconds since the epoch."""
+
+    id: RecordId
+    writer: str
+    time: float
+    body: AnyBody
+    format: int = FORMAT_VERSION
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Record)
+
+
+def encode_record(record: Record) -> bytes:
+    """Encode a record for the log."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(data: bytes) -> Record:
+    """Decode a record; raises RecordError if it is damaged or of an unknown type or format."""
+    try:
+        record = _DECODER.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
+        raise RecordError(f"unreadable record: {exc}", "skip it and count it") from exc
+    if record.format != FORMAT_VERSION:
+        raise RecordError(f"unknown record format {record.format}", "upgrade this process")
+    return record
--- /dev/null
+++ b/comfreyshelf/transport.py
@@ -0,0 +1,178 @@
+"""pynng pipes between entries and target processes."""
+
+import threading
+from collections.abc import Callable
+
+import pynng
+
+from comfreyshelf.errors import RecordError
+from comfreyshelf.ids import TargetId
+from comfreyshelf.messages import AnyMessage, Status, decode_message, encode_message
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.tasks import Poller
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+_POLL_MS = 200
+_SEND_TIMEOUT_MS = 500
+_BUFFERED_MESSAGES = 256
+
+
+class Hub(Poller):
+    """The pipe listener of an entry.
+
+    `receive` is called with each target's messages; the target of a pipe is known from its first
+    `Status`. `send` queues a message to a target and tells whether there is a pipe to it.
+    """
+
+    def __init__(
+        self, address: str, metrics: Metrics, receive: Callable[[TargetId, AnyMessage], None]
+    ) -> None:
+        super().__init__("hub")
+        self._address = address
+        self._metrics = metrics
+        self._receive = receive
+        self._lock = threading.Lock()
+        self._pipes: dict[TargetId, pynng.Pipe] = {}
+        self._targets: dict[int, TargetId] = {}
+        self._socket: pynng.Pair1 | None = None
+
+    def start(self) -> None:
+        """Listen, then start the receiving thread."""
+        self._socket = pynng.Pair1(
+            polyamorous=True,
+            recv_timeout=_POLL_MS,
+            send_timeout=_SEND_TIMEOUT_MS,
+            recv_max_size=MAX_MESSAGE_BYTES,
+            recv_buffer_size=_BUFFERED_MESSAGES,
+            send_buffer_size=_BUFFERED_MESSAGES,
+        )
+        self._socket.add_post_pipe_remove_cb(self._on_removed)
+        self._socket.listen(f"tcp://{self._address}")
+        super().start()
+
+    def stop(self) -> None:
+        """End the thread and close the socket."""
+        super().stop()
+        if self._socket is not None:
+            self._socket.close()
+
+    def targets(self) -> list[TargetId]:
+        """Targets with an open pipe."""
+        with self._lock:
+            return list(self._pipes)
+
+    def send(self, target: TargetId, message: AnyMessage) -> bool:
+        """Send a message; False if there is no pipe to the target or it does not take data."""
+        with self._lock:
+            pipe = self._pipes.get(target)
+        if pipe is None:
+            return False
+        data = encode_message(message)
+        try:
+            pipe.send(data)
+        except pynng.exceptions.NNGException:
+            self._metrics.count("pipe_send_failed")
+            return False
+        self._metrics.bytes_sent("targets", len(data))
+        return True
+
+    def poll(self) -> None:
+        """Receive one message."""
+        assert self._socket is not None
+        try:
+            received = self._socket.recv_msg()
+        except pynng.Timeout:
+            return
+        except pynng.Closed:
+            self._stopping.set()
+            return
+        data = received.bytes
+        self._metrics.bytes_received("targets", len(data))
+        try:
+            message = decode_message(data)
+        except RecordError:
+            self._metrics.count("message_damaged")
+            return
+        if isinstance(message, Status):
+            self._learn(message.worker.target, received.pipe)
+        target = self._targets.get(received.pipe.id)
+        if target is None:
+            self._metrics.count("message_before_status")
+            return
+        self._receive(target, message)
+
+    def _learn(self, target: TargetId, pipe: pynng.Pipe) -> None:
+        with self._lock:
+            self._pipes[target] = pipe
+            self._targets[pipe.id] = target
+
+    def _on_removed(self, pipe: pynng.Pipe) -> None:
+        with self._lock:
+            target = self._targets.pop(pipe.id, None)
+            known = self._pipes.get(target) if target is not None else None
+            if target is not None and known is not None and known.id == pipe.id:
+                del self._pipes[target]
+
+
+class Link(Poller):
+    """A target process's pipe to one entry; `receive` gets the entry's messages."""
+
+    def __init__(
+        self, address: str, metrics: Metrics, receive: Callable[[str, AnyMessage], None]
+    ) -> None:
+        super().__init__(f"link-{address}")
+        self.address = address
+        self._metrics = metrics
+        self._receive = receive
+        self._socket: pynng.Pair1 | None = None
+
+    def start(self) -> None:
+        """Dial without blocking; pynng dials again by itself when the pipe breaks."""
+        self._socket = pynng.Pair1(
+            polyamorous=False,
+            recv_timeout=_POLL_MS,
+            send_timeout=_SEND_TIMEOUT_MS,
+            recv_max_size=MAX_MESSAGE_BYTES,
+            reconnect_time_min=100,
+            reconnect_time_max=1000,
+        )
+        self._socket.dial(f"tcp://{self.address}", block=False)
+        super().start()
+
+    def stop(self) -> None:
+        """End the thread and close the socket."""
+        super().stop()
+        if self._socket is not None:
+            self._socket.close()
+
+    def send(self, message: AnyMessage) -> bool:
+        """Send a message; False if the pipe is down."""
+        assert self._socket is not None
+        if not self._socket.pipes:
+            return False
+        data = encode_message(message)
+        try:
+            self._socket.send(data)
+        except pynng.exceptions.NNGException:
+            self._metrics.count("pipe_send_failed")
+            return False
+        self._metrics.bytes_sent("entries", len(data))
+        return True
+
+    def poll(self) -> None:
+        """Receive one message."""
+        assert self._socket is not None
+        try:
+            data = self._socket.recv()
+        except pynng.Timeout:
+            return
+        except pynng.Closed:
+            self._stopping.set()
+            return
+        self._metrics.bytes_received("entries", len(data))
+        try:
+            message = decode_message(data)
+        except RecordError:
+            self._metrics.count("message_damaged")
+            return
+        self._receive(self.address, message)
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: features in Gherkin, their steps, and the history checks."""
--- /dev/null
+++ b/features/processes.py
@@ -0,0 +1,111 @@
+"""Fixture: entries, target processes and the stand-in log as separate processes."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+from comfreyshelf.client import Client
+from comfreyshelf.demo import free_address
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 60.0
+
+
+class Processes:
+    """Starts processes by name and keeps their settings, so that one can be replaced."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self.log_address = free_address()
+        self.http: dict[str, str] = {}
+        self.pipes: dict[str, str] = {}
+
+    def start_log(self) -> None:
+        """Start the stand-in log."""
+        self._start("log", "standin-log", f"[standin]\naddress = {self.log_address}\n")
+
+    def start_entry(self, name: str, zone: str) -> None:
+        """Start an entry on addresses of its own."""
+        self.http.setdefault(name, free_address())
+        self.pipes.setdefault(name, free_address())
+        self._start(
+            name,
+            "entry",
+            f"[entry]\nname = {name}\nzone = {zone}\nhttp_address = {self.http[name]}\n"
+            f"pipe_address = {self.pipes[name]}\nlog_url = http://{self.log_address}\n",
+        )
+
+    def start_target(self, name: str, zone: str, rack: str) -> None:
+        """Start a target process that knows all entries started so far."""
+        entries = ", ".join(self.pipes.values())
+        self._start(
+            name,
+            "target",
+            f"[target]\nname = {name}\nzone = {zone}\nrack = {rack}\nentries = {entries}\n"
+            "services = permit\nstatus_interval_s = 0.5\nshutdown_grace_s = 20\n",
+        )
+
+    def client(self, entry: str, key: str) -> Client:
+        """A client of one entry, once it is healthy."""
+        client = Client(self.http[entry], key)
+        until = time.monotonic() + START_TIMEOUT_S
+        while not client.healthy():
+            if time.monotonic() > until:
+                raise TimeoutError(f"entry {entry} is not healthy")
+            time.sleep(0.1)
+        return client
+
+    def pid(self, name: str) -> int:
+        """Process id of a process by name."""
+        return self._running[name].pid
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one of the processes."""
+        self._running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str) -> int:
+        """Stop a process with SIGTERM and return its exit code."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(STOP_TIMEOUT_S)
+
+    def kill_all(self) -> None:
+        """Kill everything that still runs."""
+        for name in list(self._running):
+            self.kill(name)
+
+    def _start(self, name: str, command: str, settings: str) -> None:
+        path = self._folder / f"{name}.ini"
+        path.write_text(settings, encoding="utf-8")
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self._running[name] = subprocess.Popen(
+                [sys.executable, "-m", "comfreyshelf", command, str(path)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
+            )
+
+
+@contextmanager
+def separate_processes() -> Iterator[Processes]:
+    """A folder for settings and logs, and processes that end with the block."""
+    with ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        processes = Processes(Path(folder))
+        stack.callback(processes.kill_all)
+        yield processes
