--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -16,6 +16,7 @@
 from comfreyshelf.records import EntryDown
 from comfreyshelf.router import Router
 from comfreyshelf.settings import EntrySettings
+from comfreyshelf.snapshotter import Snapshotter
 from comfreyshelf.transport import Hub
 from comfreyshelf.web import WebServer
 
@@ -31,13 +32,18 @@
         self.kernel = Kernel()
         self.metrics = self.kernel.register("metrics", Metrics())
         self.roster = Roster()
-        self.reader = self.kernel.register("ledger", LedgerReader(self._log, self.metrics))
+        self.reader = self.kernel.register(
+            "ledger", LedgerReader(self._log, self.metrics, cfg.accept_lost_history)
+        )
         self.appender = self.kernel.register(
             "appender", Appender(cfg.name, self._log, self.reader, self.metrics)
         )
         self.owner = self.kernel.register(
             "owner", Owner(cfg, self.reader, self.appender, self.roster, self.metrics)
         )
+        self.kernel.register(
+            "snapshots", Snapshotter(cfg, self.reader, self.appender, self.metrics)
+        )
         self.router = Router(ZoneId(cfg.zone), self.roster, self.metrics)
         self.hub = self.kernel.register(
             "hub", Hub(cfg.pipe_address, self.metrics, self._on_message)
--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -16,27 +16,33 @@
 from comfreyshelf.log import LogClient, Page
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.reasons import RetryReason
-from comfreyshelf.records import AnyBody, Record, decode_record, encode_record
+from comfreyshelf.records import AnyBody, Record, decode_record, encode_record, make_record_id
+from comfreyshelf.snapshots import Recovery
 from comfreyshelf.tasks import Poller, Task
 
 READ_WAIT_S = 0.5
+READ_RETRY_S = 0.1
 # One failed read may be a lost packet; a second without any answer counts as an outage.
 OUTAGE_AFTER_S = 1.0
 MAX_BATCH = 64
+MAX_BATCH_BYTES = 512 * 1024
 RETRY_DELAY_S = 0.5
 
 RecordListener = Callable[[Record, Verdict], None]
 StateListener = Callable[[bool], None]
+ResetListener = Callable[[], None]
 
 
 class LedgerReader(Poller):
     """Reads the log and folds it; holds the only writable reference to the ledger.
 
-    Listeners run in the reader's thread after each record and must return at once. Other threads
-    read the ledger while holding `lock`, which also wakes waiters when records were applied.
+    It starts with a recovery: listeners hear nothing before the first end of the log. A reader
+    that fell behind the retention of the log recovers again and calls the reset listeners.
+    Listeners run in the reader's thread and must return at once. Other threads read the ledger
+    while holding `lock`, which also wakes waiters when records were applied.
     """
 
-    def __init__(self, log: LogClient, metrics: Metrics) -> None:
+    def __init__(self, log: LogClient, metrics: Metrics, accept_lost_history: bool = False) -> None:
         super().__init__("ledger-reader")
         self.lock = threading.Condition()
         self.ledger = Ledger()
@@ -44,9 +50,14 @@
         self.caught_up = threading.Event()
         self._log = log
         self._metrics = metrics
+        self._accept_lost_history = accept_lost_history
+        self._next = Offset(0)
+        self._recovery: Recovery | None = Recovery(Offset(0))
         self._record_listeners: list[RecordListener] = []
         self._state_listeners: list[StateListener] = []
+        self._reset_listeners: list[ResetListener] = []
         self._answered_at = time.monotonic()
+        self._started_at = time.monotonic()
 
     def on_record(self, listener: RecordListener) -> None:
         """Call `listener` after each record is applied."""
@@ -56,6 +67,10 @@
         """Call `listener` when the log becomes reachable or unreachable."""
         self._state_listeners.append(listener)
 
+    def on_reset(self, listener: ResetListener) -> None:
+        """Call `listener` when the ledger was rebuilt because records had expired unread."""
+        self._reset_listeners.append(listener)
+
     def wait_until(self, ready: Callable[[Ledger], bool], timeout_s: float) -> bool:
         """Wait until `ready(ledger)` holds; it is checked under the lock."""
         with self.lock:
@@ -64,33 +79,71 @@
     def poll(self) -> None:
         """Read one page and apply it."""
         try:
-            page = self._log.read(self.ledger.next_offset, READ_WAIT_S)
+            page = self._log.read(self._next, READ_WAIT_S)
         except LogUnavailableError:
             self._metrics.retried(RetryReason.LOG_UNAVAILABLE)
             if time.monotonic() - self._answered_at > OUTAGE_AFTER_S:
                 self._set_state(False)
-            self.wait(0.1)
+            self.wait(READ_RETRY_S)
             return
         self._answered_at = time.monotonic()
-        self._apply(page)
-        if not page.items:
+        if page.oldest > self._next:
+            self._restart_recovery(Offset(page.oldest))
+        self._take(page)
+        if not page.items and self._finish_recovery():
             self.caught_up.set()
             self._set_state(True)
 
-    def _apply(self, page: Page) -> None:
+    def _restart_recovery(self, oldest: Offset) -> None:
+        self._metrics.count("recoveries")
+        self._recovery = Recovery(oldest)
+
+    def _take(self, page: Page) -> None:
         for offset, data in page.items:
-            try:
-                record = decode_record(data)
-            except RecordError:
-                self._metrics.count("record_damaged")
-                with self.lock:
-                    self.ledger.skip(Offset(offset))
-                continue
-            with self.lock:
-                verdict = self.ledger.apply(Offset(offset), record)
-                self.lock.notify_all()
-            for listener in self._record_listeners:
-                listener(record, verdict)
+            record = self._decode(data)
+            if self._recovery is not None:
+                self._recovery.add(Offset(offset), record)
+            else:
+                self._apply(Offset(offset), record)
+        self._next = Offset(page.next)
+
+    def _decode(self, data: bytes) -> Record | None:
+        try:
+            return decode_record(data)
+        except RecordError:
+            self._metrics.count("record_damaged")
+            return None
+
+    def _apply(self, offset: Offset, record: Record | None) -> None:
+        with self.lock:
+            if record is None:
+                self.ledger.skip(offset)
+                return
+            verdict = self.ledger.apply(offset, record)
+            self.lock.notify_all()
+        for listener in self._record_listeners:
+            listener(record, verdict)
+
+    def _finish_recovery(self) -> bool:
+        """Rebuild the ledger at the end of the log; False while history is missing."""
+        recovery = self._recovery
+        if recovery is None:
+            return True
+        if not recovery.complete and not self._accept_lost_history:
+            self._metrics.gauge("history_missing", 1.0)
+            return False
+        with self.lock:
+            recovery.finish(self.ledger)
+            self.lock.notify_all()
+        self._recovery = None
+        self._metrics.gauge("history_missing", 0.0)
+        if self.caught_up.is_set():
+            logging.warning("records had expired unread; the ledger was rebuilt from a snapshot")
+            for listener in self._reset_listeners:
+                listener()
+        else:
+            self._metrics.gauge("recovery_seconds", time.monotonic() - self._started_at)
+        return True
 
     def _set_state(self, up: bool) -> None:
         if up == self.log_up:
@@ -130,7 +183,10 @@
 
     def __init__(self, name: str, log: LogClient, reader: LedgerReader, metrics: Metrics) -> None:
         super().__init__("appender", tick_s=0.1)
+        # The name alone may be used again by the process that replaces this one.
+        self.incarnation = f"{name}.{uuid.uuid4().hex[:12]}"
         self._writer = name
+        self._sequence = 0
         self._log = log
         self._reader = reader
         self._metrics = metrics
@@ -138,6 +194,7 @@
         self._waiting: dict[RecordId, Pending] = {}
         self._retry_at = 0.0
         self._lock = threading.Lock()
+        self._submit_lock = threading.Lock()
         reader.on_record(self._settle)
 
     def submit(self, body: AnyBody, give_up_s: float = 0.0) -> "Future[AppendResult]":
@@ -145,10 +202,14 @@
 
         With `give_up_s` it resolves after that many seconds at the latest.
         """
-        record = Record(RecordId(uuid.uuid4().hex), self._writer, time.time(), body)
         future: Future[AppendResult] = Future()
         until = time.monotonic() + give_up_s if give_up_s else 0.0
-        self.send(Pending(record, future, until))
+        # Records have to enter the inbox in the order of their sequence numbers.
+        with self._submit_lock:
+            self._sequence += 1
+            record_id = make_record_id(self.incarnation, self._sequence)
+            record = Record(record_id, self._writer, time.time(), body)
+            self.send(Pending(record, future, until))
         return future
 
     def handle(self, message: Pending) -> None:
@@ -187,7 +248,7 @@
 
     def _flush(self) -> None:
         self._unsent = [item for item in self._unsent if not self._is_settled(item)]
-        batch = self._unsent[:MAX_BATCH]
+        batch, data = self._next_batch()
         if not batch:
             return
         with self._lock:
@@ -196,14 +257,28 @@
                 self._waiting[item.record.id] = item
         started = time.monotonic()
         try:
-            self._log.append([encode_record(item.record) for item in batch])
+            self._log.append(data)
         except LogUnavailableError:
             self._metrics.retried(RetryReason.LOG_ANSWER_LOST)
             self._retry_at = time.monotonic() + RETRY_DELAY_S
             return
         self._metrics.record_latency("log_append", time.monotonic() - started)
         self._metrics.count("log_appends")
-        self._unsent = self._unsent[MAX_BATCH:]
+        self._unsent = self._unsent[len(batch) :]
+
+    def _next_batch(self) -> tuple[list[Pending], list[bytes]]:
+        """The first unsent records within MAX_BATCH and MAX_BATCH_BYTES, and their encodings."""
+        batch: list[Pending] = []
+        data: list[bytes] = []
+        size = 0
+        for item in self._unsent[:MAX_BATCH]:
+            encoded = encode_record(item.record)
+            size += len(encoded)
+            if batch and size > MAX_BATCH_BYTES:
+                break
+            batch.append(item)
+            data.append(encoded)
+        return batch, data
 
     def _is_settled(self, item: Pending) -> bool:
         with self._reader.lock:
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -37,11 +37,19 @@
     Record,
     RequestStarted,
     SnapshotChunk,
+    split_record_id,
 )
 
-MAX_RECORD_IDS = 200_000
+MAX_VERDICTS = 20_000
+# One record with a wrong clock must not make every reader forget ended jobs at once.
+MAX_TIME_STEP_S = 60.0
+WRITER_RETENTION_S = 24 * 3600.0
 FINAL_JOB_RETENTION_S = 3600.0
 REQUEST_KEY_RETENTION_S = 3600.0
+ENTRY_RETENTION_S = 3600.0
+SWEEP_INTERVAL_S = 60.0
+
+REPEATED = "repeated"
 
 
 class JobEntry(msgspec.Struct):
@@ -97,8 +105,20 @@
 CallerKey = tuple[OrganisationId, CallerId, str]
 
 
+class WriterMark(msgspec.Struct):
+    """The highest sequence number seen of one writer incarnation, and the time of that record."""
+
+    sequence: int
+    time: float
+
+
 class LedgerState(msgspec.Struct):
-    """Everything that the fold keeps; encodable, so that a snapshot is this struct."""
+    """Everything that the fold keeps; encodable, so that a snapshot is this struct.
+
+    `time` is the newest record time in seconds since the epoch, as far as it is trusted.
+    """
+
+    time: float = 0.0
 
     config: ConfigEntry | None = None
     history: list[ConfigEntry] = []
@@ -106,14 +126,16 @@
     domains: dict[DomainId, DomainEntry] = {}
     entries: dict[EntryId, EntryInfo] = {}
     requests: dict[str, tuple[EntryId, float]] = {}
-    record_ids: list[RecordId] = []
+    writers: dict[str, WriterMark] = {}
 
 
 class Ledger:
     """Folds records in offset order; `next_offset` is the offset to read next.
 
-    `apply` returns the verdict on each record. Verdicts of the newest record ids are kept, so a
-    writer whose answer was lost can look up what became of its record.
+    `apply` returns the verdict on each record. A writer appends in the order of its sequence
+    numbers and repeats a batch whole, so a record at or below the highest number seen of its writer
+    is a repetition and counts once. The newest verdicts are kept, so a writer whose answer was lost
+    can look up what became of its record.
     """
 
     def __init__(self) -> None:
@@ -121,18 +143,23 @@
         self.config: Config = EMPTY_CONFIG
         self.next_offset = Offset(0)
         self.counters: Counter[str] = Counter()
-        self.time = 0.0
         self._verdicts: OrderedDict[RecordId, Verdict] = OrderedDict()
         self._keys: dict[CallerKey, JobId] = {}
         self._ended: OrderedDict[JobId, float] = OrderedDict()
+        self._swept_at = 0.0
+
+    @property
+    def time(self) -> float:
+        """The time of the fold in seconds since the epoch."""
+        return self.state.time
 
     def apply(self, offset: Offset, record: Record) -> Verdict:
-        """Apply the record at `offset`; a record id that was seen before counts once."""
+        """Apply the record at `offset`; a repeated record counts once."""
         self.next_offset = Offset(offset + 1)
-        if record.id in self._verdicts:
+        if self._is_repeated(record):
             self.counters["record_repeated"] += 1
-            return Verdict(False, "repeated")
-        self.time = max(self.time, record.time)
+            return Verdict(False, REPEATED)
+        self._advance_time(record.time)
         verdict = self._dispatch(record, record.body)
         self._remember(record.id, verdict)
         kind = "accepted" if verdict.accepted else "rejected"
@@ -157,38 +184,68 @@
         """Replace everything by a snapshot that covers the offsets below `covers`."""
         self.state = state
         self.next_offset = covers
-        self._verdicts = OrderedDict((record, ACCEPTED) for record in state.record_ids)
+        self._verdicts.clear()
         self._keys = {self._key(entry.job): entry.job.id for entry in state.jobs.values()}
         ended = [entry for entry in state.jobs.values() if entry.state.final]
         ended.sort(key=lambda entry: entry.ended_at)
         self._ended = OrderedDict((entry.job.id, entry.ended_at) for entry in ended)
         if state.config is not None:
-            self.config = parse_config(state.config.text, state.config.version).default_value(
-                EMPTY_CONFIG
-            )
-
-    def snapshot_state(self) -> LedgerState:
-        """The state to put into a snapshot."""
-        self.state.record_ids = list(self._verdicts)
-        return self.state
+            parsed = parse_config(state.config.text, state.config.version)
+            self.config = parsed.default_value(EMPTY_CONFIG)
 
     @staticmethod
     def _key(job: Job) -> CallerKey:
         return (job.organisation, job.caller, job.key)
 
+    def _is_repeated(self, record: Record) -> bool:
+        writer, sequence = split_record_id(record.id)
+        mark = self.state.writers.get(writer)
+        if mark is None:
+            self.state.writers[writer] = WriterMark(sequence, record.time)
+            return False
+        if sequence <= mark.sequence:
+            return True
+        mark.sequence = sequence
+        mark.time = record.time
+        return False
+
+    def _advance_time(self, time: float) -> None:
+        state = self.state
+        limit = state.time + MAX_TIME_STEP_S if state.time else time
+        state.time = max(state.time, min(time, limit))
+
     def _remember(self, record: RecordId, verdict: Verdict) -> None:
         self._verdicts[record] = verdict
-        if len(self._verdicts) > MAX_RECORD_IDS:
+        if len(self._verdicts) > MAX_VERDICTS:
             self._verdicts.popitem(last=False)
 
     def _forget_old(self) -> None:
         while self._ended:
             job, ended_at = next(iter(self._ended.items()))
             if self.time - ended_at < FINAL_JOB_RETENTION_S:
-                return
+                break
             del self._ended[job]
             entry = self.state.jobs.pop(job)
             self._keys.pop(self._key(entry.job), None)
+        if self.time - self._swept_at > SWEEP_INTERVAL_S:
+            self._sweep()
+
+    def _sweep(self) -> None:
+        """Drop request keys, writers and entries that have not been seen for long."""
+        state = self.state
+        self._swept_at = self.time
+        keys_from = self.time - REQUEST_KEY_RETENTION_S
+        state.requests = {
+            key: value for key, value in state.requests.items() if value[1] >= keys_from
+        }
+        writers_from = self.time - WRITER_RETENTION_S
+        state.writers = {
+            name: mark for name, mark in state.writers.items() if mark.time >= writers_from
+        }
+        entries_from = self.time - ENTRY_RETENTION_S
+        state.entries = {
+            name: info for name, info in state.entries.items() if info.renewed_at >= entries_from
+        }
 
     def _dispatch(self, record: Record, body: Body) -> Verdict:  # noqa: PLR0912
         match body:
@@ -345,13 +402,13 @@
     def _request(self, record: Record, body: RequestStarted) -> Verdict:
         key = f"{body.organisation}/{body.caller}/{body.key}"
         known = self.state.requests.get(key)
-        if known is not None and record.time - known[1] < REQUEST_KEY_RETENTION_S:
+        if known is not None and self.time - known[1] < REQUEST_KEY_RETENTION_S:
             return Verdict(False, "request key is known")
-        self.state.requests[key] = (body.entry, record.time)
+        self.state.requests[key] = (body.entry, self.time)
         return ACCEPTED
 
     def _close(self, record: Record, entry: JobEntry, state: JobState) -> None:
         entry.state = state
-        entry.ended_at = record.time
+        entry.ended_at = self.time
         entry.placements = ()
-        self._ended[entry.job.id] = record.time
+        self._ended[entry.job.id] = self.time
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -170,7 +170,11 @@
 
 
 class Record(msgspec.Struct, frozen=True):
-    """A record body in its envelope; `time` is in seconds since the epoch."""
+    """A record body in its envelope.
+
+    `id` names the writer's incarnation and a sequence number that grows by one a record, `writer`
+    is the name of the process, and `time` is in seconds since the epoch.
+    """
 
     id: RecordId
     writer: str
@@ -179,6 +183,19 @@
     format: int = FORMAT_VERSION
 
 
+def make_record_id(writer: str, sequence: int) -> RecordId:
+    """The id of the record with that sequence number of a writer incarnation."""
+    return RecordId(f"{writer}:{sequence}")
+
+
+def split_record_id(record: RecordId) -> tuple[str, int]:
+    """The writer incarnation and sequence number; raises RecordError if the id is malformed."""
+    writer, _, sequence = record.rpartition(":")
+    if not sequence.isdecimal():
+        raise RecordError(f"malformed record id '{record}'", "skip it and count it")
+    return writer, int(sequence)
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Record)
 
@@ -196,4 +213,5 @@
         raise RecordError(f"unreadable record: {exc}", "skip it and count it") from exc
     if record.format != FORMAT_VERSION:
         raise RecordError(f"unknown record format {record.format}", "upgrade this process")
+    split_record_id(record.id)
     return record
--- a/comfreyshelf/settings.py
+++ b/comfreyshelf/settings.py
@@ -15,7 +15,10 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
-    """Settings of an entry process, section ``[entry]``; addresses are ``ip:port``."""
+    """Settings of an entry process, section ``[entry]``; addresses are ``ip:port``.
+
+    `accept_lost_history` lets an entry start from a log whose records expired without a snapshot.
+    """
 
     name: str
     zone: str
@@ -27,6 +30,8 @@
     status_wait_s: float = 2.5
     shutdown_grace_s: float = 30.0
     http_threads: int = 16
+    log_retention_s: float = 3600.0
+    accept_lost_history: bool = False
 
 
 class TargetSettings(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/comfreyshelf/snapshots.py
@@ -0,0 +1,147 @@
+"""Snapshots of the fold: when one is due, its chunks, and recovery from retained records."""
+
+import hashlib
+import zlib
+
+import msgspec
+
+from comfreyshelf.ids import Offset
+from comfreyshelf.ledger import Ledger, LedgerState
+from comfreyshelf.records import Record, SnapshotChunk
+
+CHUNK_BYTES = 256 * 1024
+# Chunks of snapshots that never became whole are dropped beyond this number of snapshots.
+MAX_OPEN_SNAPSHOTS = 4
+_COMPRESSION_LEVEL = 1
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(LedgerState)
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """A whole snapshot that covers all offsets below `covers`."""
+
+    covers: Offset
+    state: LedgerState
+
+
+def take_snapshot(ledger: Ledger) -> list[SnapshotChunk]:
+    """Encode the fold as chunks of at most CHUNK_BYTES each, to append in order."""
+    data = zlib.compress(_ENCODER.encode(ledger.state), _COMPRESSION_LEVEL)
+    name = f"{ledger.next_offset}-{hashlib.sha256(data).hexdigest()[:16]}"
+    pieces = [data[start : start + CHUNK_BYTES] for start in range(0, len(data), CHUNK_BYTES)]
+    return [
+        SnapshotChunk(name, ledger.next_offset, index, len(pieces), piece)
+        for index, piece in enumerate(pieces)
+    ]
+
+
+class SnapshotAssembler:
+    """Collects chunks until a snapshot is whole; `newest` is the one that covers most."""
+
+    def __init__(self) -> None:
+        self.newest: Snapshot | None = None
+        self.damaged = 0
+        self._open: dict[str, dict[int, bytes]] = {}
+
+    def add(self, chunk: SnapshotChunk) -> bool:
+        """Add a chunk; True if it made a snapshot whole that covers more than `newest`."""
+        pieces = self._open.setdefault(chunk.snapshot, {})
+        pieces[chunk.index] = chunk.data
+        if len(pieces) < chunk.count:
+            self._drop_oldest()
+            return False
+        del self._open[chunk.snapshot]
+        if self.newest is not None and chunk.covers <= self.newest.covers:
+            return False
+        state = self._decode(chunk, pieces)
+        if state is None:
+            self.damaged += 1
+            return False
+        self.newest = Snapshot(chunk.covers, state)
+        return True
+
+    def _drop_oldest(self) -> None:
+        while len(self._open) > MAX_OPEN_SNAPSHOTS:
+            del self._open[next(iter(self._open))]
+
+    @staticmethod
+    def _decode(chunk: SnapshotChunk, pieces: dict[int, bytes]) -> LedgerState | None:
+        data = b"".join(pieces[index] for index in sorted(pieces))
+        if hashlib.sha256(data).hexdigest()[:16] != chunk.snapshot.rpartition("-")[2]:
+            return None
+        try:
+            return _DECODER.decode(zlib.decompress(data))
+        except (zlib.error, msgspec.DecodeError):
+            return None
+
+
+class Recovery:
+    """Rebuilds a ledger from what the log still keeps.
+
+    Feed every retained record in order with `add`; `finish` restores the newest whole snapshot and
+    applies the records after it. `complete` tells whether nothing is missing: a log that starts at
+    offset 0, or a snapshot that reaches the oldest retained record.
+    """
+
+    def __init__(self, oldest: Offset) -> None:
+        self._oldest = oldest
+        self._assembler = SnapshotAssembler()
+        self._records: list[tuple[Offset, Record | None]] = []
+
+    @property
+    def complete(self) -> bool:
+        """Whether the state can be rebuilt without a gap."""
+        if self._oldest == 0:
+            return True
+        newest = self._assembler.newest
+        return newest is not None and newest.covers >= self._oldest
+
+    def add(self, offset: Offset, record: Record | None) -> None:
+        """Add the record at `offset`, or None for a damaged one."""
+        if record is not None and isinstance(record.body, SnapshotChunk):
+            self._assembler.add(record.body)
+            # The data is in the assembler; only the place in the log is still needed.
+            record = msgspec.structs.replace(
+                record, body=msgspec.structs.replace(record.body, data=b"")
+            )
+        self._records.append((offset, record))
+
+    def finish(self, ledger: Ledger) -> None:
+        """Bring `ledger` up to the newest record added."""
+        newest = self._assembler.newest
+        if newest is not None:
+            ledger.restore(newest.state, newest.covers)
+        for offset, record in self._records:
+            if offset < ledger.next_offset:
+                continue
+            if record is None:
+                ledger.skip(offset)
+            else:
+                ledger.apply(offset, record)
+
+
+class SnapshotSchedule:
+    """Tells when this entry has to append a snapshot.
+
+    One is due at a quarter of the retention time after the last whole one. The entries take turns:
+    the entry of rank r waits r times STAGGER_S longer, so that usually only one of them appends.
+    """
+
+    STAGGER_S = 5.0
+
+    def __init__(self, retention_s: float) -> None:
+        self._interval_s = retention_s / 4
+        self._last_at = float("-inf")
+        self._first_seen: float | None = None
+
+    def seen(self, now: float) -> None:
+        """Note that a whole snapshot was read at `now` seconds."""
+        self._last_at = now
+
+    def is_due(self, now: float, rank: int) -> bool:
+        """Whether to append one now; a log without any snapshot counts from the first call."""
+        if self._first_seen is None:
+            self._first_seen = now
+        last = max(self._last_at, self._first_seen)
+        return now - last >= self._interval_s + rank * self.STAGGER_S
