Add the command line for operators and callers, structured logs and sample settings

Cause: operators and callers had only HTTP, and log lines had no fields.

Ruled out: reading the key from an argument, because arguments are visible to other users of the machine; it comes from a file or the environment.

Before: commands check, entry, target, standin-log and demo.

--- /dev/null
+++ b/comfreyshelf/logs.py
@@ -0,0 +1,61 @@
+"""Structured log lines through absl: one line for each change of state."""
+
+import logging as standard
+import sys
+from enum import Enum
+
+import msgspec
+from absl import flags, logging
+
+
+class LogFormat(Enum):
+    """Form of the log lines on standard error."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class _Formatter(standard.Formatter):
+    """Renders the fields that `change` attached to a record."""
+
+    def __init__(self, process: str, form: LogFormat) -> None:
+        super().__init__()
+        self._process = process
+        self._form = form
+
+    def format(self, record: standard.LogRecord) -> str:
+        fields: dict[str, object] = getattr(record, "fields", {})
+        message = record.getMessage()
+        if record.exc_info:
+            message = f"{message}\n{self.formatException(record.exc_info)}"
+        if self._form is LogFormat.JSON:
+            line = {
+                "time": round(record.created, 6),
+                "level": record.levelname.lower(),
+                "process": self._process,
+                "event": message,
+            }
+            return msgspec.json.encode(line | fields, enc_hook=str).decode()
+        time = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        pairs = "".join(f" {name}={value}" for name, value in fields.items())
+        return f"{time} {record.levelname.lower()} {self._process}: {message}{pairs}"
+
+
+def configure(process: str, form: LogFormat = LogFormat.TEXT) -> None:
+    """Send the lines of this process to standard error; call it once, before any service starts."""
+    flags.FLAGS(["comfreyshelf"])
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(_Formatter(process, form))
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.set_stderrthreshold(logging.INFO)
+
+
+def change(event: str, **fields: object) -> None:
+    """Log a change of state with its fields.
+
+    `change("domain claimed", domain="litoral", epoch=3)` gives a line that ends in
+    `domain claimed domain=litoral epoch=3`.
+    """
+    logging.get_absl_logger().info(event, extra={"fields": fields})
--- a/comfreyshelf/ui/__init__.py
+++ b/comfreyshelf/ui/__init__.py
@@ -4,14 +4,13 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.ui.app import app
-
-EXIT_USER_ERROR = 1
+from comfreyshelf.ui.output import exit_code, print_error
 
 
 def main() -> None:
-    """Run the command line; user errors print one line and exit with status 1."""
+    """Run the command line; a user error prints its remedy and sets the exit code."""
     try:
         app()
     except UserError as exc:
-        print(f"comfreyshelf: {exc}", file=sys.stderr)
-        sys.exit(EXIT_USER_ERROR)
+        print_error(exc)
+        sys.exit(exit_code(exc))
--- a/comfreyshelf/ui/app.py
+++ b/comfreyshelf/ui/app.py
@@ -1,9 +1,10 @@
-"""Commands, grouped by who uses them."""
+"""The command line's commands, grouped by who uses them."""
 
 import typer
 
-from comfreyshelf.ui import daemons, operators
+from comfreyshelf.ui import callers, daemons, operators
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 operators.add_commands(app)
+callers.add_commands(app)
 daemons.add_commands(app)
--- a/comfreyshelf/ui/daemons.py
+++ b/comfreyshelf/ui/daemons.py
@@ -5,15 +5,16 @@
 from typing import Annotated
 
 import typer
-from absl import logging
 
 from comfreyshelf.demo import run_demo
 from comfreyshelf.entry import Entry, StopFlag, wait_for_stop
 from comfreyshelf.kernel import Service
+from comfreyshelf.logs import LogFormat, configure
 from comfreyshelf.settings import EntrySettings, StandinSettings, TargetSettings, load_settings
 from comfreyshelf.standin import LogStandin
 from comfreyshelf.target import Target
 
+LogFormatOption = Annotated[LogFormat, typer.Option("--log-format", help="form of log lines")]
 SettingsPath = Annotated[Path, typer.Argument(help="INI file with the process's settings")]
 
 
@@ -26,26 +27,31 @@
 
 
 def _run(service: Service) -> None:
-    logging.set_verbosity(logging.INFO)
     flag = StopFlag()
     signal.signal(signal.SIGTERM, flag.set)
     signal.signal(signal.SIGINT, flag.set)
     wait_for_stop(service, flag)
 
 
-def run_entry(settings: SettingsPath) -> None:
+def run_entry(settings: SettingsPath, log_format: LogFormatOption = LogFormat.TEXT) -> None:
     """Run an entry until SIGTERM."""
-    _run(Entry(load_settings(settings, "entry", EntrySettings)))
+    cfg = load_settings(settings, "entry", EntrySettings)
+    configure(cfg.name, log_format)
+    _run(Entry(cfg))
 
 
-def run_target(settings: SettingsPath) -> None:
+def run_target(settings: SettingsPath, log_format: LogFormatOption = LogFormat.TEXT) -> None:
     """Run a target process until SIGTERM."""
-    _run(Target(load_settings(settings, "target", TargetSettings)))
+    cfg = load_settings(settings, "target", TargetSettings)
+    configure(cfg.name, log_format)
+    _run(Target(cfg))
 
 
-def run_standin(settings: SettingsPath) -> None:
+def run_standin(settings: SettingsPath, log_format: LogFormatOption = LogFormat.TEXT) -> None:
     """Run the stand-in for the platform's log until SIGTERM."""
-    _run(LogStandin(load_settings(settings, "standin", StandinSettings)))
+    cfg = load_settings(settings, "standin", StandinSettings)
+    configure("standin-log", log_format)
+    _run(LogStandin(cfg))
 
 
 def demo() -> None:
--- a/comfreyshelf/ui/operators.py
+++ b/comfreyshelf/ui/operators.py
@@ -1,22 +1,37 @@
-"""Operators' commands on the configuration text."""
+"""Operators' commands: keys, the configuration text, and targets that leave."""
 
+import difflib
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from comfreyshelf.auth import hash_key, new_key
 from comfreyshelf.config import parse_config
 from comfreyshelf.errors import UserError
 from comfreyshelf.ids import Version
-
-EXIT_INVALID_TEXT = 2
+from comfreyshelf.ui.connection import (
+    DEFAULT_ENTRY,
+    EntryOption,
+    JsonOption,
+    KeyFileOption,
+    connect,
+)
+from comfreyshelf.ui.output import ExitCode, print_json, print_table
 
 TextPath = Annotated[Path, typer.Argument(help="INI text of the configuration")]
 
 
 def add_commands(app: typer.Typer) -> None:
     """Register the commands."""
+    app.command("key")(make_key)
     app.command("check")(check)
+    app.command("publish")(publish)
+    app.command("show")(show)
+    app.command("history")(history)
+    app.command("diff")(diff)
+    app.command("targets")(targets)
+    app.command("drain")(drain)
 
 
 def read_text(path: Path) -> str:
@@ -27,12 +42,135 @@
         raise UserError(f"cannot read {path}: {exc}", "give a readable file") from exc
 
 
-def check(text: TextPath) -> None:
-    """Check a configuration text; exits with 2 if it has problems."""
+def make_key(as_json: JsonOption = False) -> None:
+    """Make a random key and the hash to put into the text."""
+    key = new_key()
+    if as_json:
+        print_json({"key": key, "key_sha256": hash_key(key)})
+        return
+    print(f"key: {key}")
+    print(f"key_sha256 = {hash_key(key)}")
+
+
+def check(text: TextPath, as_json: JsonOption = False) -> None:
+    """Check a text without publishing it; exits with 65 if it has problems."""
     parsed = parse_config(read_text(text), Version(1))
-    if parsed.is_ok():
+    problems = parsed.error if parsed.is_error() else []
+    if as_json:
+        print_json({"valid": not problems, "problems": problems})
+    elif not problems:
         print(f"{text}: valid")
+    else:
+        for problem in problems:
+            print(f"{text}: {problem}")
+    if problems:
+        raise typer.Exit(ExitCode.INVALID_TEXT)
+
+
+def publish(
+    text: TextPath,
+    base: Annotated[int, typer.Option(help="version that the text was edited from, 0 if none")],
+    entry: EntryOption = DEFAULT_ENTRY,
+    key_file: KeyFileOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Publish a text against the version that it was edited from."""
+    answer = connect(entry, key_file).publish(read_text(text), base)
+    if as_json:
+        print_json(answer)
+    else:
+        print(f"version {answer['version']} is accepted")
+
+
+def show(
+    entry: EntryOption = DEFAULT_ENTRY,
+    key_file: KeyFileOption = None,
+    text_only: Annotated[bool, typer.Option("--text", help="print only the text")] = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Show the text in force and which processes have it."""
+    answer = connect(entry, key_file).config()
+    if as_json:
+        print_json(answer)
+        return
+    if not text_only:
+        print(f"# version {answer['version']} by {answer['operator']}, read at {answer['entry']}")
+        for name, version in answer["targets"].items():
+            behind = "" if version == answer["version"] else " (behind)"
+            print(f"# {name} has version {version}{behind}")
+    print(answer["text"], end="")
+
+
+def history(
+    entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None, as_json: JsonOption = False
+) -> None:
+    """List the newest accepted versions."""
+    versions = connect(entry, key_file).history()
+    if as_json:
+        print_json(versions)
         return
-    for problem in parsed.error:
-        print(f"{text}: {problem}")
-    raise typer.Exit(EXIT_INVALID_TEXT)
+    rows = [(item["version"], item["operator"], f"{item['time']:.0f}") for item in versions]
+    print_table(("VERSION", "OPERATOR", "TIME"), rows)
+
+
+def diff(
+    text: TextPath, entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None
+) -> None:
+    """Show what publishing a text would change; exits with 1 if anything differs."""
+    answer = connect(entry, key_file).config()
+    lines = list(
+        difflib.unified_diff(
+            answer["text"].splitlines(),
+            read_text(text).splitlines(),
+            f"version {answer['version']}",
+            str(text),
+            lineterm="",
+        )
+    )
+    print("\n".join(lines))
+    if lines:
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def targets(
+    entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None, as_json: JsonOption = False
+) -> None:
+    """List the targets that announced themselves."""
+    views = connect(entry, key_file).targets()
+    if as_json:
+        print_json(views)
+        return
+    rows = [
+        (view["target"], view["zone"], view["rack"], view["version"], _state(view))
+        for view in views
+    ]
+    print_table(("TARGET", "ZONE", "RACK", "VERSION", "STATE"), rows)
+
+
+def drain(
+    entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None, as_json: JsonOption = False
+) -> None:
+    """Show the targets that leave and what still holds them; exits with 1 until all are empty."""
+    views = [view for view in connect(entry, key_file).targets() if view["scrap"]]
+    if as_json:
+        print_json(views)
+    else:
+        rows = [(view["target"], _state(view), _holders(view)) for view in views]
+        print_table(("TARGET", "STATE", "HELD BY"), rows)
+    if not all(view["empty"] for view in views):
+        raise typer.Exit(ExitCode.FAILED)
+
+
+def _state(view: dict[str, object]) -> str:
+    if view["empty"]:
+        return "empty"
+    return "leaving" if view["scrap"] else "in service"
+
+
+def _holders(view: dict[str, object]) -> str:
+    held_by = view["held_by"]
+    assert isinstance(held_by, list)
+    holders = [f"job {job}" for job in held_by]
+    if view["requests"]:
+        holders.append(f"{view['requests']} requests")
+    return ", ".join(holders) or "-"
--- /dev/null
+++ b/features/steps/command_line_steps.py
@@ -0,0 +1,140 @@
+"""Steps for the command line."""
+
+import configparser
+import contextlib
+import io
+import os
+import shlex
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
+from comfreyshelf.ui import main
+
+BASE_TEXT = f"""\
+[deployment]
+name = test
+[region litoral]
+[region platense]
+[zone paysandu]
+region = litoral
+[zone colonia]
+region = platense
+[service permit]
+[organisation rio-negro]
+[caller desk]
+organisation = rio-negro
+key_sha256 = {"a" * 64}
+[operator operations]
+key_sha256 = {"b" * 64}
+"""
+
+
+def run_command(context: Context, line: str, key: str = "") -> None:
+    """Run the command line in this process and keep its output and exit code."""
+    output = io.StringIO()
+    env = {"COMFREYSHELF_KEY": key, "COMFREYSHELF_ENTRY": getattr(context, "entry", "")}
+    argv = ["comfreyshelf", *shlex.split(line)]
+    context.exit_code = 0
+    with (
+        mock.patch.dict(os.environ, env),
+        mock.patch("sys.argv", argv),
+        contextlib.redirect_stdout(output),
+        contextlib.redirect_stderr(output),
+    ):
+        try:
+            main()
+        except SystemExit as exc:
+            context.exit_code = int(exc.code or 0)
+    context.output = output.getvalue()
+
+
+def make_file(context: Context, text: str) -> Path:
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    path = Path(folder) / "file.ini"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def set_line(text: str, section: str, line: str) -> str:
+    """Put a line into a section in place of the line of the same option."""
+    parser = configparser.ConfigParser()
+    parser.read_string(text)
+    if section not in parser:
+        parser.add_section(section)
+    option, _, value = line.partition(" = ")
+    parser[section][option] = value
+    output = io.StringIO()
+    parser.write(output)
+    return output.getvalue()
+
+
+@when('the command line runs "{line}"')
+def command_line_runs(context: Context, line: str) -> None:
+    run_command(context, line)
+
+
+@when('a text with the line "{line}" in "{section}" is checked')
+def check_text(context: Context, line: str, section: str) -> None:
+    text = set_line(BASE_TEXT, section, line)
+    run_command(context, f"check {make_file(context, text)}")
+
+
+@then('it exits with {code:d} and prints "{message}"')
+def exits_with(context: Context, code: int, message: str) -> None:
+    assert context.exit_code == code, (context.exit_code, context.output)
+    assert message in context.output, context.output
+
+
+@then('it exits with {code:d} and prints ""')
+def exits_quietly(context: Context, code: int) -> None:
+    assert context.exit_code == code, (context.exit_code, context.output)
+    assert not context.output.strip(), context.output
+
+
+@given("a running deployment in this process")
+def running_deployment(context: Context) -> None:
+    deployment = Deployment(entries=1, targets=1)
+    context.deployment = context.stack.enter_context(deployment.run())
+    context.entry = deployment.entry_settings[0].http_address
+    context.text_path = make_file(context, DEMO_TEXT)
+
+
+@given('the operator runs "{line}"')
+@when('the operator runs "{line}"')
+def operator_runs(context: Context, line: str) -> None:
+    run_command(context, line.replace("TEXT", str(context.text_path)), OPERATOR_KEY)
+
+
+@given("all targets have version {version:d} in force")
+def targets_have_version(context: Context, version: int) -> None:
+    wait_for_targets(context.deployment.client(OPERATOR_KEY), 1, version)
+
+
+@when('the caller runs "{line}"')
+def caller_runs(context: Context, line: str) -> None:
+    run_command(context, line, CALLER_KEY)
+
+
+@when('a stranger runs "{line}"')
+def stranger_runs(context: Context, line: str) -> None:
+    run_command(context, line, "wrong")
+
+
+@when('an entry is started with the setting "{setting}"')
+def start_with_setting(context: Context, setting: str) -> None:
+    option = setting.split("=", maxsplit=1)[0].strip()
+    lines = [
+        "name = e",
+        "zone = z",
+        "http_address = 127.0.0.1:1",
+        "pipe_address = 127.0.0.1:2",
+        "log_url = http://127.0.0.1:3",
+    ]
+    kept = [line for line in lines if line.split("=")[0].strip() != option]
+    text = "\n".join(["[entry]", *kept, setting, ""])
+    run_command(context, f"entry {make_file(context, text)}")
