Choose a job's domain by summaries in the owners' renewals

Cause: the entry chose the domain with the most accelerators, whatever was free, queued or guaranteed there. Ruled out: sending worker states across regions, which is paid by the byte; the renewals are read everywhere already. Before and after: not measured, not yet called by the entry.

--- /dev/null
+++ b/comfreyshelf/domains.py
@@ -0,0 +1,130 @@
+"""Choice of the scheduling domain of a job by summaries of each domain."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from comfreyshelf.config import Config
+from comfreyshelf.ids import DomainId, OrganisationId, RegionId
+from comfreyshelf.model import Adjacency, DomainSummary, Shape
+
+# A queued job moves only after its own domain had this time to find room for it.
+REROUTE_AFTER_S = 15.0
+MAX_MOVES = 3
+# The other domain has to be this much shorter of queued work, or jobs would swing to and fro.
+MIN_WAIT_GAIN_S = 30.0
+
+SUMMARY_SIZES = (1, 2, 4, 8)
+_LEVEL = {Adjacency.WORKER: 0, Adjacency.RACK: 1, Adjacency.ZONE: 2}
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A domain with its region and newest summary, None before its owner published one."""
+
+    domain: DomainId
+    region: RegionId
+    summary: DomainSummary | None
+
+
+def candidates(
+    config: Config, summaries: Mapping[DomainId, DomainSummary | None]
+) -> list[Candidate]:
+    """All domains of the configuration in order of name."""
+    regions = {zone.domain: zone.region for zone in config.zones.values()}
+    return [
+        Candidate(domain, region, summaries.get(domain))
+        for domain, region in sorted(regions.items())
+    ]
+
+
+def fits_now(shape: Shape, summary: DomainSummary | None) -> bool:
+    """Whether all parts found room when the summary was made.
+
+    Parts of a size between two summary sizes count as the larger one.
+    """
+    return summary is not None and shape.parts <= _room(shape, summary.free)
+
+
+def fits_empty(shape: Shape, summary: DomainSummary | None) -> bool:
+    """Whether all parts would fit into the domain if it were empty; unknown counts as yes."""
+    return summary is None or shape.parts <= _room(shape, summary.total)
+
+
+def _room(shape: Shape, room: Mapping[int, tuple[int, int, int]]) -> int:
+    for size in sorted(room):
+        if size >= shape.accelerators:
+            return room[size][_LEVEL[shape.adjacency]]
+    return 0
+
+
+def guaranteed_domains(config: Config, organisation: OrganisationId, shape: Shape) -> set[DomainId]:
+    """Domains in which the organisation holds a guarantee that covers the shape."""
+    known = config.organisations.get(organisation)
+    if known is None:
+        return set()
+    return {guarantee.domain for guarantee in known.guarantees if _covers(guarantee.shape, shape)}
+
+
+def _covers(guaranteed: Shape, shape: Shape) -> bool:
+    return (
+        shape.parts <= guaranteed.parts
+        and shape.accelerators <= guaranteed.accelerators
+        and _LEVEL[guaranteed.adjacency] <= _LEVEL[shape.adjacency]
+    )
+
+
+def choose_domain(
+    shape: Shape, guaranteed: set[DomainId], home: RegionId, known: Iterable[Candidate]
+) -> DomainId | None:
+    """Choose the domain for a new job, or None if there is no domain.
+
+    In order: one in which the job can ever fit, one that guarantees the shape, one with room now,
+    the shortest queue, the entry's own region.
+    """
+
+    def cost(candidate: Candidate) -> tuple[bool, bool, bool, float, bool, DomainId]:
+        summary = candidate.summary
+        return (
+            not fits_empty(shape, summary),
+            candidate.domain not in guaranteed,
+            not fits_now(shape, summary),
+            summary.wait_s if summary else 0.0,
+            candidate.region != home,
+            candidate.domain,
+        )
+
+    best = min(known, key=cost, default=None)
+    return best.domain if best else None
+
+
+def choose_move(
+    shape: Shape,
+    current: DomainId,
+    waited_s: float,
+    moves: int,
+    guaranteed: set[DomainId],
+    known: Iterable[Candidate],
+) -> DomainId | None:
+    """Choose a better domain for a job that waits in `current`, or None to leave it there.
+
+    A job stays where a guarantee covers it, moves MAX_MOVES times at most, and only to a domain
+    with room now and a clearly shorter queue.
+    """
+    if waited_s < REROUTE_AFTER_S or moves >= MAX_MOVES or current in guaranteed:
+        return None
+    by_name = {candidate.domain: candidate for candidate in known}
+    own = by_name.get(current)
+    if own is None:
+        return choose_domain(shape, guaranteed, RegionId(""), by_name.values())
+    if own.summary is None or fits_now(shape, own.summary):
+        return None
+    own_wait = own.summary.wait_s if fits_empty(shape, own.summary) else float("inf")
+    better = [
+        other
+        for other in by_name.values()
+        if other.domain != current
+        and other.summary is not None
+        and fits_now(shape, other.summary)
+        and own_wait - other.summary.wait_s >= MIN_WAIT_GAIN_S
+    ]
+    return choose_domain(shape, guaranteed, own.region, better)
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -18,7 +18,7 @@
     RecordId,
     Version,
 )
-from comfreyshelf.model import AttemptOutcome, Job, JobState, Placement
+from comfreyshelf.model import AttemptOutcome, DomainSummary, Job, JobState, Placement
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import (
     AttemptEnded,
@@ -53,7 +53,10 @@
 
 
 class JobEntry(msgspec.Struct):
-    """State of one job; `attempt` is the number of the newest attempt, 0 before the first."""
+    """State of one job; `attempt` is the number of the newest attempt, 0 before the first.
+
+    `moves` counts how often the job was handed to another domain.
+    """
 
     job: Job
     domain: DomainId
@@ -64,6 +67,7 @@
     digest: str = ""
     reason: RefusalReason | None = None
     ended_at: float = 0.0
+    moves: int = 0
 
 
 class DomainEntry(msgspec.Struct):
@@ -72,6 +76,7 @@
     epoch: Epoch = Epoch(0)
     owner: EntryId = EntryId("")
     renewed_at: float = 0.0
+    summary: DomainSummary | None = None
 
 
 class EntryInfo(msgspec.Struct):
@@ -314,6 +319,7 @@
             return Verdict(False, "old epoch")
         domain = self.state.domains[body.domain]
         domain.renewed_at = max(domain.renewed_at, record.time)
+        domain.summary = body.summary or domain.summary
         return ACCEPTED
 
     def _is_owner(self, domain: DomainId, epoch: Epoch) -> bool:
@@ -337,6 +343,7 @@
         if not self._is_owner(body.domain, body.epoch):
             return Verdict(False, "old epoch")
         entry.domain = body.to
+        entry.moves += 1
         return ACCEPTED
 
     def _start(self, body: AttemptStarted) -> Verdict:
--- a/comfreyshelf/model.py
+++ b/comfreyshelf/model.py
@@ -163,3 +163,16 @@
     part: int
     mask: int
     state: PartState
+
+
+class DomainSummary(msgspec.Struct, frozen=True):
+    """What other regions know of a domain.
+
+    `free` and `total` give, by accelerators per part, the most parts that fit on one worker, in one
+    rack and in one availability zone, now and if the domain were empty. `wait_s` is the queued work
+    in seconds of the whole domain.
+    """
+
+    free: dict[int, tuple[int, int, int]]
+    total: dict[int, tuple[int, int, int]]
+    wait_s: float = 0.0
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -17,7 +17,7 @@
     Version,
     ZoneId,
 )
-from comfreyshelf.model import AttemptOutcome, Job, Placement
+from comfreyshelf.model import AttemptOutcome, DomainSummary, Job, Placement
 from comfreyshelf.reasons import RefusalReason
 
 FORMAT_VERSION = 1
@@ -61,11 +61,12 @@
 
 
 class DomainRenewed(Body, frozen=True, tag=True):
-    """The owner of a domain shows that it is alive."""
+    """The owner of a domain shows that it is alive; `summary` is None if it did not change."""
 
     domain: DomainId
     epoch: Epoch
     entry: EntryId
+    summary: DomainSummary | None = None
 
 
 class JobAccepted(Body, frozen=True, tag=True):
