Move the owner's decisions into a pure module

owner.py mixed decisions with threads and clocks, so they could not run in virtual time. ownership.py now takes typed inputs with a time and returns typed outputs; owner.py carries them out.

Claims are now recognised by a writer name that is unique per process. - a verdict on AttemptStarted was matched by entry name, not by epoch. - a JobAccepted handled after the job had ended queued the job again. - a job that ended while it was queued in another domain, or that was rejected at its start because it had ended, stayed in the queue.

--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -1,6 +1,7 @@
 """The entry process: callers' HTTP, the folded log, request routing, and owned domains."""
 
 import time
+import uuid
 
 from absl import logging
 
@@ -32,11 +33,12 @@
         self.metrics = self.kernel.register("metrics", Metrics())
         self.roster = Roster()
         self.reader = self.kernel.register("ledger", LedgerReader(self._log, self.metrics))
+        writer = f"{cfg.name}/{uuid.uuid4().hex[:12]}"
         self.appender = self.kernel.register(
-            "appender", Appender(cfg.name, self._log, self.reader, self.metrics)
+            "appender", Appender(writer, self._log, self.reader, self.metrics)
         )
         self.owner = self.kernel.register(
-            "owner", Owner(cfg, self.reader, self.appender, self.roster, self.metrics)
+            "owner", Owner(cfg, writer, self.reader, self.appender, self.roster, self.metrics)
         )
         self.router = Router(ZoneId(cfg.zone), self.roster, self.metrics)
         self.hub = self.kernel.register(
--- /dev/null
+++ b/comfreyshelf/ownership.py
@@ -0,0 +1,481 @@
+"""Decisions of an entry about the domains it owns: claims, takeovers, leases, and translation."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from comfreyshelf.commands import (
+    AppendRecord,
+    Command,
+    CommitParts,
+    CountRetry,
+    ForgetParts,
+    ProbeWorker,
+    ReleaseParts,
+    ReserveParts,
+    StopParts,
+)
+from comfreyshelf.events import (
+    ConfigInForce,
+    Event,
+    JobClosed,
+    JobQueued,
+    JobResumed,
+    LogState,
+    PartEnded,
+    ProbeEnded,
+    Reserved,
+    ReserveRefused,
+    StartRecorded,
+    Tick,
+    UsageSeen,
+    WorkerLost,
+    WorkerSeen,
+)
+from comfreyshelf.ids import DomainId, EntryId, Epoch, JobId, TargetId, ZoneId
+from comfreyshelf.ledger import Ledger, Verdict
+from comfreyshelf.messages import (
+    AnyMessage,
+    Commit,
+    Forget,
+    PartReport,
+    Probe,
+    ProbeAnswer,
+    Release,
+    Reserve,
+    ReserveAnswer,
+    ServiceSlots,
+    Status,
+    Stop,
+    UsageReport,
+    Welcome,
+)
+from comfreyshelf.model import JobState
+from comfreyshelf.reasons import RefusalReason, RetryReason
+from comfreyshelf.records import (
+    AnyBody,
+    AttemptEnded,
+    AttemptStarted,
+    ConfigPublished,
+    DomainClaimed,
+    DomainRenewed,
+    EntryUp,
+    JobAccepted,
+    JobFinished,
+    JobRefused,
+    JobRouted,
+    JobsCancelled,
+    Record,
+)
+from comfreyshelf.scheduler import Scheduler
+from comfreyshelf.settings import EntrySettings
+
+LEASE_S = 6.0
+# The target counts its lease from when it asked, so the owner may count from when it heard.
+LOST_AFTER_S = LEASE_S + 1.0
+ENTRY_RENEW_S = 10.0
+ENTRY_EXPIRES_S = 35.0
+
+
+class Folded(msgspec.Struct, frozen=True):
+    """A record was applied to the ledger."""
+
+    record: Record
+    verdict: Verdict
+
+
+class FromTarget(msgspec.Struct, frozen=True):
+    """A message arrived from a target."""
+
+    target: TargetId
+    message: AnyMessage
+
+
+class LogChanged(msgspec.Struct, frozen=True):
+    """The log became reachable or unreachable."""
+
+    up: bool
+
+
+class TimePassed(msgspec.Struct, frozen=True):
+    """It is time for what is due; expected about every 0.1 s."""
+
+
+Input = Folded | FromTarget | LogChanged | TimePassed
+
+
+class SendMessage(msgspec.Struct, frozen=True):
+    """Send a message to a target."""
+
+    target: TargetId
+    message: AnyMessage
+
+
+class Append(msgspec.Struct, frozen=True):
+    """Append a record; with `give_up_s` it is dropped if unsent after that many seconds."""
+
+    body: AnyBody
+    give_up_s: float = 0.0
+
+
+class Retried(msgspec.Struct, frozen=True):
+    """Count a retry."""
+
+    reason: RetryReason
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """Count a refusal."""
+
+    reason: RefusalReason
+
+
+class Noted(msgspec.Struct, frozen=True):
+    """Count something under `counter`; `line` is worth a log line unless it is empty."""
+
+    counter: str
+    line: str = ""
+
+
+Output = SendMessage | Append | Retried | Refused | Noted
+
+
+class OwnedDomain(msgspec.Struct):
+    """A domain that this entry owns; times are in seconds.
+
+    Queued jobs are held back until `ready_at`, so that targets can report what they hold first.
+    `seen` has the last status of each target, `expected` the targets that have open attempts in
+    the log but have not sent a status since the claim.
+    """
+
+    scheduler: Scheduler
+    ready_at: float
+    ready: bool = False
+    renewed_at: float = 0.0
+    seen: dict[TargetId, float] = {}
+    expected: dict[TargetId, float] = {}
+
+
+class Ownership:
+    """Owns zero or more domains of its region.
+
+    `handle` takes an input and the time in seconds since the epoch and returns the outputs in
+    order. The ledger is only read; it may be ahead of the `Folded` inputs, but not behind them.
+    `writer` names this process in its records and differs between two processes of one entry name,
+    because a restarted entry does not own what its predecessor claimed.
+    """
+
+    def __init__(self, cfg: EntrySettings, writer: str, ledger: Ledger) -> None:
+        self.domains: dict[DomainId, OwnedDomain] = {}
+        self.stopping = False
+        self._cfg = cfg
+        self._entry = EntryId(cfg.name)
+        self._writer = writer
+        self._ledger = ledger
+        self._zones: dict[TargetId, ZoneId] = {}
+        self._renewal_seen: dict[DomainId, float] = {}
+        self._claiming: dict[DomainId, float] = {}
+        self._log_up = False
+        self._log_up_since = 0.0
+        self._announced_at = float("-inf")
+        self._outputs: list[Output] = []
+
+    def handle(self, event: Input, now: float) -> list[Output]:
+        """Apply one input at time `now` and return what to do."""
+        match event:
+            case Folded():
+                self._on_folded(event.record, event.verdict, now)
+            case FromTarget():
+                self._on_target(event.target, event.message, now)
+            case LogChanged():
+                self._on_log(event.up, now)
+            case TimePassed():
+                self._on_time(now)
+        outputs = self._outputs
+        self._outputs = []
+        return outputs
+
+    def _emit(self, output: Output) -> None:
+        self._outputs.append(output)
+
+    # Claims and renewals
+
+    def _on_time(self, now: float) -> None:
+        if self.stopping:
+            return
+        if self._log_up:
+            self._announce(now)
+            self._claim(now)
+        for name, owned in list(self.domains.items()):
+            self._renew(name, owned, now)
+            self._find_lost(owned, now)
+            if not owned.ready and now >= owned.ready_at:
+                self._make_ready(name, owned, now)
+            self._feed(owned, Tick(), now)
+
+    def _on_log(self, up: bool, now: float) -> None:
+        self._log_up = up
+        self._log_up_since = now
+        for owned in self.domains.values():
+            self._feed(owned, LogState(up), now)
+
+    def _announce(self, now: float) -> None:
+        if now - self._announced_at < ENTRY_RENEW_S:
+            return
+        self._announced_at = now
+        cfg = self._cfg
+        body = EntryUp(self._entry, ZoneId(cfg.zone), cfg.http_address, cfg.pipe_address)
+        self._emit(Append(body, ENTRY_RENEW_S))
+
+    def _claim(self, now: float) -> None:
+        config = self._ledger.config
+        own = config.zones.get(ZoneId(self._cfg.zone))
+        if own is None:
+            return
+        domains = {zone.domain for zone in config.zones.values() if zone.region == own.region}
+        for domain in sorted(domains - self.domains.keys()):
+            if now < self._claiming.get(domain, 0.0):
+                continue
+            entry = self._ledger.state.domains.get(domain)
+            epoch = entry.epoch if entry else Epoch(0)
+            since = max(self._renewal_seen.get(domain, 0.0), self._log_up_since)
+            if epoch and now - since < self._cfg.claim_after_s:
+                continue
+            self._claiming[domain] = now + self._cfg.claim_after_s
+            body = DomainClaimed(domain, Epoch(epoch + 1), epoch, self._entry)
+            self._emit(Append(body, self._cfg.claim_after_s))
+
+    def _renew(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
+        if not self._log_up or now - owned.renewed_at < self._cfg.renew_interval_s:
+            return
+        owned.renewed_at = now
+        body = DomainRenewed(name, owned.scheduler.epoch, self._entry)
+        self._emit(Append(body, self._cfg.renew_interval_s))
+
+    def _on_claim(self, record: Record, body: DomainClaimed, now: float) -> None:
+        self._renewal_seen[body.domain] = now
+        if record.writer != self._writer:
+            if self.domains.pop(body.domain, None) is not None:
+                line = f"domain {body.domain} was taken over by {body.entry}"
+                self._emit(Noted("domains_lost", line))
+            return
+        line = f"owns domain {body.domain} in epoch {body.epoch}"
+        self._emit(Noted("domains_claimed", line))
+        scheduler = Scheduler(body.domain, body.epoch)
+        owned = OwnedDomain(scheduler, now + self._cfg.status_wait_s, renewed_at=now)
+        self.domains[body.domain] = owned
+        self._feed(owned, ConfigInForce(self._ledger.config), now)
+        self._feed(owned, LogState(self._log_up), now)
+        self._resume(body.domain, owned, now)
+        self._welcome_all()
+
+    def _resume(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
+        for entry in self._ledger.state.jobs.values():
+            if entry.domain != name or entry.state is not JobState.RUNNING:
+                continue
+            self._feed(owned, JobResumed(entry.job, entry.attempt, entry.placements), now)
+            for placement in entry.placements:
+                owned.expected.setdefault(placement.target, now)
+
+    def _make_ready(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
+        owned.ready = True
+        for entry in self._ledger.state.jobs.values():
+            if entry.domain == name and entry.state is JobState.QUEUED:
+                self._feed(owned, JobQueued(entry.job, entry.attempt), now)
+
+    # Records
+
+    def _on_folded(self, record: Record, verdict: Verdict, now: float) -> None:
+        body = record.body
+        if isinstance(body, AttemptStarted):
+            self._on_attempt_started(body, verdict, now)
+            return
+        if isinstance(body, DomainClaimed) and record.writer == self._writer:
+            self._claiming.pop(body.domain, None)
+        if not verdict.accepted:
+            return
+        match body:
+            case DomainClaimed():
+                self._on_claim(record, body, now)
+            case DomainRenewed():
+                self._renewal_seen[body.domain] = now
+            case ConfigPublished():
+                self._on_config(now)
+            case JobAccepted():
+                self._queue(body.job.id, now)
+            case JobRouted():
+                self._give(body.domain, JobClosed(body.job), now)
+                self._queue(body.job, now)
+            case JobFinished() | JobRefused() | AttemptEnded():
+                self._close(body.job, body.domain, now)
+            case JobsCancelled():
+                for job in body.jobs:
+                    self._close(job, None, now)
+
+    def _on_config(self, now: float) -> None:
+        for owned in self.domains.values():
+            self._feed(owned, ConfigInForce(self._ledger.config), now)
+        self._welcome_all()
+
+    def _on_attempt_started(self, body: AttemptStarted, verdict: Verdict, now: float) -> None:
+        owned = self.domains.get(body.domain)
+        if owned is None or body.epoch != owned.scheduler.epoch or verdict.reason == "repeated":
+            return
+        self._feed(owned, StartRecorded(body.job, body.attempt, verdict.accepted), now)
+        if not verdict.accepted:
+            self._close(body.job, body.domain, now)
+
+    def _queue(self, job: JobId, now: float) -> None:
+        entry = self._ledger.state.jobs.get(job)
+        if entry is None or entry.state is not JobState.QUEUED:
+            return
+        owned = self.domains.get(entry.domain)
+        if owned is not None and owned.ready:
+            self._feed(owned, JobQueued(entry.job, entry.attempt), now)
+
+    def _close(self, job: JobId, domain: DomainId | None, now: float) -> None:
+        """Withdraw a job that ended in the ledger from its domain and from the record's."""
+        entry = self._ledger.state.jobs.get(job)
+        if entry is not None and not entry.state.final:
+            return
+        for name in dict.fromkeys((domain, entry.domain if entry else None)):
+            if name is not None:
+                self._give(name, JobClosed(job), now)
+
+    def _give(self, domain: DomainId, event: Event, now: float) -> None:
+        owned = self.domains.get(domain)
+        if owned is not None:
+            self._feed(owned, event, now)
+
+    # Targets
+
+    def _on_target(self, target: TargetId, message: AnyMessage, now: float) -> None:
+        if isinstance(message, Status):
+            self._on_status(message, now)
+            return
+        owned = self._domain_of(target)
+        if owned is None:
+            return
+        if isinstance(message, ReserveAnswer) and message.reason is not None:
+            self._emit(Refused(message.reason))
+        event = _event_of(target, message)
+        if event is not None:
+            self._feed(owned, event, now)
+
+    def _on_status(self, status: Status, now: float) -> None:
+        target = status.worker.target
+        self._zones[target] = status.worker.zone
+        owned = self._domain_of(target)
+        if owned is not None:
+            owned.seen[target] = now
+            owned.expected.pop(target, None)
+            self._feed(owned, WorkerSeen(status.worker, status.parts), now)
+        self._welcome(target, status.worker.zone, status.sent_at)
+
+    def _domain_of(self, target: TargetId) -> OwnedDomain | None:
+        zone_id = self._zones.get(target)
+        zone = self._ledger.config.zones.get(zone_id) if zone_id else None
+        return self.domains.get(zone.domain) if zone else None
+
+    def _welcome_all(self) -> None:
+        for target, zone in sorted(self._zones.items()):
+            self._welcome(target, zone, 0.0)
+
+    def _welcome(self, target: TargetId, zone_id: ZoneId, echo: float) -> None:
+        config = self._ledger.config
+        zone = config.zones.get(zone_id)
+        if zone is None:
+            self._emit(Noted("target_in_unknown_zone"))
+            return
+        owned = zone.domain in self.domains
+        current = self._ledger.state.domains.get(zone.domain)
+        renews = echo > 0 and (owned or not self._log_up)
+        message = Welcome(
+            self._entry,
+            zone.domain,
+            current.epoch if current else Epoch(0),
+            config.version,
+            owned,
+            echo,
+            LEASE_S if renews else 0.0,
+            target in config.scrapped,
+            tuple(self._pipes()),
+            tuple(
+                ServiceSlots(service.id, service.slots, service.connections)
+                for service in config.services.values()
+            ),
+        )
+        self._emit(SendMessage(target, message))
+
+    def _pipes(self) -> Iterator[str]:
+        horizon = self._ledger.time - ENTRY_EXPIRES_S
+        for info in self._ledger.state.entries.values():
+            if info.renewed_at >= horizon:
+                yield info.pipe_address
+
+    def _find_lost(self, owned: OwnedDomain, now: float) -> None:
+        for table in (owned.seen, owned.expected):
+            lost = [target for target, seen in table.items() if now - seen > LOST_AFTER_S]
+            for target in lost:
+                del table[target]
+                line = f"target {target} is lost: its lease lapsed"
+                self._emit(Noted("targets_lost", line))
+                self._feed(owned, WorkerLost(target), now)
+
+    # Commands
+
+    def _feed(self, owned: OwnedDomain, event: Event, now: float) -> None:
+        for command in owned.scheduler.handle(event, now):
+            output = self._output_of(owned.scheduler.epoch, command)
+            if output is not None:
+                self._emit(output)
+
+    def _output_of(self, epoch: Epoch, command: Command) -> Output | None:
+        match command:
+            case AppendRecord():
+                return Append(command.body)
+            case CountRetry():
+                return Retried(command.reason)
+            case ReserveParts(target=target):
+                version = self._ledger.config.version
+                return SendMessage(
+                    target,
+                    Reserve(epoch, version, command.job, command.attempt, command.placements),
+                )
+            case CommitParts(target=target):
+                return SendMessage(target, Commit(epoch, command.job, command.attempt))
+            case ReleaseParts(target=target):
+                return SendMessage(target, Release(epoch, command.job, command.attempt))
+            case StopParts(target=target):
+                stop = Stop(epoch, command.job, command.attempt, command.checkpoint)
+                return SendMessage(target, stop)
+            case ForgetParts(target=target):
+                return SendMessage(target, Forget(epoch, command.job, command.attempt))
+            case ProbeWorker(target=target):
+                return SendMessage(target, Probe(epoch))
+        return None
+
+
+def _event_of(target: TargetId, message: AnyMessage) -> Event | None:
+    match message:
+        case ReserveAnswer(reason=None):
+            return Reserved(message.job, message.attempt, target)
+        case ReserveAnswer(reason=reason) if reason is not None:
+            return ReserveRefused(message.job, message.attempt, target, reason)
+        case PartReport():
+            return PartEnded(
+                message.job,
+                message.attempt,
+                message.part,
+                message.target,
+                message.state,
+                message.result,
+                message.run_s,
+                message.started,
+                message.checkpointed,
+            )
+        case UsageReport():
+            return UsageSeen(message.job, message.part, target, message.busy, message.memory_gb)
+        case ProbeAnswer():
+            return ProbeEnded(target, message.passed)
+    return None
