--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -1,6 +1,7 @@
 """The entry process: callers' HTTP, the folded log, request routing, and owned domains."""
 
 import time
+import uuid
 
 from absl import logging
 
@@ -35,11 +36,12 @@
         self.reader = self.kernel.register(
             "ledger", LedgerReader(self._log, self.metrics, cfg.accept_lost_history)
         )
+        writer = f"{cfg.name}/{uuid.uuid4().hex[:12]}"
         self.appender = self.kernel.register(
-            "appender", Appender(cfg.name, self._log, self.reader, self.metrics)
+            "appender", Appender(writer, self._log, self.reader, self.metrics)
         )
         self.owner = self.kernel.register(
-            "owner", Owner(cfg, self.reader, self.appender, self.roster, self.metrics)
+            "owner", Owner(cfg, writer, self.reader, self.appender, self.roster, self.metrics)
         )
         self.kernel.register(
             "snapshots", Snapshotter(cfg, self.reader, self.appender, self.metrics)
--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -3,7 +3,6 @@
 import queue
 import threading
 import time
-import uuid
 from collections.abc import Callable
 from concurrent.futures import Future
 
@@ -178,14 +177,13 @@
     """Appends records in batches and settles lost answers by reading their ids back.
 
     A batch without an answer is sent again under the same record ids, which the fold counts once,
-    and only after the reader did not find them.
+    and only after the reader did not find them. `writer` must differ between two processes, also if
+    one replaces the other under the same name.
     """
 
-    def __init__(self, name: str, log: LogClient, reader: LedgerReader, metrics: Metrics) -> None:
+    def __init__(self, writer: str, log: LogClient, reader: LedgerReader, metrics: Metrics) -> None:
         super().__init__("appender", tick_s=0.1)
-        # The name alone may be used again by the process that replaces this one.
-        self.incarnation = f"{name}.{uuid.uuid4().hex[:12]}"
-        self._writer = name
+        self._writer = writer
         self._sequence = 0
         self._log = log
         self._reader = reader
@@ -207,7 +205,7 @@
         # Records have to enter the inbox in the order of their sequence numbers.
         with self._submit_lock:
             self._sequence += 1
-            record_id = make_record_id(self.incarnation, self._sequence)
+            record_id = make_record_id(self._writer, self._sequence)
             record = Record(record_id, self._writer, time.time(), body)
             self.send(Pending(record, future, until))
         return future
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -111,7 +111,7 @@
 
 
 class WriterMark(msgspec.Struct):
-    """The highest sequence number seen of one writer incarnation, and the time of that record."""
+    """The highest sequence number seen of one writer, and the time of that record."""
 
     sequence: int
     time: float
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -173,8 +173,8 @@
 class Record(msgspec.Struct, frozen=True):
     """A record body in its envelope.
 
-    `id` names the writer's incarnation and a sequence number that grows by one a record, `writer`
-    is the name of the process, and `time` is in seconds since the epoch.
+    `writer` is unique to one process, `id` is the writer and a sequence number that grows by one a
+    record, and `time` is in seconds since the epoch.
     """
 
     id: RecordId
@@ -185,12 +185,12 @@
 
 
 def make_record_id(writer: str, sequence: int) -> RecordId:
-    """The id of the record with that sequence number of a writer incarnation."""
+    """The id of the record with that sequence number of a writer."""
     return RecordId(f"{writer}:{sequence}")
 
 
 def split_record_id(record: RecordId) -> tuple[str, int]:
-    """The writer incarnation and sequence number; raises RecordError if the id is malformed."""
+    """The writer and sequence number; raises RecordError if the id is malformed."""
     writer, _, sequence = record.rpartition(":")
     if not sequence.isdecimal():
         raise RecordError(f"malformed record id '{record}'", "skip it and count it")
