--- a/comfreyshelf/domains.py
+++ b/comfreyshelf/domains.py
@@ -6,7 +6,8 @@
 
 from comfreyshelf.config import Config
 from comfreyshelf.ids import DomainId, OrganisationId, RegionId
-from comfreyshelf.model import Adjacency, DomainSummary, Shape
+from comfreyshelf.model import Adjacency, DomainSummary, Job, Shape
+from comfreyshelf.topology import Topology, Worker, block_size
 
 # A queued job moves only after its own domain had this time to find room for it.
 REROUTE_AFTER_S = 15.0
@@ -18,6 +19,42 @@
 _LEVEL = {Adjacency.WORKER: 0, Adjacency.RACK: 1, Adjacency.ZONE: 2}
 
 
+def summarise(topology: Topology, queued: Iterable[Job]) -> DomainSummary:
+    """Summarise a domain; cores and memory are left out, since accelerators usually bind."""
+    accelerators = sum(worker.capacity for worker in topology.workers.values())
+    queued_s = sum(job.shape.total * job.declared_s for job in queued)
+    return DomainSummary(
+        _rooms(topology, free=True),
+        _rooms(topology, free=False),
+        queued_s / accelerators if accelerators else 0.0,
+    )
+
+
+def _rooms(topology: Topology, free: bool) -> dict[int, tuple[int, int, int]]:
+    rooms = dict.fromkeys(SUMMARY_SIZES, (0, 0, 0))
+    for racks in topology.zones.values():
+        zone = dict.fromkeys(SUMMARY_SIZES, 0)
+        for rack in racks:
+            workers = [topology.workers[target] for target in topology.racks[rack]]
+            for size in SUMMARY_SIZES:
+                parts = [_parts_on(worker, size, free) for worker in workers]
+                zone[size] += sum(parts)
+                best = rooms[size]
+                rooms[size] = (max(best[0], *parts), max(best[1], sum(parts)), best[2])
+        for size, parts_in_zone in zone.items():
+            best = rooms[size]
+            rooms[size] = (best[0], best[1], max(best[2], parts_in_zone))
+    return rooms
+
+
+def _parts_on(worker: Worker, size: int, free: bool) -> int:
+    if not free:
+        return worker.capacity // size
+    mask = (1 << size) - 1
+    positions = range(0, worker.capacity - size + 1, block_size(size))
+    return sum(1 for position in positions if worker.free >> position & mask == mask)
+
+
 class Candidate(msgspec.Struct, frozen=True):
     """A domain with its region and newest summary, None before its owner published one."""
 
@@ -82,13 +119,14 @@
     the shortest queue, the entry's own region.
     """
 
-    def cost(candidate: Candidate) -> tuple[bool, bool, bool, float, bool, DomainId]:
+    def cost(candidate: Candidate) -> tuple[bool, bool, bool, int, bool, DomainId]:
         summary = candidate.summary
         return (
             not fits_empty(shape, summary),
             candidate.domain not in guaranteed,
             not fits_now(shape, summary),
-            summary.wait_s if summary else 0.0,
+            # A small difference must not send a job over the slow link.
+            int(summary.wait_s / MIN_WAIT_GAIN_S) if summary else 0,
             candidate.region != home,
             candidate.domain,
         )
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -15,6 +15,7 @@
     ReserveParts,
     StopParts,
 )
+from comfreyshelf.domains import candidates, choose_move, guaranteed_domains, summarise
 from comfreyshelf.events import (
     ConfigInForce,
     Event,
@@ -50,7 +51,7 @@
     UsageReport,
     Welcome,
 )
-from comfreyshelf.model import JobState
+from comfreyshelf.model import Job, JobState
 from comfreyshelf.reasons import RefusalReason, RetryReason
 from comfreyshelf.records import (
     AnyBody,
@@ -75,6 +76,8 @@
 LOST_AFTER_S = LEASE_S + 1.0
 ENTRY_RENEW_S = 10.0
 ENTRY_EXPIRES_S = 35.0
+SUMMARY_INTERVAL_S = 5.0
+MAX_MOVES_AT_ONCE = 50
 
 
 class Folded(msgspec.Struct, frozen=True):
@@ -156,6 +159,8 @@
     ready_at: float
     ready: bool = False
     renewed_at: float = 0.0
+    summarised_at: float = 0.0
+    queued_since: dict[JobId, float] = {}
     seen: dict[TargetId, float] = {}
     expected: dict[TargetId, float] = {}
 
@@ -262,9 +267,36 @@
         if not self._log_up or now - owned.renewed_at < self._cfg.renew_interval_s:
             return
         owned.renewed_at = now
-        body = DomainRenewed(name, owned.scheduler.epoch, self._entry)
+        summary = None
+        if owned.ready and now - owned.summarised_at >= SUMMARY_INTERVAL_S:
+            owned.summarised_at = now
+            queued = list(owned.scheduler.queue.ordered(now))
+            summary = summarise(owned.scheduler.topology, queued)
+            self._move_jobs(name, owned, queued, now)
+        body = DomainRenewed(name, owned.scheduler.epoch, self._entry, summary)
         self._emit(Append(body, self._cfg.renew_interval_s))
 
+    def _move_jobs(self, name: DomainId, owned: OwnedDomain, queued: list[Job], now: float) -> None:
+        """Hand jobs that wait here for room to domains that have it."""
+        ledger = self._ledger
+        summaries = {domain: entry.summary for domain, entry in ledger.state.domains.items()}
+        known = candidates(ledger.config, summaries)
+        if len(known) < 2:
+            return
+        for job in queued[:MAX_MOVES_AT_ONCE]:
+            entry = ledger.state.jobs.get(job.id)
+            if entry is None:
+                continue
+            guaranteed = guaranteed_domains(ledger.config, job.organisation, job.shape)
+            waited_s = now - owned.queued_since.setdefault(job.id, now)
+            to = choose_move(job.shape, name, waited_s, entry.moves, guaranteed, known)
+            if to is not None:
+                body = JobRouted(job.id, name, to, owned.scheduler.epoch)
+                self._emit(Append(body, SUMMARY_INTERVAL_S))
+        queued_ids = {job.id for job in queued}
+        for job_id in owned.queued_since.keys() - queued_ids:
+            del owned.queued_since[job_id]
+
     def _on_claim(self, record: Record, body: DomainClaimed, now: float) -> None:
         self._renewal_seen[body.domain] = now
         if record.writer != self._writer:
--- /dev/null
+++ b/features/steps/domains_steps.py
@@ -0,0 +1,80 @@
+"""Steps for the choice of a job's domain."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.domains import Candidate, choose_domain, choose_move, summarise
+from comfreyshelf.ids import DomainId, RackId, RegionId, TargetId, ZoneId
+from comfreyshelf.model import Adjacency, DomainSummary, Shape, WorkerInfo
+from comfreyshelf.topology import Topology
+
+SHAPE = Shape(1, 8, Adjacency.WORKER)
+
+
+def make_summary(free: int, workers: int, wait_s: float) -> DomainSummary:
+    topology = Topology()
+    for index in range(workers):
+        target = TargetId(f"t{index}")
+        topology.add(WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1))
+        if index >= free:
+            topology.take(target, 0b1, 1, 1)
+    summary = summarise(topology, ())
+    return DomainSummary(summary.free, summary.total, wait_s)
+
+
+@given("domains litoral and platense with {litoral:d} and {platense:d} workers free of 4 each")
+def two_domains(context: Context, litoral: int, platense: int) -> None:
+    context.free = {"litoral": litoral, "platense": platense}
+    context.wait_s = {"litoral": 0.0, "platense": 0.0}
+    context.guaranteed = set()
+
+
+@given("{seconds:d} seconds of queued work in {domain}")
+def queued_work(context: Context, seconds: int, domain: str) -> None:
+    context.wait_s[domain] = float(seconds)
+
+
+@given("the organisation's guarantee is in {domain}")
+def guarantee_in(context: Context, domain: str) -> None:
+    context.guaranteed = {DomainId(domain)}
+
+
+def known_domains(context: Context) -> list[Candidate]:
+    return [
+        Candidate(DomainId(name), RegionId(name), make_summary(free, 4, context.wait_s[name]))
+        for name, free in context.free.items()
+    ]
+
+
+@when("a job of {parts:d} x {accelerators:d} @ {adjacency} arrives in region {region}")
+def job_arrives(
+    context: Context, parts: int, accelerators: int, adjacency: str, region: str
+) -> None:
+    shape = Shape(parts, accelerators, Adjacency(adjacency))
+    known = known_domains(context)
+    context.chosen = choose_domain(shape, context.guaranteed, RegionId(region), known)
+
+
+@then("it goes to domain {domain}")
+def goes_to(context: Context, domain: str) -> None:
+    assert context.chosen == domain, context.chosen
+
+
+def move(context: Context, waited_s: float, domain: str, moves: int) -> DomainId | None:
+    known = known_domains(context)
+    return choose_move(SHAPE, DomainId(domain), waited_s, moves, context.guaranteed, known)
+
+
+@then("a job that waited {seconds:d} seconds in {domain} stays")
+def stays(context: Context, seconds: int, domain: str) -> None:
+    assert move(context, seconds, domain, 0) is None
+
+
+@then("a job that waited {seconds:d} seconds in {domain} moves to {to}")
+def moves_to(context: Context, seconds: int, domain: str, to: str) -> None:
+    assert move(context, seconds, domain, 0) == to
+
+
+@then("a job that moved {moves:d} times and waited {seconds:d} seconds in {domain} stays")
+def stays_after_moves(context: Context, moves: int, seconds: int, domain: str) -> None:
+    assert move(context, seconds, domain, moves) is None
