Announce the version in force with each entry's addresses

Cause: the read-back showed targets but not which entries have a version in force. Ruled out: asking each entry, which fails while one is unreachable. Before: entries unknown. After: EntryUp carries the version and is appended again at once when a configuration is folded; the stand-in log now expires records by its retention setting.

--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -87,6 +87,7 @@
     http_address: str
     pipe_address: str
     renewed_at: float
+    version: Version = Version(0)
 
 
 class ConfigEntry(msgspec.Struct):
@@ -301,7 +302,12 @@
 
     def _entry_up(self, record: Record, body: EntryUp) -> Verdict:
         self.state.entries[body.entry] = EntryInfo(
-            body.entry, body.zone, body.http_address, body.pipe_address, record.time
+            body.entry,
+            body.zone,
+            body.http_address,
+            body.pipe_address,
+            self.time,
+            body.version,
         )
         return ACCEPTED
 
--- a/comfreyshelf/log.py
+++ b/comfreyshelf/log.py
@@ -45,9 +45,13 @@
 
 
 class MemoryLog(LogClient):
-    """An in-memory log with faults for tests: outages, lost answers and expiry."""
+    """An in-memory log with faults for tests: outages, lost answers and expiry.
 
-    def __init__(self) -> None:
+    Records older than `retention_s` seconds are dropped at each append.
+    """
+
+    def __init__(self, retention_s: float = float("inf")) -> None:
+        self._retention_s = retention_s
         self._records: list[bytes] = []
         self._times: list[float] = []
         self._oldest = 0
@@ -62,6 +66,7 @@
         self._delay()
         with self._changed:
             self._check_up()
+            self._expire(self._retention_s)
             first = len(self._records)
             self._records.extend(batch)
             self._times.extend([time.time()] * len(batch))
@@ -87,17 +92,20 @@
 
     def expire(self, seconds: float) -> None:
         """Drop records older than `seconds`."""
-        horizon = time.time() - seconds
         with self._changed:
-            while self._oldest < len(self._records) and self._times[self._oldest] < horizon:
-                self._records[self._oldest] = b""
-                self._oldest += 1
+            self._expire(seconds)
 
     def expire_before(self, offset: int) -> None:
         """Drop the records below `offset`."""
         with self._changed:
             self._oldest = max(self._oldest, min(offset, len(self._records)))
 
+    def _expire(self, seconds: float) -> None:
+        horizon = time.time() - seconds
+        while self._oldest < len(self._records) and self._times[self._oldest] < horizon:
+            self._records[self._oldest] = b""
+            self._oldest += 1
+
     def _delay(self) -> None:
         if self.delay_s > 0:
             time.sleep(self.delay_s)
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -242,7 +242,13 @@
             return
         self._announced_at = now
         cfg = self._cfg
-        body = EntryUp(self._entry, ZoneId(cfg.zone), cfg.http_address, cfg.pipe_address)
+        body = EntryUp(
+            self._entry,
+            ZoneId(cfg.zone),
+            cfg.http_address,
+            cfg.pipe_address,
+            self._ledger.config.version,
+        )
         self._emit(Append(body, ENTRY_RENEW_S))
 
     def _claim(self, now: float) -> None:
@@ -358,6 +364,8 @@
                     self._close(job, None, now)
 
     def _on_config(self, now: float) -> None:
+        # The next tick announces the version, so that operators can read back where it is in force.
+        self._announced_at = float("-inf")
         for owned in self.domains.values():
             self._feed(owned, ConfigInForce(self._ledger.config), now)
         self._welcome_all()
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -37,12 +37,13 @@
 
 
 class EntryUp(Body, frozen=True, tag=True):
-    """An entry announces or renews its addresses (`ip:port`)."""
+    """An entry announces or renews its addresses (`ip:port`) and the version it has in force."""
 
     entry: EntryId
     zone: ZoneId
     http_address: str
     pipe_address: str
+    version: Version = Version(0)
 
 
 class EntryDown(Body, frozen=True, tag=True):
--- a/comfreyshelf/standin.py
+++ b/comfreyshelf/standin.py
@@ -56,7 +56,7 @@
     """The log stand-in as a service; `log` is its in-memory log."""
 
     def __init__(self, cfg: StandinSettings) -> None:
-        self.log = MemoryLog()
+        self.log = MemoryLog(cfg.retention_s)
         self.log.delay_s = cfg.append_delay_s
         self._cfg = cfg
         self._web = WebServer(cfg.address, LogResource(self.log), threads=32)
