Place gangs from block indexes and keep planned cells for guarantees

Cause: first fit scans every worker and ignores guarantees. Workers are indexed per view (open, borrow, plan) and part size, racks and zones by the number of parts they can take. CellPlan keeps one cell for every guarantee, lets preemptible work borrow it and preempts that work when the organisation's job arrives; a checkpoint that takes longer than 4 s is cut. Ruled out: quota counts, which do not hold under fragmentation, and a plan that keeps only the unused cells, which loses the rest of a cell used by a smaller job.

--- a/comfreyshelf/gangs.py
+++ b/comfreyshelf/gangs.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from comfreyshelf.ids import Attempt, TargetId
+from comfreyshelf.ids import Attempt, JobId, TargetId
 from comfreyshelf.model import AttemptOutcome, Job, PartState, Placement
 
 
@@ -31,7 +31,9 @@
     """An attempt of `job` on its placements.
 
     `reserved` are the targets that confirmed their reservation, `since` is when the phase began in
-    seconds. While stopping, `outcome` is what to record once every part has ended.
+    seconds. While stopping, `outcome` is what to record once every part has ended, and `forced`
+    tells that a checkpoint took too long. `firm` work is never reclaimed: it is not preemptible or
+    it uses a guarantee of its organisation.
     """
 
     job: Job
@@ -43,6 +45,8 @@
     outcome: AttemptOutcome | None = None
     recorded: bool = False
     finish_sent: bool = False
+    firm: bool = False
+    forced: bool = False
 
     @property
     def targets(self) -> list[TargetId]:
@@ -53,6 +57,14 @@
         """The parts on one target."""
         return [part for part in self.parts if part.placement.target == target]
 
+    def uses(self, target: TargetId) -> int:
+        """Mask of the accelerators that parts which have not ended use on a target."""
+        mask = 0
+        for part in self.parts:
+            if part.placement.target == target and part.state is None:
+                mask |= part.placement.mask
+        return mask
+
     @property
     def fully_reserved(self) -> bool:
         """Whether every target confirmed its reservation."""
@@ -85,3 +97,28 @@
         if all(not part.started or part.checkpointed for part in self.parts):
             return outcome
         return AttemptOutcome.MAY_HAVE_RUN
+
+
+class GangTable(dict[JobId, Gang]):
+    """Gangs by job, also found by target."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._by_target: dict[TargetId, dict[JobId, None]] = {}
+
+    def __setitem__(self, job: JobId, gang: Gang) -> None:
+        super().__setitem__(job, gang)
+        for target in gang.targets:
+            self._by_target.setdefault(target, {})[job] = None
+
+    def __delitem__(self, job: JobId) -> None:
+        for target in self[job].targets:
+            jobs = self._by_target[target]
+            del jobs[job]
+            if not jobs:
+                del self._by_target[target]
+        super().__delitem__(job)
+
+    def on_target(self, target: TargetId) -> list[Gang]:
+        """Gangs with parts on a target, in order of start."""
+        return [self[job] for job in self._by_target.get(target, ())]
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -29,17 +29,23 @@
     WorkerLost,
     WorkerSeen,
 )
-from comfreyshelf.gangs import Gang, Part, Phase
+from comfreyshelf.gangs import Gang, GangTable, Part, Phase
+from comfreyshelf.guarantees import CellPlan, Decision
 from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, TargetId
 from comfreyshelf.model import AttemptOutcome, HeldPart, Job, PartState, WorkerInfo
-from comfreyshelf.placement import FirstFit, Placer
+from comfreyshelf.placement import Cells, Placer
 from comfreyshelf.queueing import Queue
 from comfreyshelf.reasons import RetryReason
 from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished
-from comfreyshelf.topology import Topology
+from comfreyshelf.topology import Topology, View
 
 RESERVE_TIMEOUT_S = 3.0
 AVOID_AFTER_REFUSAL_S = 5.0
+# Preempted work that has not stopped after this time is stopped without a checkpoint, so that a
+# reclaim ends well inside the 9.7 s in which urgent work has to start.
+CHECKPOINT_TIMEOUT_S = 4.0
+# Abandoned reservations free accelerators at once, so a pass may let the next one start more.
+MAX_PASSES = 3
 # A status may have been sent before the newest command arrived, so differences are only acted on
 # after this time.
 RECONCILE_AFTER_S = 6.0
@@ -67,9 +73,12 @@
         self.config: Config = EMPTY_CONFIG
         self.topology = Topology()
         self.queue = Queue()
-        self.gangs: dict[JobId, Gang] = {}
+        self.gangs = GangTable()
         self.counters: Counter[str] = Counter()
-        self._placer = placer or FirstFit()
+        self.plan = CellPlan(self.topology, self.counters)
+        self._placer = placer or Cells()
+        self._resumed: set[JobId] = set()
+        self._timed: dict[JobId, None] = {}
         self._attempts: dict[JobId, Attempt] = {}
         self._avoided: dict[TargetId, float] = {}
         self._closed: set[JobId] = set()
@@ -80,7 +89,9 @@
     def handle(self, event: Event, now: float) -> list[Command]:
         """Apply one event at time `now` and return the resulting commands."""
         self._dispatch(event, now)
-        if self._dirty:
+        for _ in range(MAX_PASSES):
+            if not self._dirty:
+                break
             self._dirty = False
             self._schedule(now)
         commands = self._commands
@@ -127,6 +138,7 @@
         if event.config.version < self.config.version:
             return
         self.config = event.config
+        self.plan.set_guarantees(self.config.guarantees(self.domain))
         self._dirty = True
 
     def _on_worker_seen(self, event: WorkerSeen, now: float) -> None:
@@ -141,10 +153,12 @@
 
     def _add_worker(self, info: WorkerInfo) -> None:
         self.topology.add(info)
-        for gang in self.gangs.values():
+        for gang in self.gangs.on_target(info.target):
             for part in gang.on(info.target):
                 if part.state is None:
-                    self._take(gang.job, part)
+                    self._take(gang, part)
+            self._adopt(gang)
+        self.plan.capacity_gained()
         self._dirty = True
 
     def _reconcile(self, target: TargetId, held: tuple[HeldPart, ...], now: float) -> None:
@@ -153,7 +167,7 @@
             if self._gang(job, attempt) is None:
                 self._emit(StopParts(target, job, attempt))
                 self._emit(ForgetParts(target, job, attempt))
-        for gang in list(self.gangs.values()):
+        for gang in self.gangs.on_target(target):
             if gang.phase is Phase.RUNNING and now - gang.since > RECONCILE_AFTER_S:
                 self._reconcile_gang(gang, target, states, now)
 
@@ -175,7 +189,8 @@
                 self._stop_gang(gang, AttemptOutcome.TARGET_LOST, now)
 
     def _on_worker_lost(self, target: TargetId, now: float) -> None:
-        for gang in list(self.gangs.values()):
+        self.plan.worker_lost(target)
+        for gang in self.gangs.on_target(target):
             lost = [part for part in gang.on(target) if part.state is None]
             if not lost:
                 continue
@@ -200,17 +215,37 @@
     def _on_job_resumed(self, event: JobResumed, now: float) -> None:
         parts = [Part(placement) for placement in event.placements]
         gang = Gang(event.job, event.attempt, parts, now, Phase.RUNNING, recorded=True)
+        gang.firm = not event.job.preemptible
         self.gangs[event.job.id] = gang
         self._attempts[event.job.id] = event.attempt
+        self._resumed.add(event.job.id)
         for part in parts:
             if part.placement.target in self.topology.workers:
-                self._take(gang.job, part)
+                self._take(gang, part)
+        self._adopt(gang)
+
+    def _adopt(self, gang: Gang) -> None:
+        """Let a resumed job occupy its guarantee as soon as all of its workers are known."""
+        resumed = gang.job.id in self._resumed
+        if not resumed or any(target not in self.topology.workers for target in gang.targets):
+            return
+        self._resumed.discard(gang.job.id)
+        placements = tuple(part.placement for part in gang.parts)
+        adopted = self.plan.adopt(gang.job, placements) is not None
+        if adopted and not gang.firm:
+            gang.firm = True
+            shape = gang.job.shape
+            for part in gang.parts:
+                if part.state is None:
+                    place = part.placement
+                    self.topology.make_firm(place.target, place.mask, shape.cores, shape.memory_gb)
 
     def _on_job_closed(self, job: JobId, now: float) -> None:
         self.queue.remove(job)
         self._dirty = True
         gang = self.gangs.get(job)
         if gang is None:
+            self.plan.release(job)
             self._attempts.pop(job, None)
             return
         self._closed.add(job)
@@ -219,24 +254,43 @@
     # One attempt
 
     def _schedule(self, now: float) -> None:
-        excluded = self._excluded(now)
+        self._exclude(now)
         for job in list(self.queue.ordered(now)):
-            placements = self._placer.place(job.shape, self.topology, excluded)
-            if placements:
-                self._start(job, [Part(placement) for placement in placements], now)
-
-    def _excluded(self, now: float) -> frozenset[TargetId]:
+            decision = self._decide(job)
+            if decision.placements:
+                self._start(job, decision, now)
+            for victim in decision.victims:
+                self._stop_gang(self.gangs[victim], AttemptOutcome.PREEMPTED, now)
+
+    def _decide(self, job: Job) -> Decision:
+        if self._placer.keeps_guarantees:
+            return self.plan.decide(job, self._placer, self.gangs)
+        return Decision(self._placer.place(job.shape, self.topology, View.BORROW))
+
+    def _exclude(self, now: float) -> None:
+        """Keep work off targets that are withdrawn or that refused a reservation lately."""
         self._avoided = {target: until for target, until in self._avoided.items() if until > now}
-        return self.config.scrapped | self._avoided.keys()
+        withdrawn = self._withdrawn()
+        self.topology.exclude(withdrawn | self._avoided.keys())
+        self.plan.withdraw(withdrawn)
 
-    def _start(self, job: Job, parts: list[Part], now: float) -> None:
+    def _withdrawn(self) -> frozenset[TargetId]:
+        """Targets that keep no planned cell and get no new work."""
+        return self.config.scrapped
+
+    def _start(self, job: Job, decision: Decision, now: float) -> None:
         self.queue.remove(job.id)
         attempt = Attempt(self._attempts.get(job.id, 0) + 1)
         self._attempts[job.id] = attempt
+        parts = [Part(placement) for placement in decision.placements]
         gang = Gang(job, attempt, parts, now)
+        gang.firm = not job.preemptible or decision.cell is not None
         self.gangs[job.id] = gang
+        self._timed[job.id] = None
+        if decision.cell is not None:
+            self.plan.start(job.id, decision.cell)
         for part in parts:
-            self._take(job, part)
+            self._take(gang, part)
         for target in gang.targets:
             placements = tuple(part.placement for part in gang.on(target))
             self._emit(ReserveParts(target, job, attempt, placements))
@@ -332,6 +386,7 @@
             gang.phase = Phase.STOPPING
             gang.outcome = outcome
             gang.since = now
+            self._timed[gang.job.id] = None
             checkpoint = outcome in (AttemptOutcome.PREEMPTED, AttemptOutcome.DRAINED)
             for target in gang.targets:
                 if any(part.state is None for part in gang.on(target)):
@@ -341,6 +396,8 @@
 
     def _close_gang(self, gang: Gang, now: float) -> None:
         del self.gangs[gang.job.id]
+        self._resumed.discard(gang.job.id)
+        self.plan.release(gang.job.id)
         self._dirty = True
         for target in gang.targets:
             self._emit(ForgetParts(target, gang.job.id, gang.attempt))
@@ -365,22 +422,40 @@
                 self._commit(gang, now)
 
     def _on_tick(self, now: float) -> None:
-        self._dirty = bool(len(self.queue))
-        for gang in list(self.gangs.values()):
-            if gang.phase is Phase.RESERVING and now - gang.since > RESERVE_TIMEOUT_S:
+        self._dirty = True
+        for job in list(self._timed):
+            gang = self.gangs.get(job)
+            if gang is None or gang.phase not in (Phase.RESERVING, Phase.STOPPING):
+                del self._timed[job]
+            elif gang.phase is Phase.STOPPING:
+                self._force_stop(gang, now)
+            elif now - gang.since > RESERVE_TIMEOUT_S:
                 self._emit(CountRetry(RetryReason.RESERVE_TIMEOUT))
                 self._abandon(gang, now)
+        self.plan.refresh()
+
+    def _force_stop(self, gang: Gang, now: float) -> None:
+        if gang.forced or now - gang.since <= CHECKPOINT_TIMEOUT_S:
+            return
+        gang.forced = True
+        self.counters["checkpoint_timeout"] += 1
+        for target in gang.targets:
+            if gang.uses(target):
+                self._emit(StopParts(target, gang.job.id, gang.attempt))
 
     # Resources
 
-    def _take(self, job: Job, part: Part) -> None:
-        shape = job.shape
-        self.topology.take(part.placement.target, part.placement.mask, shape.cores, shape.memory_gb)
+    def _take(self, gang: Gang, part: Part) -> None:
+        shape = gang.job.shape
+        place = part.placement
+        self.topology.take(place.target, place.mask, shape.cores, shape.memory_gb, gang.firm)
+        if gang.firm and gang.recorded:
+            self.plan.evict(place.target, place.mask)
 
     def _end_part(self, gang: Gang, part: Part, state: PartState) -> None:
         part.state = state
         shape = gang.job.shape
-        self.topology.give_back(
-            part.placement.target, part.placement.mask, shape.cores, shape.memory_gb
-        )
+        place = part.placement
+        self.topology.give_back(place.target, place.mask, shape.cores, shape.memory_gb, gang.firm)
+        self.plan.capacity_gained()
         self._dirty = True
--- a/comfreyshelf/topology.py
+++ b/comfreyshelf/topology.py
@@ -1,94 +1,315 @@
-"""Workers of one domain with their free accelerators as bit masks."""
+"""Workers of one domain as accelerator bit masks, with indexes by free block."""
 
 from collections.abc import Iterator
+from enum import Enum
+from functools import lru_cache
+from typing import TypeVar
 
 from comfreyshelf.ids import RackId, TargetId, ZoneId
 from comfreyshelf.model import WorkerInfo
 
+T = TypeVar("T")
+
+RackKey = tuple[ZoneId, RackId]
+
 
 def block_size(accelerators: int) -> int:
     """The smallest power of two that holds `accelerators`."""
     return 1 << (accelerators - 1).bit_length()
 
 
+@lru_cache(maxsize=65_536)
+def count_blocks(free: int, accelerators: int, capacity: int) -> int:
+    """How many parts of `accelerators` fit into a free mask, each on an aligned block."""
+    want = (1 << accelerators) - 1
+    positions = range(0, capacity - accelerators + 1, block_size(accelerators))
+    return sum(1 for position in positions if free >> position & want == want)
+
+
+@lru_cache(maxsize=65_536)
 def find_block(free: int, accelerators: int, capacity: int) -> int:
     """Find aligned adjacent accelerators in a free mask.
 
-    Returns a mask of `accelerators` bits at the lowest aligned position, or 0.
+    Returns a mask of `accelerators` bits, or 0. Of several positions the one that leaves the most
+    larger blocks whole is chosen.
 
-        find_block(0b11110001, 4, 8) == 0b11110000
+        find_block(0b11110011, 2, 8) == 0b00000011
     """
     want = (1 << accelerators) - 1
+    best = 0
+    best_left: tuple[int, ...] = ()
     for position in range(0, capacity - accelerators + 1, block_size(accelerators)):
         mask = want << position
-        if free & mask == mask:
-            return mask
-    return 0
+        if free & mask != mask:
+            continue
+        left = _large_blocks(free & ~mask, capacity)
+        if not best or left > best_left:
+            best = mask
+            best_left = left
+    return best
+
+
+def _large_blocks(free: int, capacity: int) -> tuple[int, ...]:
+    sizes = [1 << level for level in reversed(range(capacity.bit_length()))]
+    return tuple(count_blocks(free, size, capacity) for size in sizes)
+
+
+class View(Enum):
+    """What a search may use.
+
+    OPEN: free and outside every planned cell. BORROW: free, planned cells included. PLAN: free or
+    held by preemptible work, outside every planned cell.
+    """
+
+    OPEN = 0
+    BORROW = 1
+    PLAN = 2
 
 
 class Worker:
-    """One worker: what it has and what is free."""
+    """One worker as masks of accelerators.
+
+    `free` is not in use, `firm` is used by work that is never reclaimed, `cells` belongs to
+    planned cells of guarantees, and `held` is kept for a job that is about to start there. An
+    `excluded` worker takes no new work.
+    """
 
-    __slots__ = ("cores_free", "free", "info", "memory_free_gb")
+    __slots__ = (
+        "cells",
+        "cores_free",
+        "excluded",
+        "firm",
+        "firm_cores",
+        "firm_memory_gb",
+        "free",
+        "held",
+        "info",
+        "memory_free_gb",
+    )
 
     def __init__(self, info: WorkerInfo) -> None:
         self.info = info
         self.free = (1 << info.accelerators) - 1
+        self.firm = 0
+        self.cells = 0
+        self.held = 0
         self.cores_free = info.cores
         self.memory_free_gb = info.memory_gb
+        self.firm_cores = 0
+        self.firm_memory_gb = 0
+        self.excluded = False
 
     @property
     def capacity(self) -> int:
         """Number of accelerators."""
         return self.info.accelerators
 
+    @property
+    def rack(self) -> RackKey:
+        """Zone and rack, because two zones may use the same rack name."""
+        return (self.info.zone, self.info.rack)
+
+    def share(self, accelerators: int) -> tuple[int, int]:
+        """Cores and memory (GB) in proportion to a number of accelerators."""
+        cores = self.info.cores * accelerators // self.info.accelerators
+        memory_gb = self.info.memory_gb * accelerators // self.info.accelerators
+        return cores, memory_gb
+
+    def mask(self, view: View) -> int:
+        """The accelerators that a search in `view` may use."""
+        if self.excluded:
+            return 0
+        if view is View.OPEN:
+            return self.free & ~self.cells & ~self.held
+        if view is View.BORROW:
+            return self.free & ~self.held
+        return ((1 << self.capacity) - 1) & ~self.firm & ~self.cells & ~self.held
+
+    def room(self, view: View) -> tuple[int, int]:
+        """Cores and memory (GB) that a search in `view` may use.
+
+        Planned cells keep their proportional share, so that a guaranteed job finds more than bare
+        accelerators there.
+        """
+        held_cores, held_memory_gb = self.share(self.held.bit_count()) if self.held else (0, 0)
+        cores_free = self.cores_free - held_cores
+        memory_free_gb = self.memory_free_gb - held_memory_gb
+        if view is View.BORROW:
+            return cores_free, memory_free_gb
+        cores, memory_gb = self.share((self.cells & ~self.firm).bit_count())
+        cores = self.info.cores - self.firm_cores - cores
+        memory_gb = self.info.memory_gb - self.firm_memory_gb - memory_gb
+        if view is View.OPEN:
+            return min(cores, cores_free), min(memory_gb, memory_free_gb)
+        return cores, memory_gb
+
+
+class SizeIndex:
+    """Workers, racks and zones by how many parts of one size they can take in one view."""
+
+    def __init__(self) -> None:
+        self.workers: dict[int, dict[TargetId, None]] = {}
+        self.racks: dict[ZoneId, dict[int, dict[RackKey, None]]] = {}
+        self.rack_slots: dict[RackKey, int] = {}
+        self.zone_slots: dict[ZoneId, int] = {}
+
+    def update(self, worker: Worker, old: int, new: int) -> None:
+        """Change the number of parts that a worker can take."""
+        if old == new:
+            return
+        _move(self.workers, worker.info.target, old, new)
+        zone = worker.info.zone
+        rack_old = self.rack_slots.get(worker.rack, 0)
+        rack_new = rack_old + new - old
+        self.rack_slots[worker.rack] = rack_new
+        _move(self.racks.setdefault(zone, {}), worker.rack, rack_old, rack_new)
+        self.zone_slots[zone] = self.zone_slots.get(zone, 0) + new - old
+
+
+def _move(buckets: dict[int, dict[T, None]], item: T, old: int, new: int) -> None:
+    if old:
+        bucket = buckets[old]
+        del bucket[item]
+        if not bucket:
+            del buckets[old]
+    if new:
+        buckets.setdefault(new, {})[item] = None
+
 
 class Topology:
-    """Workers by target, rack and zone."""
+    """Workers by target, rack and zone, indexed for each view and size of part in use."""
 
     def __init__(self) -> None:
         self.workers: dict[TargetId, Worker] = {}
-        self.racks: dict[RackId, list[TargetId]] = {}
-        self.zones: dict[ZoneId, list[RackId]] = {}
+        self.racks: dict[RackKey, list[TargetId]] = {}
+        self.zones: dict[ZoneId, list[RackKey]] = {}
+        self.excluded: frozenset[TargetId] = frozenset()
+        self._indexes: dict[View, dict[int, SizeIndex]] = {view: {} for view in View}
 
     def add(self, info: WorkerInfo) -> Worker:
         """Add a worker with all of its accelerators free."""
         worker = Worker(info)
+        worker.excluded = info.target in self.excluded
         self.workers[info.target] = worker
-        rack = self.racks.setdefault(info.rack, [])
-        rack.append(info.target)
-        racks = self.zones.setdefault(info.zone, [])
-        if info.rack not in racks:
-            racks.append(info.rack)
+        if worker.rack not in self.racks:
+            self.racks[worker.rack] = []
+            self.zones.setdefault(info.zone, []).append(worker.rack)
+        self.racks[worker.rack].append(info.target)
+        self._reindex(worker, dict.fromkeys(View, 0))
         return worker
 
     def remove(self, target: TargetId) -> None:
         """Remove a worker and everything on it."""
-        worker = self.workers.pop(target)
-        rack = self.racks[worker.info.rack]
+        worker = self.workers[target]
+        before = self._masks(worker)
+        worker.excluded = True
+        self._reindex(worker, before)
+        del self.workers[target]
+        rack = self.racks[worker.rack]
         rack.remove(target)
         if not rack:
-            del self.racks[worker.info.rack]
-            self.zones[worker.info.zone].remove(worker.info.rack)
+            del self.racks[worker.rack]
+            self.zones[worker.info.zone].remove(worker.rack)
+
+    def exclude(self, targets: frozenset[TargetId]) -> None:
+        """Give no new work to exactly these targets."""
+        if targets == self.excluded:
+            return
+        changed = targets ^ self.excluded
+        self.excluded = targets
+        for target in changed:
+            worker = self.workers.get(target)
+            if worker is not None:
+                before = self._masks(worker)
+                worker.excluded = target in targets
+                self._reindex(worker, before)
 
-    def take(self, target: TargetId, mask: int, cores: int, memory_gb: int) -> None:
-        """Mark accelerators, cores and memory as used."""
+    def take(
+        self, target: TargetId, mask: int, cores: int, memory_gb: int, firm: bool = False
+    ) -> None:
+        """Mark accelerators, cores and memory as used; `firm` work is never reclaimed."""
         worker = self.workers[target]
+        before = self._masks(worker)
         worker.free &= ~mask
         worker.cores_free -= cores
         worker.memory_free_gb -= memory_gb
+        if firm:
+            self._add_firm(worker, mask, cores, memory_gb)
+        self._reindex(worker, before)
 
-    def give_back(self, target: TargetId, mask: int, cores: int, memory_gb: int) -> None:
-        """Mark accelerators, cores and memory as free again."""
+    def give_back(
+        self, target: TargetId, mask: int, cores: int, memory_gb: int, firm: bool = False
+    ) -> None:
+        """Mark accelerators, cores and memory as free again; `firm` as they were taken."""
         worker = self.workers.get(target)
         if worker is None:
             return
+        before = self._masks(worker)
         worker.free |= mask
         worker.cores_free += cores
         worker.memory_free_gb += memory_gb
+        if firm:
+            worker.firm &= ~mask
+            worker.firm_cores -= cores
+            worker.firm_memory_gb -= memory_gb
+        self._reindex(worker, before)
+
+    def make_firm(self, target: TargetId, mask: int, cores: int, memory_gb: int) -> None:
+        """Turn used accelerators into firm ones."""
+        worker = self.workers[target]
+        before = self._masks(worker)
+        self._add_firm(worker, mask, cores, memory_gb)
+        self._reindex(worker, before)
+
+    def set_cell(self, target: TargetId, mask: int, planned: bool) -> None:
+        """Add accelerators to the planned cells of a worker or remove them."""
+        worker = self.workers.get(target)
+        if worker is not None:
+            before = self._masks(worker)
+            worker.cells = worker.cells | mask if planned else worker.cells & ~mask
+            self._reindex(worker, before)
+
+    def set_held(self, target: TargetId, mask: int, held: bool) -> None:
+        """Hold accelerators for a job that is about to start, or release them."""
+        worker = self.workers.get(target)
+        if worker is not None:
+            before = self._masks(worker)
+            worker.held = worker.held | mask if held else worker.held & ~mask
+            self._reindex(worker, before)
+
+    def index(self, view: View, accelerators: int) -> SizeIndex:
+        """The index of one size of part; built from all workers when a size is first asked for."""
+        indexes = self._indexes[view]
+        index = indexes.get(accelerators)
+        if index is None:
+            index = indexes[accelerators] = SizeIndex()
+            for worker in self.workers.values():
+                slots = count_blocks(worker.mask(view), accelerators, worker.capacity)
+                index.update(worker, 0, slots)
+        return index
 
     def in_zone(self, zone: ZoneId) -> Iterator[Worker]:
         """Workers of a zone, rack by rack."""
         for rack in self.zones.get(zone, ()):
             for target in self.racks[rack]:
                 yield self.workers[target]
+
+    @staticmethod
+    def _add_firm(worker: Worker, mask: int, cores: int, memory_gb: int) -> None:
+        worker.firm |= mask
+        worker.firm_cores += cores
+        worker.firm_memory_gb += memory_gb
+
+    @staticmethod
+    def _masks(worker: Worker) -> dict[View, int]:
+        return {view: worker.mask(view) for view in View}
+
+    def _reindex(self, worker: Worker, before: dict[View, int]) -> None:
+        capacity = worker.capacity
+        for view, old in before.items():
+            new = worker.mask(view)
+            if old == new:
+                continue
+            for size, index in self._indexes[view].items():
+                slots = count_blocks(new, size, capacity)
+                index.update(worker, count_blocks(old, size, capacity), slots)
