Record the cell of an attempt, so that a takeover keeps every guarantee

Cause: a new owner that guessed from placements which job uses which guarantee lost one in random histories (a job smaller than its guaranteed shape, then a takeover). Ruled out: extending cells around resumed placements, because spare parts of two cells can collide. AttemptStarted, the ledger entry and JobResumed carry the cell; old records read as without one.

--- /dev/null
+++ b/benchmarks/decision_cost.py
@@ -0,0 +1,173 @@
+"""Times placement decisions of one domain and measures the core's memory by fleet size.
+
+python -m benchmarks.decision_cost
+"""
+
+import gc
+import math
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Sequence
+
+import msgspec
+
+from comfreyshelf.commands import ReserveParts
+from comfreyshelf.config import Config, Guarantee, Organisation
+from comfreyshelf.events import ConfigInForce, JobClosed, JobQueued, WorkerSeen
+from comfreyshelf.ids import (
+    CallerId,
+    DomainId,
+    Epoch,
+    JobId,
+    OrganisationId,
+    RackId,
+    ServiceId,
+    TargetId,
+    Version,
+    ZoneId,
+)
+from comfreyshelf.model import Adjacency, Job, Shape, WorkerInfo
+from comfreyshelf.scheduler import Scheduler
+
+SIZES = (10, 100, 1_000, 2_000, 31_000)
+OCCUPANCY = 0.85
+ACCELERATORS = 8
+WORKERS_PER_RACK = 3
+RACKS_PER_ZONE = 700
+ORGANISATIONS = 410
+DECISIONS = 1_000
+SEED = 7
+DOMAIN = DomainId("litoral")
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Figures of one fleet size; times are microseconds and memory is bytes."""
+
+    workers: int
+    kind: str
+    median_us: float
+    p99_us: float
+    memory: int
+    placed: int
+
+
+def make_config(workers: int) -> Config:
+    """Organisations with guarantees of about a tenth of the fleet."""
+    count = min(ORGANISATIONS, max(1, workers // 10))
+    parts = max(1, workers // 10 // count)
+    organisations = {}
+    for index in range(count):
+        name = OrganisationId(f"org-{index}")
+        shape = Shape(parts, ACCELERATORS, Adjacency.ZONE, 0, 0)
+        guarantee = Guarantee(name, 0, shape, DOMAIN)
+        organisations[name] = Organisation(name, guarantees=(guarantee,))
+    return Config(Version(1), organisations=organisations)
+
+
+def make_worker(index: int) -> WorkerInfo:
+    """The worker with this index."""
+    rack = index // WORKERS_PER_RACK
+    zone = ZoneId(f"zone-{rack // RACKS_PER_ZONE}")
+    return WorkerInfo(
+        TargetId(f"target-{index}"), zone, RackId(f"rack-{rack}"), ACCELERATORS, 64, 256, 1
+    )
+
+
+def make_job(index: int, rng: random.Random, preemptible: bool, organisation: str = "other") -> Job:
+    """A job of a random shape, mostly small."""
+    parts = rng.choices((1, 2, 4, 8), (80, 10, 7, 3))[0]
+    accelerators = rng.choices((1, 2, 4, 8), (40, 25, 20, 15))[0]
+    adjacency = rng.choice((Adjacency.RACK, Adjacency.ZONE))
+    if parts * accelerators > WORKERS_PER_RACK * ACCELERATORS:
+        adjacency = Adjacency.ZONE
+    return Job(
+        JobId(f"job-{index}"),
+        OrganisationId(organisation),
+        CallerId("caller"),
+        str(index),
+        ServiceId("permit"),
+        "model",
+        Shape(parts, accelerators, adjacency, accelerators * 4, accelerators * 16),
+        60.0,
+        preemptible=preemptible,
+    )
+
+
+def fill(scheduler: Scheduler, workers: int, rng: random.Random) -> int:
+    """Start jobs until the occupancy is reached; returns how many were tried."""
+    wanted = OCCUPANCY * workers * ACCELERATORS
+    used = 0
+    tried = 0
+    while used < wanted:
+        job = make_job(tried, rng, rng.random() < 0.6)
+        tried += 1
+        if any(isinstance(c, ReserveParts) for c in scheduler.handle(JobQueued(job), 0.0)):
+            used += job.shape.total
+        else:
+            scheduler.handle(JobClosed(job.id), 0.0)
+    return tried
+
+
+def measure(workers: int) -> list[Row]:
+    """Time decisions of ordinary and of guaranteed jobs in a filled domain."""
+    rng = random.Random(SEED)
+    tracemalloc.start()
+    scheduler = Scheduler(DOMAIN, Epoch(1))
+    scheduler.handle(ConfigInForce(make_config(workers)), 0.0)
+    for index in range(workers):
+        scheduler.handle(WorkerSeen(make_worker(index)), 0.0)
+    scheduler.plan.refresh()
+    tried = fill(scheduler, workers, rng)
+    gc.collect()
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    rows = []
+    for kind in ("preemptible", "firm", "guaranteed"):
+        times = []
+        placed = 0
+        for index in range(tried, tried + DECISIONS):
+            number = index % len(scheduler.config.organisations)
+            organisation = f"org-{number}" if kind == "guaranteed" else "other"
+            job = make_job(index, rng, kind != "firm", organisation)
+            start = time.perf_counter()
+            commands = scheduler.handle(JobQueued(job), 0.0)
+            times.append((time.perf_counter() - start) * 1e6)
+            placed += any(isinstance(command, ReserveParts) for command in commands)
+            scheduler.handle(JobClosed(job.id), 0.0)
+        times.sort()
+        p99 = times[int(len(times) * 0.99)]
+        rows.append(Row(workers, kind, statistics.median(times), p99, memory, placed))
+    return rows
+
+
+def slope(rows: Sequence[Row]) -> float:
+    """Exponent of the median's growth between the two largest fleets; 1 is linear."""
+    small, large = rows[-2:]
+    return math.log(large.median_us / small.median_us) / math.log(large.workers / small.workers)
+
+
+def main() -> None:
+    """Print one line for each fleet size and kind of job, then the slopes."""
+    sizes = [int(value) for value in sys.argv[1:]] or list(SIZES)
+    rows = []
+    print(f"{'workers':>8} {'kind':>12} {'median us':>10} {'p99 us':>9} {'placed':>7} {'MiB':>7}")
+    for size in sizes:
+        for row in measure(size):
+            rows.append(row)
+            print(
+                f"{row.workers:>8} {row.kind:>12} {row.median_us:>10.0f} {row.p99_us:>9.0f} "
+                f"{row.placed:>7} {row.memory / 2**20:>7.1f}",
+                flush=True,
+            )
+    for kind in dict.fromkeys(row.kind for row in rows):
+        of_kind = [row for row in rows if row.kind == kind]
+        if len(of_kind) > 1:
+            first, last = (row.workers for row in of_kind[-2:])
+            print(f"{kind}: median grows as workers^{slope(of_kind):.2f} from {first} to {last}")
+
+
+if __name__ == "__main__":
+    main()
--- a/comfreyshelf/events.py
+++ b/comfreyshelf/events.py
@@ -4,7 +4,7 @@
 
 from comfreyshelf.config import Config
 from comfreyshelf.ids import Attempt, JobId, TargetId
-from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.model import CellUse, HeldPart, Job, PartState, Placement, WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 
 
@@ -39,11 +39,12 @@
 
 
 class JobResumed(Event, frozen=True):
-    """After a takeover: a job with an open attempt in the log."""
+    """After a takeover: a job with an open attempt in the log and the cell it uses, if any."""
 
     job: Job
     attempt: Attempt
     placements: tuple[Placement, ...]
+    cell: CellUse | None = None
 
 
 class JobClosed(Event, frozen=True):
--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -9,14 +9,13 @@
 from comfreyshelf.config import Guarantee
 from comfreyshelf.gangs import Gang, GangTable
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
-from comfreyshelf.model import Adjacency, Job, Placement, Shape
-from comfreyshelf.placement import Placements, Placer, candidates, pack, spread
-from comfreyshelf.topology import Topology, View, block_size, count_blocks
+from comfreyshelf.model import Adjacency, CellUse, Job, Placement, Shape
+from comfreyshelf.placement import Placements, Placer, candidates, pack
+from comfreyshelf.topology import Topology, View, count_blocks
 
 # Bounds of the searches, so that one decision stays short whatever the fleet holds.
 CELLS_COMPARED = 8
 DISPLACEMENTS_TRIED = 4
-EXTENSIONS_TRIED = 16
 
 CellKey = tuple[OrganisationId, int]
 
@@ -81,6 +80,11 @@
     return (-shape.accelerators, width, -shape.parts, key_of(guarantee))
 
 
+def _has_shape(placements: Placements, shape: Shape) -> bool:
+    sizes = [placement.mask.bit_count() for placement in placements]
+    return sizes == [shape.accelerators] * shape.parts
+
+
 class CellPlan:
     """Keeps a cell for every guarantee of the domain, used or not.
 
@@ -225,26 +229,32 @@
         if any(placement.target in self._withdrawn for placement in cell.placements):
             self._miss(key)
 
-    def adopt(self, job: Job, placements: Placements) -> CellKey | None:
-        """Let a job that an earlier owner started occupy a guarantee again, if one fits."""
-        for guarantee in self._by_organisation.get(job.organisation, ()):
-            key = key_of(guarantee)
-            cell = self.cells.get(key)
-            if cell is not None and cell.job is not None:
-                continue
-            if not fits(job.shape, guarantee.shape):
-                continue
-            extended = self._extend(placements, guarantee.shape)
-            if not extended:
-                continue
-            if cell is not None:
-                self._miss(key)
-            for placement in extended:
-                self.evict(placement.target, placement.mask)
-            self._put(Cell(guarantee, extended, job.id))
-            self._by_job[job.id] = key
-            return key
-        return None
+    def use_of(self, job: JobId) -> CellUse | None:
+        """The cell that a job uses, as it is recorded for a takeover."""
+        key = self._by_job.get(job)
+        return None if key is None else CellUse(key[1], self.cells[key].placements)
+
+    def adopt(self, job: Job, use: CellUse) -> bool:
+        """Let a job that an earlier owner started occupy its cell again.
+
+        Returns False if the guarantee has changed since, or if other work uses the cell.
+        """
+        key = (job.organisation, use.index)
+        guarantee = self._guarantees.get(key)
+        if guarantee is None or not _has_shape(use.placements, guarantee.shape):
+            return False
+        cell = self.cells.get(key)
+        if cell is not None and cell.job is not None and not cell.reclaiming:
+            return False
+        if any(other.job is not None for other in self._overlapped(use.placements)):
+            return False
+        if cell is not None:
+            self._miss(key)
+        for placement in use.placements:
+            self.evict(placement.target, placement.mask)
+        self._put(Cell(guarantee, use.placements, job.id))
+        self._by_job[job.id] = key
+        return True
 
     def refresh(self) -> None:
         """Plan what is missing; after a loss of capacity also move other unused cells."""
@@ -434,57 +444,6 @@
                 return False
         return True
 
-    def _extend(self, placements: Placements, shape: Shape) -> Placements:
-        """A cell of a guaranteed shape around running parts, or an empty tuple."""
-        size = block_size(shape.accelerators)
-        want = (1 << shape.accelerators) - 1
-        blocks: dict[tuple[TargetId, int], None] = {}
-        for placement in placements:
-            first = (placement.mask & -placement.mask).bit_length() - 1
-            mask = want << first // size * size
-            if placement.mask & ~mask or not self._may_extend(placement, mask, placements):
-                return ()
-            blocks[(placement.target, mask)] = None
-        rest = shape.parts - len(blocks)
-        if rest < 0:
-            return ()
-        cell = tuple(Placement(part, target, mask) for part, (target, mask) in enumerate(blocks))
-        if not rest:
-            return cell if self._is_within(cell, shape.adjacency) else ()
-        return self._complete(cell, rest, shape)
-
-    def _may_extend(self, placement: Placement, mask: int, placements: Placements) -> bool:
-        worker = self._topology.workers[placement.target]
-        own = 0
-        for other in placements:
-            own |= other.mask if other.target == placement.target else 0
-        used = 0
-        for cell in self.on_target(placement.target):
-            for other in cell.placements:
-                if cell.job is not None and other.target == placement.target:
-                    used |= other.mask
-        taken = (worker.firm & ~own) | used
-        return not mask >> worker.capacity and not mask & taken
-
-    def _complete(self, cell: Placements, rest: int, shape: Shape) -> Placements:
-        missing = Shape(rest, shape.accelerators, shape.adjacency, 0, 0)
-        for placement in cell:
-            self._topology.set_cell(placement.target, placement.mask, True)
-        found = list(islice(candidates(missing, self._topology, View.PLAN), EXTENSIONS_TRIED))
-        for placement in cell:
-            self._topology.set_cell(placement.target, placement.mask, False)
-        for more in found:
-            moved = tuple(
-                Placement(len(cell) + place.part, place.target, place.mask) for place in more
-            )
-            if self._is_within(cell + moved, shape.adjacency):
-                return cell + moved
-        return ()
-
-    def _is_within(self, placements: Placements, adjacency: Adjacency) -> bool:
-        width = spread(placements, self._topology)
-        return width is not None and _WIDTHS.index(width) <= _WIDTHS.index(adjacency)
-
     def _is_excluded(self, placements: Placements) -> bool:
         return any(placement.target in self._topology.excluded for placement in placements)
 
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -18,7 +18,7 @@
     RecordId,
     Version,
 )
-from comfreyshelf.model import AttemptOutcome, Job, JobState, Placement
+from comfreyshelf.model import AttemptOutcome, CellUse, Job, JobState, Placement
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import (
     AttemptEnded,
@@ -52,6 +52,7 @@
     state: JobState = JobState.QUEUED
     attempt: Attempt = Attempt(0)
     placements: tuple[Placement, ...] = ()
+    cell: CellUse | None = None
     result: bytes = b""
     digest: str = ""
     reason: RefusalReason | None = None
@@ -293,6 +294,7 @@
         entry.state = JobState.RUNNING
         entry.attempt = body.attempt
         entry.placements = body.placements
+        entry.cell = body.cell
         return ACCEPTED
 
     def _end(self, record: Record, body: AttemptEnded) -> Verdict:
@@ -302,6 +304,7 @@
         if not self._is_owner(body.domain, body.epoch):
             return Verdict(False, "old epoch")
         entry.placements = ()
+        entry.cell = None
         if body.outcome is AttemptOutcome.MAY_HAVE_RUN:
             entry.reason = RefusalReason.MAY_HAVE_RUN
             self._close(record, entry, JobState.MAY_HAVE_RUN)
@@ -354,4 +357,5 @@
         entry.state = state
         entry.ended_at = record.time
         entry.placements = ()
+        entry.cell = None
         self._ended[entry.job.id] = record.time
--- a/comfreyshelf/model.py
+++ b/comfreyshelf/model.py
@@ -155,6 +155,17 @@
     mask: int
 
 
+class CellUse(msgspec.Struct, frozen=True):
+    """The cell of an organisation's guarantee `index` that an attempt uses.
+
+    The cell is larger than the attempt's placements if the job is smaller than the guaranteed
+    shape; a new owner keeps exactly the same accelerators for it.
+    """
+
+    index: int
+    placements: tuple[Placement, ...]
+
+
 class HeldPart(msgspec.Struct, frozen=True):
     """A part that a target process holds, as its status reports it."""
 
--- a/comfreyshelf/owner.py
+++ b/comfreyshelf/owner.py
@@ -282,7 +282,7 @@
     def _resume(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
         with self._reader.lock:
             running = [
-                JobResumed(entry.job, entry.attempt, entry.placements)
+                JobResumed(entry.job, entry.attempt, entry.placements, entry.cell)
                 for entry in self._reader.ledger.state.jobs.values()
                 if entry.domain == name and entry.state is JobState.RUNNING
             ]
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -17,7 +17,7 @@
     Version,
     ZoneId,
 )
-from comfreyshelf.model import AttemptOutcome, Job, Placement
+from comfreyshelf.model import AttemptOutcome, CellUse, Job, Placement
 from comfreyshelf.reasons import RefusalReason
 
 FORMAT_VERSION = 1
@@ -92,6 +92,7 @@
     domain: DomainId
     epoch: Epoch
     placements: tuple[Placement, ...]
+    cell: CellUse | None = None
 
 
 class AttemptEnded(Body, frozen=True, tag=True):
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -32,7 +32,7 @@
 from comfreyshelf.gangs import Gang, GangTable, Part, Phase
 from comfreyshelf.guarantees import CellPlan, Decision
 from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, TargetId
-from comfreyshelf.model import AttemptOutcome, HeldPart, Job, PartState, WorkerInfo
+from comfreyshelf.model import AttemptOutcome, CellUse, HeldPart, Job, PartState, WorkerInfo
 from comfreyshelf.placement import Cells, Placer
 from comfreyshelf.queueing import Queue
 from comfreyshelf.reasons import RetryReason
@@ -77,7 +77,8 @@
         self.counters: Counter[str] = Counter()
         self.plan = CellPlan(self.topology, self.counters)
         self._placer = placer or Cells()
-        self._resumed: set[JobId] = set()
+        self._resumed: dict[JobId, CellUse] = {}
+        self._awaiting: dict[TargetId, list[JobId]] = {}
         self._timed: dict[JobId, None] = {}
         self._attempts: dict[JobId, Attempt] = {}
         self._avoided: dict[TargetId, float] = {}
@@ -157,7 +158,9 @@
             for part in gang.on(info.target):
                 if part.state is None:
                     self._take(gang, part)
-            self._adopt(gang)
+        for job in self._awaiting.pop(info.target, ()):
+            if job in self.gangs:
+                self._adopt(self.gangs[job])
         self.plan.capacity_gained()
         self._dirty = True
 
@@ -218,27 +221,31 @@
         gang.firm = not event.job.preemptible
         self.gangs[event.job.id] = gang
         self._attempts[event.job.id] = event.attempt
-        self._resumed.add(event.job.id)
+        if event.cell is not None:
+            self._resumed[event.job.id] = event.cell
+            for target in {place.target for place in event.cell.placements}:
+                self._awaiting.setdefault(target, []).append(event.job.id)
         for part in parts:
             if part.placement.target in self.topology.workers:
                 self._take(gang, part)
         self._adopt(gang)
 
     def _adopt(self, gang: Gang) -> None:
-        """Let a resumed job occupy its guarantee as soon as all of its workers are known."""
-        resumed = gang.job.id in self._resumed
-        if not resumed or any(target not in self.topology.workers for target in gang.targets):
+        """Let a resumed job occupy its cell as soon as all workers of the cell are known."""
+        use = self._resumed.get(gang.job.id)
+        if use is None:
             return
-        self._resumed.discard(gang.job.id)
-        placements = tuple(part.placement for part in gang.parts)
-        adopted = self.plan.adopt(gang.job, placements) is not None
-        if adopted and not gang.firm:
-            gang.firm = True
-            shape = gang.job.shape
-            for part in gang.parts:
-                if part.state is None:
-                    place = part.placement
-                    self.topology.make_firm(place.target, place.mask, shape.cores, shape.memory_gb)
+        if any(place.target not in self.topology.workers for place in use.placements):
+            return
+        del self._resumed[gang.job.id]
+        if not self.plan.adopt(gang.job, use) or gang.firm:
+            return
+        gang.firm = True
+        shape = gang.job.shape
+        for part in gang.parts:
+            if part.state is None:
+                place = part.placement
+                self.topology.make_firm(place.target, place.mask, shape.cores, shape.memory_gb)
 
     def _on_job_closed(self, job: JobId, now: float) -> None:
         self.queue.remove(job)
@@ -311,7 +318,8 @@
         gang.since = now
         gang.recorded = True
         placements = tuple(part.placement for part in gang.parts)
-        body = AttemptStarted(gang.job.id, gang.attempt, self.domain, self.epoch, placements)
+        cell = self.plan.use_of(gang.job.id)
+        body = AttemptStarted(gang.job.id, gang.attempt, self.domain, self.epoch, placements, cell)
         self._emit(AppendRecord(body))
         if not self._log_up and gang.job.idempotent:
             self._commit(gang, now)
@@ -396,7 +404,7 @@
 
     def _close_gang(self, gang: Gang, now: float) -> None:
         del self.gangs[gang.job.id]
-        self._resumed.discard(gang.job.id)
+        self._resumed.pop(gang.job.id, None)
         self.plan.release(gang.job.id)
         self._dirty = True
         for target in gang.targets:
--- /dev/null
+++ b/features/cells.feature
@@ -0,0 +1,52 @@
+Feature: Guaranteed shapes stay reclaimable
+
+  Scenario: Every planned cell survives random work, losses and takeovers
+    # Guards against work that makes an unused guarantee impossible, doubly used accelerators and
+    # new work on leaving targets; an exact search over all placements judges each step.
+    Given random histories of jobs, lost workers, scrapped targets and takeovers
+    Then after each step the unused guarantees fit at the same time or are reported as lost
+    And no step but a loss of capacity loses a guarantee
+
+  Scenario: Every organisation gets its guaranteed shape back in bounded time
+    # Guards against a plan that exists on paper but cannot be reclaimed, and against borrowed work
+    # that never finishes its checkpoint.
+    Given random histories of jobs, lost workers, scrapped targets and takeovers
+    Then at the end each unused guarantee is in use in bounded time once a job asks for it
+
+  Scenario: Borrowed work is checkpointed before it is stopped
+    # Guards against reclaiming work that could have been checkpointed by cutting it.
+    Given a domain whose guaranteed worker is borrowed by preemptible jobs
+    When the organisation submits a job of its guaranteed shape
+    Then only the least valuable borrowed jobs are checkpointed and the job starts
+
+  Scenario: A checkpoint that takes too long is cut
+    # Guards against borrowed work that holds a guarantee for ever.
+    Given a domain whose guaranteed worker is borrowed by preemptible jobs
+    And borrowed jobs never finish a checkpoint
+    When the organisation submits a job of its guaranteed shape
+    Then the job starts only after the checkpoint timeout
+
+  Scenario: Lost capacity is reported
+    # Guards against a guarantee that is silently not kept.
+    Given a domain with 2 workers of which one is guaranteed
+    When both workers are lost
+    Then the guarantee is reported as lost and counted
+
+  Scenario: Non-preemptible work moves a planned cell instead of waiting
+    # Guards against refusing work that fits once the plan changes.
+    Given a domain with 2 workers of which one is guaranteed
+    When a non-preemptible job that fits only where the cell is planned is submitted
+    Then it starts and the guarantee keeps a cell
+
+  Scenario: The tightest hole is used first
+    # Guards against breaking whole workers and racks while smaller holes exist.
+    Given 6 workers in 2 racks, one of which has a hole of 2 accelerators
+    When a job of 1 part with 2 accelerators is placed
+    Then it fills the hole
+
+  Scenario: A gang stays inside its adjacency
+    # Guards against gangs spread wider than their shape allows, or started in part.
+    Given 6 workers in 2 racks, one of which has a hole of 2 accelerators
+    Then a gang of 3 workers in one rack is placed in the whole rack
+    And a gang of 4 workers in one rack is not placed
+    And a gang of 5 workers in one zone is placed
--- /dev/null
+++ b/features/steps/cells_steps.py
@@ -0,0 +1,255 @@
+"""Steps for planned cells, placement and drain of the scheduler core."""
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as given_random
+
+from comfreyshelf.commands import StopParts
+from comfreyshelf.model import Adjacency, Shape, Urgency
+from comfreyshelf.placement import Cells
+from comfreyshelf.scheduler import CHECKPOINT_TIMEOUT_S
+from comfreyshelf.topology import Topology, View
+from features.fleet import Fleet, make_job, make_worker
+
+EXAMPLES = 300
+START_LIMIT_S = CHECKPOINT_TIMEOUT_S + 2.0
+
+PROMISED = {
+    "large": [Shape(1, 4, Adjacency.WORKER, 0, 0), Shape(2, 4, Adjacency.RACK, 0, 0)],
+    "small": [Shape(1, 2, Adjacency.WORKER, 0, 0), Shape(2, 2, Adjacency.RACK, 0, 0)],
+    "none": [],
+}
+WORKERS = [make_worker(index) for index in range(6)]
+
+SHAPES = strategies.builds(
+    Shape,
+    strategies.sampled_from([1, 1, 2, 3]),
+    strategies.sampled_from([1, 2, 3, 4]),
+    strategies.sampled_from(list(Adjacency)),
+    strategies.sampled_from([1, 4, 8]),
+)
+SUBMIT = strategies.tuples(
+    strategies.just("submit"),
+    strategies.sampled_from(sorted(PROMISED)),
+    SHAPES,
+    strategies.booleans(),
+    strategies.booleans(),
+)
+NUMBER = strategies.integers(0, 11)
+OTHERS = strategies.tuples(
+    strategies.sampled_from(["finish", "finish", "lose", "add", "scrap", "takeover", "wait"]),
+    NUMBER,
+)
+HISTORIES = strategies.lists(strategies.one_of(SUBMIT, SUBMIT, OTHERS), max_size=25)
+CAPACITY_LOSSES = ("lose", "scrap")
+
+
+def apply(fleet: Fleet, step: tuple, number: int) -> None:
+    """Carry out one step of a history."""
+    match step:
+        case ("submit", organisation, shape, preemptible, stuck):
+            job = make_job(f"job-{number}", organisation, shape, preemptible=preemptible)
+            if stuck:
+                fleet.stuck.add(job.id)
+            fleet.submit(job)
+        case ("finish", index) if fleet.running():
+            fleet.finish(fleet.running()[index % len(fleet.running())])
+        case ("lose", index) if WORKERS[index % 6].target in fleet.workers:
+            fleet.lose(WORKERS[index % 6].target)
+        case ("add", index) if WORKERS[index % 6].target not in fleet.workers:
+            fleet.add(WORKERS[index % 6])
+        case ("scrap", index):
+            fleet.configure({WORKERS[index % 6].target} if index < 6 else ())
+        case ("takeover", index):
+            fleet.takeover(index)
+        case ("wait", index):
+            fleet.wait(index)
+
+
+def random_histories(check) -> None:
+    """Run `check` on a fixed sample of random histories."""
+    run = given_random(HISTORIES)(check)
+    settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=EXAMPLES,
+        suppress_health_check=list(HealthCheck),
+    )(run)()
+
+
+@given("random histories of jobs, lost workers, scrapped targets and takeovers")
+def use_histories(context: Context) -> None:
+    context.histories = random_histories
+
+
+@then("after each step the unused guarantees fit at the same time or are reported as lost")
+def invariant_holds(context: Context) -> None:
+    def check(history: list[tuple]) -> None:
+        fleet = Fleet(PROMISED, WORKERS)
+        for number, step in enumerate(history):
+            apply(fleet, step, number)
+            lost = fleet.scheduler.plan.lost()
+            assert lost or fleet.unused_guarantees_fit(), (step, lost)
+
+    context.histories(check)
+
+
+@then("no step but a loss of capacity loses a guarantee")
+def only_losses_lose(context: Context) -> None:
+    def check(history: list[tuple]) -> None:
+        fleet = Fleet(PROMISED, WORKERS)
+        for number, step in enumerate(history):
+            before = fleet.scheduler.plan.lost()
+            apply(fleet, step, number)
+            lost = fleet.scheduler.plan.lost()
+            if not before and step[0] not in CAPACITY_LOSSES:
+                assert not lost, (step, lost)
+
+    context.histories(check)
+
+
+@then("at the end each unused guarantee is in use in bounded time once a job asks for it")
+def guaranteed_jobs_start(context: Context) -> None:
+    def check(history: list[tuple]) -> None:
+        fleet = Fleet(PROMISED, WORKERS)
+        for number, step in enumerate(history):
+            apply(fleet, step, number)
+        if fleet.scheduler.plan.lost():
+            return
+        plan = fleet.scheduler.plan
+        unused = [cell.guarantee for cell in plan.cells.values() if cell.job is None]
+        jobs = [
+            make_job(f"owed-{index}", guarantee.organisation, guarantee.shape, preemptible=False)
+            for index, guarantee in enumerate(unused)
+        ]
+        for job in jobs:
+            fleet.submit(job)
+        fleet.wait(START_LIMIT_S)
+        running = fleet.running()
+        users = {cell.key: cell.job for cell in plan.cells.values() if not cell.reclaiming}
+        for job, guarantee in zip(jobs, unused, strict=True):
+            # Another job of the organisation may have come first and use the same guarantee.
+            user = users.get((guarantee.organisation, guarantee.index))
+            assert job.id in running or user in running, (job.id, user)
+
+    context.histories(check)
+
+
+@given("a domain whose guaranteed worker is borrowed by preemptible jobs")
+def borrowed_worker(context: Context) -> None:
+    context.fleet = Fleet({"large": [Shape(1, 4, Adjacency.WORKER, 0, 0)]}, WORKERS[:2])
+    urgencies = (Urgency.URGENT, Urgency.HIGH, Urgency.NORMAL, Urgency.LOW)
+    for index, urgency in enumerate(urgencies):
+        shape = Shape(1, 2, Adjacency.WORKER)
+        context.fleet.submit(make_job(f"borrower-{index}", "none", shape, urgency=urgency))
+    assert len(context.fleet.running()) == 4
+
+
+@given("borrowed jobs never finish a checkpoint")
+def stuck_checkpoints(context: Context) -> None:
+    context.fleet.stuck.update(context.fleet.running())
+
+
+@when("the organisation submits a job of its guaranteed shape")
+def submit_guaranteed(context: Context) -> None:
+    context.fleet.commands.clear()
+    shape = Shape(1, 4, Adjacency.WORKER)
+    context.fleet.submit(make_job("owed", "large", shape, preemptible=False))
+
+
+@then("only the least valuable borrowed jobs are checkpointed and the job starts")
+def least_valuable_stopped(context: Context) -> None:
+    stops = [command for command in context.fleet.commands if isinstance(command, StopParts)]
+    assert [stop.job for stop in stops] == ["borrower-3", "borrower-2"], stops
+    assert all(stop.checkpoint for stop in stops)
+    assert "owed" in context.fleet.running()
+
+
+@then("the job starts only after the checkpoint timeout")
+def starts_after_timeout(context: Context) -> None:
+    context.fleet.wait(CHECKPOINT_TIMEOUT_S)
+    assert "owed" not in context.fleet.running()
+    context.fleet.wait(1.0)
+    assert "owed" in context.fleet.running()
+
+
+@given("a domain with 2 workers of which one is guaranteed")
+def two_workers(context: Context) -> None:
+    context.fleet = Fleet({"large": [Shape(1, 4, Adjacency.WORKER, 0, 0)]}, WORKERS[:2])
+
+
+@when("both workers are lost")
+def lose_both(context: Context) -> None:
+    for worker in WORKERS[:2]:
+        context.fleet.lose(worker.target)
+
+
+@then("the guarantee is reported as lost and counted")
+def reported_lost(context: Context) -> None:
+    scheduler = context.fleet.scheduler
+    lost = [(item.organisation, item.shape.total) for item in scheduler.plan.lost()]
+    assert lost == [("large", 4)], lost
+    assert scheduler.counters["guarantee_lost"] == 1
+
+
+@when("a non-preemptible job that fits only where the cell is planned is submitted")
+def submit_on_cell(context: Context) -> None:
+    plan = context.fleet.scheduler.plan
+    plan.refresh()
+    cell_target = next(iter(plan.cells.values())).placements[0].target
+    other = next(target for target in context.fleet.workers if target != cell_target)
+    blocker = make_job("blocker", "none", Shape(1, 1, Adjacency.WORKER))
+    context.fleet.submit(blocker)
+    assert context.fleet.used(other, ["blocker"])
+    context.fleet.submit(make_job("firm", "none", Shape(1, 4, Adjacency.WORKER), preemptible=False))
+
+
+@then("it starts and the guarantee keeps a cell")
+def started_with_cell(context: Context) -> None:
+    assert "firm" in context.fleet.running()
+    assert not context.fleet.scheduler.plan.lost()
+    assert context.fleet.unused_guarantees_fit()
+
+
+@given("6 workers in 2 racks, one of which has a hole of 2 accelerators")
+def workers_with_hole(context: Context) -> None:
+    context.topology = Topology()
+    for index in range(6):
+        context.topology.add(make_worker(index, 8, per_rack=3, per_zone=6))
+    context.topology.take(WORKERS[4].target, 0b11110011, 1, 1)
+
+
+def place(context: Context, parts: int, accelerators: int, adjacency: Adjacency):
+    shape = Shape(parts, accelerators, adjacency)
+    return Cells().place(shape, context.topology, View.OPEN)
+
+
+@when("a job of 1 part with 2 accelerators is placed")
+def place_small(context: Context) -> None:
+    context.placements = place(context, 1, 2, Adjacency.ZONE)
+
+
+@then("it fills the hole")
+def fills_hole(context: Context) -> None:
+    found = [(item.target, item.mask) for item in context.placements]
+    assert found == [(WORKERS[4].target, 0b00001100)], found
+
+
+@then("a gang of 3 workers in one rack is placed in the whole rack")
+def rack_gang(context: Context) -> None:
+    placements = place(context, 3, 8, Adjacency.RACK)
+    racks = {context.topology.workers[item.target].info.rack for item in placements}
+    assert len(placements) == 3
+    assert racks == {"rack-0"}
+
+
+@then("a gang of 4 workers in one rack is not placed")
+def too_large_gang(context: Context) -> None:
+    assert place(context, 4, 8, Adjacency.RACK) == ()
+
+
+@then("a gang of 5 workers in one zone is placed")
+def zone_gang(context: Context) -> None:
+    assert len(place(context, 5, 8, Adjacency.ZONE)) == 5
