--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -18,7 +18,14 @@
     RecordId,
     Version,
 )
-from comfreyshelf.model import AttemptOutcome, DomainSummary, Job, JobState, Placement
+from comfreyshelf.model import (
+    AttemptOutcome,
+    CellUse,
+    DomainSummary,
+    Job,
+    JobState,
+    Placement,
+)
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import (
     AttemptEnded,
@@ -63,6 +70,7 @@
     state: JobState = JobState.QUEUED
     attempt: Attempt = Attempt(0)
     placements: tuple[Placement, ...] = ()
+    cell: CellUse | None = None
     result: bytes = b""
     digest: str = ""
     reason: RefusalReason | None = None
@@ -363,6 +371,7 @@
         entry.state = JobState.RUNNING
         entry.attempt = body.attempt
         entry.placements = body.placements
+        entry.cell = body.cell
         return ACCEPTED
 
     def _end(self, record: Record, body: AttemptEnded) -> Verdict:
@@ -372,6 +381,7 @@
         if not self._is_owner(body.domain, body.epoch):
             return Verdict(False, "old epoch")
         entry.placements = ()
+        entry.cell = None
         if body.outcome is AttemptOutcome.MAY_HAVE_RUN:
             entry.reason = RefusalReason.MAY_HAVE_RUN
             self._close(record, entry, JobState.MAY_HAVE_RUN)
@@ -424,4 +434,5 @@
         entry.state = state
         entry.ended_at = self.time
         entry.placements = ()
+        entry.cell = None
         self._ended[entry.job.id] = self.time
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -324,7 +324,9 @@
         for entry in self._ledger.state.jobs.values():
             if entry.domain != name or entry.state is not JobState.RUNNING:
                 continue
-            self._feed(owned, JobResumed(entry.job, entry.attempt, entry.placements), now)
+            self._feed(
+                owned, JobResumed(entry.job, entry.attempt, entry.placements, entry.cell), now
+            )
             for placement in entry.placements:
                 owned.expected.setdefault(placement.target, now)
 
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -17,7 +17,7 @@
     Version,
     ZoneId,
 )
-from comfreyshelf.model import AttemptOutcome, DomainSummary, Job, Placement
+from comfreyshelf.model import AttemptOutcome, CellUse, DomainSummary, Job, Placement
 from comfreyshelf.reasons import RefusalReason
 
 FORMAT_VERSION = 1
@@ -94,6 +94,7 @@
     domain: DomainId
     epoch: Epoch
     placements: tuple[Placement, ...]
+    cell: CellUse | None = None
 
 
 class AttemptEnded(Body, frozen=True, tag=True):
