Count log bytes, keep text options in one table, and prepare TLS

Cause: the log is read over the paid link, and nothing counted it; options stood in each validator. Ruled out: none.

--- a/comfreyshelf/config.py
+++ b/comfreyshelf/config.py
@@ -25,16 +25,28 @@
 
 T = TypeVar("T")
 
-SECTION_KINDS = (
-    "deployment",
-    "region",
-    "zone",
-    "service",
-    "organisation",
-    "caller",
-    "operator",
-    "target",
-)
+# The options of each kind of section.
+OPTIONS: dict[str, frozenset[str]] = {
+    "deployment": frozenset({"name"}),
+    "region": frozenset(),
+    "zone": frozenset({"region", "domain"}),
+    "service": frozenset({"depends", "slots", "connections", "timeout_s"}),
+    "organisation": frozenset(
+        {
+            "weight",
+            "guarantee",
+            "guarantee_domain",
+            "max_queued",
+            "max_accelerators",
+            "rate",
+            "burst",
+            "retry_ratio",
+        }
+    ),
+    "caller": frozenset({"organisation", "key_sha256", "weight", "max_queued", "rate", "burst"}),
+    "operator": frozenset({"key_sha256"}),
+    "target": frozenset({"scrap"}),
+}
 _GUARANTEE = re.compile(r"^(\d+)\s*x\s*(\d+)\s*@\s*(worker|rack|zone)$")
 _SHA256 = re.compile(r"^[0-9a-f]{64}$")
 _NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,62}$")
@@ -271,7 +283,7 @@
 
     def __init__(self, parser: configparser.ConfigParser, lines: _Lines) -> None:
         self._problems: list[Problem] = []
-        self._sections: dict[str, list[_Section]] = {kind: [] for kind in SECTION_KINDS}
+        self._sections: dict[str, list[_Section]] = {kind: [] for kind in OPTIONS}
         self._zones: dict[ZoneId, Zone] = {}
         for name in parser.sections():
             self._add(_Section(name, parser[name], lines, self._problems))
@@ -279,7 +291,7 @@
     def _add(self, section: _Section) -> None:
         kind = section.name.split(" ")[0]
         if kind not in self._sections:
-            remedy = f"start the section with one of: {', '.join(SECTION_KINDS)}"
+            remedy = f"start the section with one of: {', '.join(OPTIONS)}"
             section.problem(f"unknown kind of section '{kind}'", remedy)
             return
         if kind != "deployment" and not _NAME.match(section.id):
@@ -288,6 +300,7 @@
                 "use lower-case letters, digits, '.', '_' and '-', 63 at most",
             )
             return
+        section.check_options(OPTIONS[kind])
         self._sections[kind].append(section)
 
     def build(self, version: Version) -> Result[Config, list[Problem]]:
@@ -316,19 +329,15 @@
                 Problem("deployment", 1, "the section is missing", "add '[deployment]' with a name")
             )
             return ""
-        sections[0].check_options({"name"})
         return sections[0].required("name")
 
     def _regions(self) -> set[str]:
-        for section in self._sections["region"]:
-            section.check_options(())
         return {section.id for section in self._sections["region"]}
 
     def _build_zones(self, regions: set[str]) -> dict[ZoneId, Zone]:
         zones = {}
         region_of: dict[str, str] = {}
         for section in self._sections["zone"]:
-            section.check_options({"region", "domain"})
             region = section.required("region")
             if region and region not in regions:
                 section.problem(
@@ -358,7 +367,6 @@
         return services
 
     def _service(self, section: _Section) -> Service:
-        section.check_options({"depends", "slots", "connections", "timeout_s"})
         return Service(
             ServiceId(section.id),
             tuple(ServiceId(name) for name in section.names("depends")),
@@ -382,19 +390,8 @@
             )
 
     def _organisations(self) -> dict[OrganisationId, Organisation]:
-        known = {
-            "weight",
-            "guarantee",
-            "guarantee_domain",
-            "max_queued",
-            "max_accelerators",
-            "rate",
-            "burst",
-            "retry_ratio",
-        }
         organisations = {}
         for section in self._sections["organisation"]:
-            section.check_options(known)
             name = OrganisationId(section.id)
             organisations[name] = Organisation(
                 name,
@@ -450,9 +447,6 @@
         callers = {}
         hashes: dict[str, str] = {}
         for section in self._sections["caller"]:
-            section.check_options(
-                {"organisation", "key_sha256", "weight", "max_queued", "rate", "burst"}
-            )
             organisation = OrganisationId(section.required("organisation"))
             if organisation and organisation not in organisations:
                 section.problem(
@@ -482,7 +476,6 @@
     def _operators(self) -> dict[OperatorId, Operator]:
         operators = {}
         for section in self._sections["operator"]:
-            section.check_options({"key_sha256"})
             name = OperatorId(section.id)
             operators[name] = Operator(name, section.key_hash())
         if not operators:
@@ -494,7 +487,6 @@
     def _scrapped(self) -> frozenset[TargetId]:
         scrapped = set()
         for section in self._sections["target"]:
-            section.check_options({"scrap"})
             if section.flag("scrap"):
                 scrapped.add(TargetId(section.id))
         return frozenset(scrapped)
--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -86,6 +86,7 @@
             self.wait(READ_RETRY_S)
             return
         self._answered_at = time.monotonic()
+        self._metrics.bytes_received("log", sum(len(data) for _, data in page.items))
         if page.oldest > self._next:
             self._restart_recovery(Offset(page.oldest))
         self._take(page)
@@ -254,6 +255,7 @@
                 item.tried = True
                 self._waiting[item.record.id] = item
         started = time.monotonic()
+        self._metrics.bytes_sent("log", sum(map(len, data)))
         try:
             self._log.append(data)
         except LogUnavailableError:
--- /dev/null
+++ b/comfreyshelf/tls.py
@@ -0,0 +1,76 @@
+"""TLS for callers' HTTP and mutual TLS for the pipes between processes."""
+
+from pathlib import Path
+
+import msgspec
+import pynng
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from comfreyshelf.errors import SettingsError
+
+
+class TlsFiles(msgspec.Struct, frozen=True):
+    """PEM files of a process: its certificate chain, its private key, and the authority's chain."""
+
+    certificate: Path
+    key: Path
+    authority: Path
+
+
+def tls_files(certificate: str, key: str, authority: str) -> TlsFiles | None:
+    """The files that the settings name, or None if they name none.
+
+    Raises SettingsError if only some are named or one cannot be read.
+    """
+    named = (certificate, key, authority)
+    if not any(named):
+        return None
+    if not all(named):
+        raise SettingsError(
+            "only some of tls_certificate, tls_key and tls_authority are set",
+            "set all three, or none for plain TCP",
+        )
+    files = TlsFiles(*(Path(name) for name in named))
+    for path in (files.certificate, files.key, files.authority):
+        _read(path)
+    return files
+
+
+def http_adapter(files: TlsFiles) -> BuiltinSSLAdapter:
+    """The adapter of an HTTPS server; callers authenticate by their keys, not by certificates."""
+    return BuiltinSSLAdapter(str(files.certificate), str(files.key))
+
+
+def pipe_server(files: TlsFiles) -> pynng.TLSConfig:
+    """TLS of a pipe listener, which takes only peers with a certificate of the same authority."""
+    return pynng.TLSConfig(
+        pynng.TLSConfig.MODE_SERVER,
+        ca_string=_read(files.authority),
+        own_key_string=_read(files.key),
+        own_cert_string=_read(files.certificate),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+
+
+def pipe_client(files: TlsFiles, address: str) -> pynng.TLSConfig:
+    """TLS of a dialled pipe; the listener's certificate has to name its IP number."""
+    return pynng.TLSConfig(
+        pynng.TLSConfig.MODE_CLIENT,
+        server_name=address.rpartition(":")[0],
+        ca_string=_read(files.authority),
+        own_key_string=_read(files.key),
+        own_cert_string=_read(files.certificate),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+
+
+def pipe_url(address: str, files: TlsFiles | None) -> str:
+    """The pynng URL of `ip:port`."""
+    return f"{'tls+tcp' if files else 'tcp'}://{address}"
+
+
+def _read(path: Path) -> str:
+    try:
+        return path.read_text(encoding="ascii")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"cannot read {path}: {exc}", "give a readable PEM file") from exc
