--- /dev/null
+++ b/benchmarks/target_cost.py
@@ -0,0 +1,120 @@
+"""Cost of one target process, idle and busy: CPU share, resident memory, control bytes a second.
+
+Run it with `python -m benchmarks.target_cost`; it takes about 40 s. The target is a process of its
+own: CPU and memory are read from /proc by its pid, control bytes from the metrics of its entry,
+which is at the far end of the target's only link.
+"""
+
+import os
+import re
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from comfreyshelf.client import Client
+from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, wait_for_targets
+from features.processes import Processes, separate_processes
+
+IDLE_S = 12.0
+BUSY_S = 16.0
+SETTLE_S = 3.0
+REQUESTS_PER_S = 5
+MAX_CPU_PERCENT = 1.2
+MAX_MEMORY_MB = 256.0
+MAX_CONTROL_KB_S = 11.0
+_BYTES = re.compile(r'^comfreyshelf_control_bytes\{link="targets",.*\} (\d+)$', re.MULTILINE)
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """Totals of the target process; times in seconds, memory in MB."""
+
+    at: float
+    cpu_s: float
+    memory_mb: float
+    control_bytes: int
+    threads: int
+
+
+def sample(pid: int, client: Client) -> Sample:
+    """Read the totals now."""
+    stat = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rsplit(") ", 1)[1].split()
+    ticks = int(stat[11]) + int(stat[12])
+    pages = int(Path(f"/proc/{pid}/statm").read_text(encoding="utf-8").split()[1])
+    memory = pages * os.sysconf("SC_PAGE_SIZE") / 1e6
+    sent = sum(int(value) for value in _BYTES.findall(client.metrics()))
+    cpu_s = ticks / os.sysconf("SC_CLK_TCK")
+    return Sample(time.monotonic(), cpu_s, memory, sent, int(stat[17]))
+
+
+def report(name: str, before: Sample, after: Sample) -> bool:
+    """Print one line of figures and tell whether all are within the goals."""
+    seconds = after.at - before.at
+    cpu = 100 * (after.cpu_s - before.cpu_s) / seconds
+    control = (after.control_bytes - before.control_bytes) / seconds / 1000
+    print(
+        f"{name}: {cpu:.2f} % of a core (goal {MAX_CPU_PERCENT}), "
+        f"{after.memory_mb:.1f} MB (goal {MAX_MEMORY_MB:.0f}), "
+        f"{control:.2f} KB/s control (goal {MAX_CONTROL_KB_S:.0f}), "
+        f"{after.threads} threads, over {seconds:.0f} s"
+    )
+    return (
+        cpu <= MAX_CPU_PERCENT
+        and after.memory_mb <= MAX_MEMORY_MB
+        and control <= MAX_CONTROL_KB_S
+    )
+
+
+def keep_busy(client: Client, seconds: float) -> None:
+    """Eight one-accelerator jobs that run throughout, a small job a second, and requests."""
+    for index in range(6):
+        _submit(client, f"long-{index}", seconds + 60)
+    until = time.monotonic() + seconds
+    count = 0
+    while time.monotonic() < until:
+        if count % REQUESTS_PER_S == 0:
+            _submit(client, f"short-{count}", 0.5)
+        client.request("permit", b"x" * 200)
+        count += 1
+        time.sleep(1 / REQUESTS_PER_S)
+
+
+def _submit(client: Client, key: str, run_s: float) -> None:
+    client.submit(
+        key=key,
+        service="permit",
+        kind="survey-check",
+        shape={"parts": 1, "accelerators": 1},
+        declared_s=run_s,
+        payload=msgspec.json.encode({"run_s": run_s}).decode(),
+    )
+
+
+def start(processes: Processes) -> Client:
+    """Start the log, one entry and one target; returns the operator's client."""
+    processes.start_log()
+    processes.start_entry("entry-0", "paysandu")
+    processes.start_target("target-0", "paysandu", "rack-0", status_interval_s=2.0)
+    operator = processes.client("entry-0", OPERATOR_KEY)
+    operator.publish(DEMO_TEXT, 0)
+    wait_for_targets(operator, 1, 1)
+    return operator
+
+
+def run() -> bool:
+    """Measure and print; returns whether every figure is within its goal."""
+    with separate_processes() as processes:
+        operator = start(processes)
+        pid = processes.pid("target-0")
+        time.sleep(SETTLE_S)
+        before = sample(pid, operator)
+        time.sleep(IDLE_S)
+        ok = report("idle", before, sample(pid, operator))
+        before = sample(pid, operator)
+        keep_busy(processes.client("entry-0", CALLER_KEY), BUSY_S)
+        return report("busy", before, sample(pid, operator)) and ok
+
+
+if __name__ == "__main__":
+    sys.exit(0 if run() else 1)
--- a/features/processes.py
+++ b/features/processes.py
@@ -43,14 +43,22 @@
             f"pipe_address = {self.pipes[name]}\nlog_url = http://{self.log_address}\n",
         )
 
-    def start_target(self, name: str, zone: str, rack: str) -> None:
+    def start_target(
+        self,
+        name: str,
+        zone: str,
+        rack: str,
+        status_interval_s: float = 0.5,
+        more: str = "",
+    ) -> None:
         """Start a target process that knows all entries started so far."""
         entries = ", ".join(self.pipes.values())
         self._start(
             name,
             "target",
             f"[target]\nname = {name}\nzone = {zone}\nrack = {rack}\nentries = {entries}\n"
-            "services = permit\nstatus_interval_s = 0.5\nshutdown_grace_s = 20\n",
+            f"services = permit\nstatus_interval_s = {status_interval_s}\n"
+            f"shutdown_grace_s = 20\n{more}",
         )
 
     def client(self, entry: str, key: str) -> Client:
