--- a/benchmarks/target_cost.py
+++ b/benchmarks/target_cost.py
@@ -60,9 +60,7 @@
         f"{after.threads} threads, over {seconds:.0f} s"
     )
     return (
-        cpu <= MAX_CPU_PERCENT
-        and after.memory_mb <= MAX_MEMORY_MB
-        and control <= MAX_CONTROL_KB_S
+        cpu <= MAX_CPU_PERCENT and after.memory_mb <= MAX_MEMORY_MB and control <= MAX_CONTROL_KB_S
     )
 
 
--- /dev/null
+++ b/comfreyshelf/admission.py
@@ -0,0 +1,205 @@
+"""Admission of short requests to the local runners: slots, a waiting queue, and answers."""
+
+import hashlib
+from collections import Counter, OrderedDict
+
+import msgspec
+
+from comfreyshelf.ids import RequestId, TargetId
+from comfreyshelf.messages import (
+    RequestAnswer,
+    RunnerLoad,
+    RunRequest,
+    ServiceSlots,
+    StartDisproved,
+)
+from comfreyshelf.reasons import RefusalReason
+
+DEFAULT_SLOTS = 8
+DEFAULT_CONNECTIONS = 64
+TOMBSTONE_S = 600.0
+# Limits that keep the process under its 256 MB. A tombstone takes about 0.4 KB.
+MAX_TOMBSTONES = 60_000
+MAX_WAITING_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class Admitted(msgspec.Struct, frozen=True):
+    """A request that runs or waits; `until` is its deadline in seconds, `link` its entry's link."""
+
+    request: RunRequest
+    link: str
+    until: float
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """An answer to send on a link."""
+
+    link: str
+    message: RequestAnswer
+
+
+class Answered(msgspec.Struct, frozen=True):
+    """Tombstone of a request that was answered at `since`."""
+
+    since: float
+    message: RequestAnswer
+
+
+Outcome = Admitted | Answer
+
+
+class Admission:
+    """Admits requests within each service's limits.
+
+    At most `slots` requests of a service run at once, and at most `connections` run or wait. A
+    request that waits beyond its deadline is answered as never started. Every answer leaves a
+    tombstone, so that a repeated or late request is not run again. Methods return the requests to
+    run now (`Admitted`) and the answers to send (`Answer`).
+    """
+
+    def __init__(self, target: TargetId, services: tuple[str, ...], counters: Counter[str]) -> None:
+        self._target = target
+        self._counters = counters
+        self._limits = {
+            name: ServiceSlots(name, DEFAULT_SLOTS, DEFAULT_CONNECTIONS) for name in services
+        }
+        self._running: dict[RequestId, Admitted] = {}
+        self._waiting: OrderedDict[RequestId, Admitted] = OrderedDict()
+        self._waiting_bytes = 0
+        self._answered: OrderedDict[RequestId, Answered] = OrderedDict()
+        self._answer_bytes = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request runs or waits."""
+        return not self._running and not self._waiting
+
+    def loads(self) -> tuple[RunnerLoad, ...]:
+        """Load of each service."""
+        running = Counter(item.request.service for item in self._running.values())
+        waiting = Counter(item.request.service for item in self._waiting.values())
+        return tuple(RunnerLoad(name, running[name], waiting[name]) for name in self._limits)
+
+    def set_limits(self, limits: tuple[ServiceSlots, ...], now: float) -> list[Outcome]:
+        """Take new limits; more slots let waiting requests start."""
+        for item in limits:
+            if item.service in self._limits:
+                self._limits[item.service] = item
+        return self._start_waiting(now)
+
+    def offer(self, request: RunRequest, now: float, link: str, leaving: bool) -> list[Outcome]:
+        """Run, queue or refuse a request that arrived on `link`."""
+        done = self._answered.get(request.request)
+        if done is not None:
+            return [Answer(link, done.message)]
+        if request.request in self._running or request.request in self._waiting:
+            self._counters["request_repeated"] += 1
+            return []
+        reason = self._refusal(request, leaving)
+        if reason is not None:
+            return [self._refuse(request, link, reason, now)]
+        item = Admitted(request, link, now + request.timeout_s)
+        self._waiting[request.request] = item
+        self._waiting_bytes += len(request.body)
+        return self._start_waiting(now)
+
+    def ended(self, request: RequestId, ok: bool, body: bytes, now: float) -> list[Outcome]:
+        """Note the runner's answer and fill the free slot."""
+        item = self._running.pop(request, None)
+        if item is None:
+            self._counters["request_end_ignored"] += 1
+            return []
+        digest = hashlib.sha256(body).hexdigest()
+        answer = RequestAnswer(self._target, request, True, ok, body, digest)
+        self._bury(answer, now)
+        return [Answer(item.link, answer), *self._start_waiting(now)]
+
+    def disprove(self, request: RequestId, now: float) -> RequestAnswer | StartDisproved:
+        """Make sure that a request never starts, or tell that it did."""
+        if request in self._running:
+            return StartDisproved(self._target, request, False)
+        done = self._answered.get(request)
+        if done is not None and done.message.started:
+            return done.message
+        if done is None:
+            self._take_waiting(request)
+            reason = RefusalReason.OLD_TOKEN
+            self._bury(RequestAnswer(self._target, request, False, reason=reason), now)
+        return StartDisproved(self._target, request, True)
+
+    def expire(self, now: float) -> list[Outcome]:
+        """Answer waiting requests whose deadline passed, and drop old tombstones."""
+        overdue = [item for item in self._waiting.values() if now >= item.until]
+        outcomes: list[Outcome] = []
+        for item in overdue:
+            self._take_waiting(item.request.request)
+            outcomes.append(
+                self._refuse(item.request, item.link, RefusalReason.DEADLINE_PASSED, now)
+            )
+        while self._answered:
+            done = next(iter(self._answered.values()))
+            if now - done.since < TOMBSTONE_S:
+                break
+            self._drop_oldest()
+        return outcomes
+
+    def _refusal(self, request: RunRequest, leaving: bool) -> RefusalReason | None:
+        limits = self._limits.get(request.service)
+        if limits is None:
+            return RefusalReason.UNKNOWN_SERVICE
+        if leaving:
+            return RefusalReason.DRAINING
+        if request.timeout_s <= 0:
+            return RefusalReason.DEADLINE_PASSED
+        if self._waiting_bytes + len(request.body) > MAX_WAITING_BYTES:
+            return RefusalReason.QUEUE_FULL
+        running, waiting = self._count(request.service)
+        # Running requests above the slots remain after the slots were reduced.
+        if running + waiting >= limits.connections:
+            return RefusalReason.OCCUPIED
+        return None
+
+    def _count(self, service: str) -> tuple[int, int]:
+        running = sum(1 for item in self._running.values() if item.request.service == service)
+        waiting = sum(1 for item in self._waiting.values() if item.request.service == service)
+        return running, waiting
+
+    def _start_waiting(self, now: float) -> list[Outcome]:
+        running = Counter(item.request.service for item in self._running.values())
+        outcomes: list[Outcome] = []
+        for item in list(self._waiting.values()):
+            service = item.request.service
+            if running[service] >= self._limits[service].slots:
+                continue
+            self._take_waiting(item.request.request)
+            if now >= item.until:
+                reason = RefusalReason.DEADLINE_PASSED
+                outcomes.append(self._refuse(item.request, item.link, reason, now))
+                continue
+            running[service] += 1
+            self._running[item.request.request] = item
+            outcomes.append(item)
+        return outcomes
+
+    def _take_waiting(self, request: RequestId) -> None:
+        item = self._waiting.pop(request, None)
+        if item is not None:
+            self._waiting_bytes -= len(item.request.body)
+
+    def _refuse(self, request: RunRequest, link: str, reason: RefusalReason, now: float) -> Answer:
+        self._counters[f"refused_{reason.value}"] += 1
+        answer = RequestAnswer(self._target, request.request, False, reason=reason)
+        self._bury(answer, now)
+        return Answer(link, answer)
+
+    def _bury(self, answer: RequestAnswer, now: float) -> None:
+        self._answered[answer.request] = Answered(now, answer)
+        self._answer_bytes += len(answer.body)
+        while len(self._answered) > MAX_TOMBSTONES or self._answer_bytes > MAX_ANSWER_BYTES:
+            self._counters["request_tombstone_evicted"] += 1
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, done = self._answered.popitem(last=False)
+        self._answer_bytes -= len(done.message.body)
--- a/comfreyshelf/agent.py
+++ b/comfreyshelf/agent.py
@@ -1,36 +1,54 @@
 """Core of the target process: leases, fencing, reservations, held results, request admission."""
 
-import hashlib
 from collections import Counter, OrderedDict
 
 import msgspec
 
-from comfreyshelf.ids import Attempt, Epoch, JobId, RequestId, Version
+from comfreyshelf.admission import Admission, Admitted, Outcome
+from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, RequestId, Version
 from comfreyshelf.messages import (
     AnyMessage,
+    AttemptAbsent,
     Commit,
     DisproveStart,
     Forget,
     PartReport,
     Probe,
     Release,
-    RequestAnswer,
     Reserve,
     ReserveAnswer,
-    RunnerLoad,
     RunRequest,
-    ServiceSlots,
-    StartDisproved,
     Status,
     Stop,
     Welcome,
 )
-from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.model import (
+    MAX_RESULT_BYTES,
+    HeldPart,
+    Job,
+    PartState,
+    Placement,
+    WorkerInfo,
+)
 from comfreyshelf.reasons import RefusalReason
 
 RESERVATION_S = 10.0
 TOMBSTONE_S = 600.0
 RESEND_RESULT_S = 5.0
+# A worker that ignored a stop is told again after this time.
+RESEND_STOP_S = 2.0
+# A checkpoint that takes longer is given up and the part is stopped without it.
+CHECKPOINT_TIMEOUT_S = 60.0
+# A reservation made before the target began to leave may still be committed for this long. Leaving
+# targets take no new work later than 3 s after the configuration is accepted.
+DRAIN_COMMIT_S = 2.0
+# On shutdown, parts that can be moved are checkpointed when this share of the grace time is left.
+CHECKPOINT_SHARE = 0.5
+# Limits that keep the process under its 256 MB: tombstones take about 0.3 KB each, held results at
+# most 64 KiB.
+MAX_TOMBSTONES = 20_000
+MAX_HELD_ATTEMPTS = 1024
+MAX_HELD_BYTES = 32 * 1024 * 1024
 
 
 class Action(msgspec.Struct, frozen=True):
@@ -38,9 +56,10 @@
 
 
 class Reply(Action, frozen=True):
-    """Send a message back on the link that the handled message came from."""
+    """Send a message to `link`, or back on the link of the handled message if that is empty."""
 
     message: AnyMessage
+    link: str = ""
 
 
 class TellOwner(Action, frozen=True):
@@ -71,21 +90,27 @@
 
 
 class CallRunner(Action, frozen=True):
-    """Send a request to the local runner."""
+    """Send a request to the local runner, which has `timeout_s` seconds left to answer."""
 
     request: RunRequest
+    timeout_s: float = 0.0
 
 
 class HeldAttempt(msgspec.Struct):
-    """An attempt on this target; `since` is when it was reserved, in seconds."""
+    """An attempt on this target; `since` is when it was reserved, in seconds.
+
+    `stopped_at` is when its running parts were last told to stop, 0 if never.
+    """
 
     job: Job
     attempt: Attempt
+    epoch: Epoch
     placements: tuple[Placement, ...]
     since: float
     states: dict[int, PartState]
     reports: dict[int, PartReport] = {}
     reported_at: float = 0.0
+    stopped_at: float = 0.0
 
     @property
     def mask(self) -> int:
@@ -96,36 +121,81 @@
                 mask |= placement.mask
         return mask
 
+    @property
+    def reserved(self) -> bool:
+        """Whether no part was committed yet."""
+        return all(state is PartState.RESERVED for state in self.states.values())
+
+    @property
+    def ended(self) -> bool:
+        """Whether every part has ended."""
+        return all(state.ended for state in self.states.values())
+
+    @property
+    def started(self) -> bool:
+        """Whether any part was ever started."""
+        if self.reserved:
+            return False
+        return len(self.reports) < len(self.states) or any(
+            report.started for report in self.reports.values()
+        )
+
 
 AttemptKey = tuple[JobId, Attempt]
 
 
+class Tombstone(msgspec.Struct, frozen=True):
+    """An attempt that is refused from now on; `started` tells whether it ever started here."""
+
+    since: float
+    started: bool
+
+
 class Agent:
     """Decides for one target; `handle` and `tick` take the time in seconds and return actions.
 
     What it refused it never starts later: refused attempts and requests leave a tombstone, and a
-    new incarnation knows nothing of attempts that it did not reserve itself.
+    new incarnation knows nothing of attempts that it did not reserve itself. Each call first looks
+    whether the lease lapsed, so that a process that was paused stops its parts before it acts on a
+    message that arrived meanwhile.
     """
 
     def __init__(self, worker: WorkerInfo, services: tuple[str, ...] = ()) -> None:
         self.worker = worker
+        self.domain = DomainId("")
         self.epoch = Epoch(0)
         self.version = Version(0)
-        self.draining = False
-        self.stopping = False
         self.lease_until = 0.0
         self.entries: tuple[str, ...] = ()
         self.counters: Counter[str] = Counter()
+        self.admission = Admission(worker.target, services, self.counters)
+        self._draining = False
+        self._stopping = False
+        self._leaving_since = 0.0
+        self._checkpoint_at = float("inf")
         self._held: dict[AttemptKey, HeldAttempt] = {}
-        self._tombstones: OrderedDict[AttemptKey, float] = OrderedDict()
-        self._limits = {service: ServiceSlots(service, 8, 64) for service in services}
-        self._running: dict[RequestId, RunRequest] = {}
-        self._answered: OrderedDict[RequestId, tuple[float, RequestAnswer]] = OrderedDict()
+        self._held_bytes = 0
+        self._tombstones: OrderedDict[AttemptKey, Tombstone] = OrderedDict()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target takes no new work."""
+        return self._draining or self._stopping
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self._stopping
+
+    @property
+    def draining(self) -> bool:
+        """Whether the configuration in force scraps the target."""
+        return self._draining
 
     @property
     def idle(self) -> bool:
         """Whether nothing runs, is reserved, or waits to be recorded here."""
-        return not self._held and not self._running
+        return not self._held and self.admission.idle
 
     def status(self, now: float) -> Status:
         """The status to send now."""
@@ -135,56 +205,47 @@
             for placement in held.placements
             if (state := held.states[placement.part])
         )
-        running = Counter(request.service for request in self._running.values())
-        runners = tuple(RunnerLoad(name, running[name]) for name in self._limits)
         return Status(
             self.worker,
             now,
             self.epoch,
             self.version,
             parts,
-            runners,
-            self.draining or self.stopping,
+            self.admission.loads(),
+            self.leaving,
         )
 
-    def handle(self, message: AnyMessage, now: float) -> list[Action]:
-        """Apply one message from an entry."""
-        match message:
-            case Welcome():
-                return self._on_welcome(message)
-            case Reserve():
-                return self._on_reserve(message, now)
-            case Commit():
-                return self._on_commit(message, now)
-            case Release():
-                return self._on_release(message, now)
-            case Stop():
-                return self._on_stop(message)
-            case Forget():
-                return self._on_forget(message, now)
-            case Probe():
-                return [RunProbe()]
-            case RunRequest():
-                return self._on_request(message, now)
-            case DisproveStart():
-                return self._on_disprove(message, now)
-        self.counters["message_ignored"] += 1
-        return []
+    def handle(self, message: AnyMessage, now: float, sender: str = "") -> list[Action]:
+        """Apply one message from the entry on link `sender`."""
+        return self._check_lease(now) + self._dispatch(message, now, sender)
 
     def tick(self, now: float) -> list[Action]:
-        """Expire reservations and the lease, and send unrecorded results again."""
-        actions: list[Action] = []
+        """Expire reservations, requests and the lease, and repeat what was not answered."""
+        actions = self._check_lease(now)
         for key, held in list(self._held.items()):
-            if self._is_reserved(held) and now - held.since > RESERVATION_S:
-                actions += self._drop_reservation(key, now)
-            elif held.reports and now - held.reported_at > RESEND_RESULT_S:
-                held.reported_at = now
-                actions += [TellOwner(report) for report in held.reports.values()]
-        if now > self.lease_until:
-            actions += self._stop_all()
+            if held.reserved:
+                if self._reservation_expired(held, now):
+                    actions += self._drop_reservation(key, now)
+            elif not held.ended:
+                actions += self._repeat_stop(held, now)
+            if held.reports and now - held.reported_at > RESEND_RESULT_S:
+                actions += self._resend(held, now)
+        actions += self._carry(self.admission.expire(now), now)
         self._expire(now)
         return actions
 
+    def begin_stop(self, now: float, grace_s: float) -> list[Action]:
+        """Refuse new work from now on.
+
+        What runs may end by itself; parts that can be moved are checkpointed in time to end within
+        `grace_s` seconds.
+        """
+        if not self._stopping:
+            self._stopping = True
+            self._leave(now)
+            self._checkpoint_at = now + grace_s * (1.0 - CHECKPOINT_SHARE)
+        return self.tick(now)
+
     def part_ended(
         self,
         job: JobId,
@@ -197,76 +258,177 @@
         checkpointed: bool = False,
     ) -> list[Action]:
         """Note that the worker ended a part; its report is held until the owner forgets it."""
+        actions = self._check_lease(now)
         held = self._held.get((job, attempt))
-        if held is None or held.states[part].ended:
-            return []
-        return self._report(held, part, state, now, result, run_s, True, checkpointed)
+        known = held.states.get(part) if held is not None else None
+        if held is None or known is None or known.ended or known is PartState.RESERVED:
+            self.counters["part_end_ignored"] += 1
+            return actions
+        if len(result) > MAX_RESULT_BYTES:
+            self.counters["result_too_large"] += 1
+            state, result = PartState.FAILED, b""
+        return actions + self._report(held, part, state, now, result, run_s, True, checkpointed)
 
     def request_ended(self, request: RequestId, ok: bool, body: bytes, now: float) -> list[Action]:
-        """Note the runner's answer to a request."""
-        if self._running.pop(request, None) is None:
-            return []
-        digest = hashlib.sha256(body).hexdigest()
-        answer = RequestAnswer(self.worker.target, request, True, ok, body, digest)
-        self._answered[request] = (now, answer)
-        return [Reply(answer)]
+        """Note the runner's answer to a request, and start the one that waited longest."""
+        actions = self._check_lease(now)
+        return actions + self._carry(self.admission.ended(request, ok, body, now), now)
+
+    def _dispatch(self, message: AnyMessage, now: float, sender: str) -> list[Action]:
+        match message:
+            case RunRequest():
+                return self._carry(self.admission.offer(message, now, sender, self.leaving), now)
+            case DisproveStart():
+                return [Reply(self.admission.disprove(message.request, now))]
+            case Welcome():
+                return self._on_welcome(message, now)
+            case Reserve() | Commit() | Release() | Stop() | Forget() | Probe():
+                return self._on_command(message, now)
+        self.counters["message_ignored"] += 1
+        return []
+
+    def _on_command(
+        self, message: Reserve | Commit | Release | Stop | Forget | Probe, now: float
+    ) -> list[Action]:
+        # Commands carry no domain, so an epoch that no Welcome named yet may be that of a domain
+        # which the target left. It is refused like an old one, and the owner tries again.
+        if message.epoch != self.epoch:
+            return self._refuse_epoch(message, now)
+        match message:
+            case Reserve():
+                return self._on_reserve(message, now)
+            case Commit():
+                return self._on_commit(message, now)
+            case Release():
+                return self._on_release(message, now)
+            case Stop():
+                return self._on_stop(message, now)
+            case Forget():
+                return self._on_forget(message, now)
+        return [RunProbe()]
 
-    def _on_welcome(self, message: Welcome) -> list[Action]:
-        if message.epoch < self.epoch or message.version < self.version:
+    def _refuse_epoch(self, message: AnyMessage, now: float) -> list[Action]:
+        """Act on nothing of another epoch; a reservation is answered, so that its owner learns."""
+        self.counters["refused_old_epoch"] += 1
+        if not isinstance(message, Reserve):
+            return []
+        key = (message.job.id, message.attempt)
+        if key not in self._held:
+            self._bury(key, now, False)
+        reason = RefusalReason.OLD_EPOCH
+        return [Reply(ReserveAnswer(self.worker.target, message.job.id, message.attempt, reason))]
+
+    # The lease and the configuration
+
+    def _on_welcome(self, message: Welcome, now: float) -> list[Action]:
+        if message.domain != self.domain and message.version > self.version:
+            # The zone was moved to another domain, which counts its own epochs.
+            self.domain = message.domain
+            self.epoch = message.epoch
+        if message.domain != self.domain or message.epoch < self.epoch:
             self.counters["refused_old_welcome"] += 1
             return []
         self.epoch = message.epoch
+        if message.lease_s > 0:
+            # A lease counts from the status that asked for it, which cannot lie in the future.
+            until = min(message.echo, now) + message.lease_s
+            self.lease_until = max(self.lease_until, until)
+        if message.version < self.version:
+            self.counters["refused_old_version"] += 1
+            return []
         self.version = message.version
-        self.draining = message.draining
         self.entries = message.entries
-        if message.lease_s > 0:
-            self.lease_until = max(self.lease_until, message.echo + message.lease_s)
-        for limits in message.services:
-            if limits.service in self._limits:
-                self._limits[limits.service] = limits
-        return []
+        if message.draining and not self._draining:
+            self._leave(now)
+        self._draining = message.draining
+        return self._carry(self.admission.set_limits(message.services, now), now)
+
+    def _leave(self, now: float) -> None:
+        if not self.leaving:
+            self._leaving_since = now
+
+    def _check_lease(self, now: float) -> list[Action]:
+        """Stop everything once the lease lapsed: the owner may start it elsewhere."""
+        if now <= self.lease_until:
+            return []
+        actions: list[Action] = []
+        for key, held in list(self._held.items()):
+            if held.reserved:
+                self.counters["lease_lapsed"] += 1
+                actions += self._drop_reservation(key, now)
+            elif not held.ended and now - held.stopped_at > RESEND_STOP_S:
+                self.counters["lease_lapsed"] += 1
+                actions += self._stop_held(held, False, now)
+        return actions
+
+    # Attempts
 
     def _on_reserve(self, message: Reserve, now: float) -> list[Action]:
-        reason = self._reserve_refusal(message, now)
         key = (message.job.id, message.attempt)
+        self._drop_superseded(key, message)
+        reason = self._reserve_refusal(message, now)
         if reason is None and key not in self._held:
             states = {placement.part: PartState.RESERVED for placement in message.placements}
             self._held[key] = HeldAttempt(
-                message.job, message.attempt, message.placements, now, states
+                message.job, message.attempt, message.epoch, message.placements, now, states
             )
         if reason is not None:
             self.counters[f"refused_{reason.value}"] += 1
-            self._tombstones[key] = now
+            if key not in self._held:
+                self._bury(key, now, False)
         answer = ReserveAnswer(self.worker.target, message.job.id, message.attempt, reason)
         return [Reply(answer)]
 
+    def _drop_superseded(self, key: AttemptKey, message: Reserve) -> None:
+        """Drop a reservation of a previous owner.
+
+        A new owner does not know of attempts that were reserved and not recorded, so it uses the
+        number of such an attempt again, for other accelerators.
+        """
+        held = self._held.get(key)
+        if held is not None and held.reserved and held.epoch < message.epoch:
+            del self._held[key]
+            self.counters["reservation_superseded"] += 1
+
     def _reserve_refusal(self, message: Reserve, now: float) -> RefusalReason | None:
         key = (message.job.id, message.attempt)
-        if message.epoch < self.epoch:
-            return RefusalReason.OLD_EPOCH
-        if key in self._held:
-            return None
+        held = self._held.get(key)
+        if held is not None:
+            same = held.epoch == message.epoch and held.placements == message.placements
+            return None if same and not held.ended else RefusalReason.OLD_TOKEN
         if key in self._tombstones:
             return RefusalReason.OLD_TOKEN
-        if self.draining or self.stopping:
+        if self.leaving:
             return RefusalReason.DRAINING
+        if message.version < self.version:
+            return RefusalReason.STALE_VERSION
         if now > self.lease_until:
             return RefusalReason.LEASE_LAPSED
+        if len(self._held) >= MAX_HELD_ATTEMPTS or self._held_bytes >= MAX_HELD_BYTES:
+            return RefusalReason.QUEUE_FULL
+        return self._placement_refusal(message)
+
+    def _placement_refusal(self, message: Reserve) -> RefusalReason | None:
         occupied = 0
         for held in self._held.values():
             occupied |= held.mask
-        if any(occupied & placement.mask for placement in message.placements):
-            return RefusalReason.OCCUPIED
+        for placement in message.placements:
+            if placement.mask <= 0 or placement.mask >> self.worker.accelerators:
+                return RefusalReason.NEVER_FITS
+            if occupied & placement.mask:
+                return RefusalReason.OCCUPIED
+            occupied |= placement.mask
         return None
 
     def _on_commit(self, message: Commit, now: float) -> list[Action]:
-        held = self._held.get((message.job, message.attempt))
-        if message.epoch < self.epoch:
-            self.counters["refused_old_epoch"] += 1
-            return []
+        key = (message.job, message.attempt)
+        held = self._held.get(key)
         if held is None:
-            self._tombstones[(message.job, message.attempt)] = now
-            return []
+            return [self._absent(key, now)]
+        if held.ended:
+            return self._resend(held, now)
+        if held.reserved and self._reservation_expired(held, now):
+            return self._drop_reservation(key, now)
         actions: list[Action] = []
         for placement in held.placements:
             if held.states[placement.part] is PartState.RESERVED:
@@ -274,64 +436,99 @@
                 actions.append(StartPart(held.job, held.attempt, placement))
         return actions
 
+    def _absent(self, key: AttemptKey, now: float) -> Action:
+        """The proof about an attempt that is not held; from now on it is refused."""
+        self.counters["attempt_absent"] += 1
+        tombstone = self._tombstones.get(key)
+        started = True if tombstone is None else tombstone.started
+        self._bury(key, now, started)
+        return Reply(AttemptAbsent(self.worker.target, *key, started))
+
     def _on_release(self, message: Release, now: float) -> list[Action]:
-        if message.epoch < self.epoch:
-            self.counters["refused_old_epoch"] += 1
-            return []
         key = (message.job, message.attempt)
         held = self._held.get(key)
         if held is None:
-            self._tombstones[key] = now
-            return []
-        if self._is_reserved(held):
-            del self._held[key]
-            self._tombstones[key] = now
+            if key not in self._tombstones:
+                # Nothing proves that a previous incarnation did not start it.
+                self._bury(key, now, True)
+        elif not held.started:
+            self._discard(key, now)
         return []
 
-    def _on_stop(self, message: Stop) -> list[Action]:
-        if message.epoch < self.epoch:
-            self.counters["refused_old_epoch"] += 1
-            return []
-        held = self._held.get((message.job, message.attempt))
-        return [] if held is None else self._stop_held(held, message.checkpoint)
-
-    def _stop_held(self, held: HeldAttempt, checkpoint: bool) -> list[Action]:
+    def _on_stop(self, message: Stop, now: float) -> list[Action]:
+        key = (message.job, message.attempt)
+        held = self._held.get(key)
+        if held is None:
+            return [self._absent(key, now)]
+        if held.ended:
+            return self._resend(held, now)
+        if held.reserved:
+            return self._drop_reservation(key, now)
+        return self._stop_held(held, message.checkpoint, now)
+
+    def _stop_held(self, held: HeldAttempt, checkpoint: bool, now: float) -> list[Action]:
+        """Stop the parts that run; a hard stop also ends a checkpoint under way."""
+        held.stopped_at = now
         actions: list[Action] = []
         for part, state in held.states.items():
-            if state is PartState.RUNNING:
-                if checkpoint:
-                    held.states[part] = PartState.CHECKPOINTING
-                actions.append(StopPart(held.job.id, held.attempt, part, checkpoint))
+            if state.ended or (checkpoint and state is PartState.CHECKPOINTING):
+                continue
+            if checkpoint:
+                held.states[part] = PartState.CHECKPOINTING
+            actions.append(StopPart(held.job.id, held.attempt, part, checkpoint))
         return actions
 
-    def _stop_all(self) -> list[Action]:
-        actions: list[Action] = []
-        for held in self._held.values():
-            stops = self._stop_held(held, held.job.preemptible)
-            self.counters["lease_lapsed"] += len(stops)
-            actions += stops
-        return actions
+    def _repeat_stop(self, held: HeldAttempt, now: float) -> list[Action]:
+        if held.stopped_at:
+            if now - held.stopped_at <= RESEND_STOP_S:
+                return []
+            checkpoint = PartState.CHECKPOINTING in held.states.values()
+            if checkpoint and now - held.stopped_at <= CHECKPOINT_TIMEOUT_S:
+                return []
+            return self._stop_held(held, False, now)
+        if now >= self._checkpoint_at and held.job.preemptible:
+            self.counters["checkpointed_for_shutdown"] += 1
+            return self._stop_held(held, True, now)
+        return []
 
     def _on_forget(self, message: Forget, now: float) -> list[Action]:
-        if message.epoch < self.epoch:
-            self.counters["refused_old_epoch"] += 1
-            return []
         key = (message.job, message.attempt)
         held = self._held.get(key)
-        self._tombstones[key] = now
-        if held is not None and all(state.ended for state in held.states.values()):
-            del self._held[key]
+        if held is None:
+            if key not in self._tombstones:
+                self._bury(key, now, True)
+        elif held.ended or held.reserved:
+            self._discard(key, now)
         return []
 
+    def _reservation_expired(self, held: HeldAttempt, now: float) -> bool:
+        if self.leaving and now - max(held.since, self._leaving_since) > DRAIN_COMMIT_S:
+            return True
+        return now - held.since > RESERVATION_S
+
     def _drop_reservation(self, key: AttemptKey, now: float) -> list[Action]:
+        """Free a reservation and report its parts as never started."""
         held = self._held[key]
-        self._tombstones[key] = now
-        self.counters["reservation_expired"] += 1
+        self.counters["reservation_dropped"] += 1
         actions: list[Action] = []
         for part in held.states:
             actions += self._report(held, part, PartState.STOPPED, now, started=False)
         return actions
 
+    def _discard(self, key: AttemptKey, now: float) -> None:
+        held = self._held.pop(key)
+        self._held_bytes -= sum(len(report.result) for report in held.reports.values())
+        self._bury(key, now, held.started)
+
+    def _bury(self, key: AttemptKey, now: float, started: bool) -> None:
+        known = self._tombstones.pop(key, None)
+        if known is not None:
+            started = started or known.started
+        self._tombstones[key] = Tombstone(now, started)
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            self.counters["tombstone_evicted"] += 1
+            self._tombstones.popitem(last=False)
+
     def _report(
         self,
         held: HeldAttempt,
@@ -357,56 +554,30 @@
         )
         held.reports = held.reports | {part: report}
         held.reported_at = now
+        self._held_bytes += len(result)
         return [TellOwner(report)]
 
     @staticmethod
-    def _is_reserved(held: HeldAttempt) -> bool:
-        return all(state is PartState.RESERVED for state in held.states.values())
-
-    def _on_request(self, message: RunRequest, now: float) -> list[Action]:
-        done = self._answered.get(message.request)
-        if done is not None:
-            return [Reply(done[1])]
-        if message.request in self._running:
-            return []
-        reason = self._request_refusal(message)
-        if reason is not None:
-            self.counters[f"refused_{reason.value}"] += 1
-            answer = RequestAnswer(self.worker.target, message.request, False, reason=reason)
-            self._answered[message.request] = (now, answer)
-            return [Reply(answer)]
-        self._running[message.request] = message
-        return [CallRunner(message)]
-
-    def _request_refusal(self, message: RunRequest) -> RefusalReason | None:
-        limits = self._limits.get(message.service)
-        if limits is None:
-            return RefusalReason.UNKNOWN_SERVICE
-        if self.draining or self.stopping:
-            return RefusalReason.DRAINING
-        running = sum(1 for other in self._running.values() if other.service == message.service)
-        return RefusalReason.OCCUPIED if running >= limits.slots else None
-
-    def _on_disprove(self, message: DisproveStart, now: float) -> list[Action]:
-        target = self.worker.target
-        if message.request in self._running:
-            return [Reply(StartDisproved(target, message.request, False))]
-        done = self._answered.get(message.request)
-        if done is not None and done[1].started:
-            return [Reply(done[1])]
-        if done is None:
-            refusal = RequestAnswer(target, message.request, False, reason=RefusalReason.OLD_TOKEN)
-            self._answered[message.request] = (now, refusal)
-        return [Reply(StartDisproved(target, message.request, True))]
+    def _resend(held: HeldAttempt, now: float) -> list[Action]:
+        held.reported_at = now
+        return [TellOwner(report) for report in held.reports.values()]
+
+    # Requests
+
+    @staticmethod
+    def _carry(outcomes: list[Outcome], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for outcome in outcomes:
+            if isinstance(outcome, Admitted):
+                actions.append(CallRunner(outcome.request, max(0.0, outcome.until - now)))
+            else:
+                actions.append(Reply(outcome.message, outcome.link))
+        return actions
 
     def _expire(self, now: float) -> None:
+        """Drop tombstones older than TOMBSTONE_S."""
         while self._tombstones:
-            key, since = next(iter(self._tombstones.items()))
-            if now - since < TOMBSTONE_S:
+            key, tombstone = next(iter(self._tombstones.items()))
+            if now - tombstone.since < TOMBSTONE_S:
                 break
             del self._tombstones[key]
-        while self._answered:
-            request, (since, _) = next(iter(self._answered.items()))
-            if now - since < TOMBSTONE_S:
-                break
-            del self._answered[request]
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -48,7 +48,8 @@
             cfg.name, self.reader, self.appender, self.roster, self.router, self.metrics
         )
         self.web = self.kernel.register(
-            "api", WebServer(cfg.http_address, Root(self.front), cfg.http_threads)
+            "api",
+            WebServer(cfg.http_address, Root(self.front), cfg.http_threads, cfg.shutdown_grace_s),
         )
 
     def start(self) -> None:
@@ -57,7 +58,11 @@
         logging.info("entry %s listens on %s", self._cfg.name, self._cfg.http_address)
 
     def stop(self) -> None:
-        """Leave the domains to others, finish the requests under way, and stop."""
+        """Leave the domains to others, finish the requests under way, and stop.
+
+        `EntryDown` releases the domains at once. The services stop in reverse order: HTTP first,
+        which finishes its requests while the pipes to the targets are still open.
+        """
         self.front.stopping = True
         self.owner.leave()
         if self.reader.log_up:
--- a/comfreyshelf/messages.py
+++ b/comfreyshelf/messages.py
@@ -139,6 +139,19 @@
     checkpointed: bool = False
 
 
+class AttemptAbsent(Message, frozen=True, tag=True):
+    """Target to owner: nothing of an attempt is here and nothing of it will start.
+
+    `started` False proves that no part of it ever started here. It is True when the target knows
+    of no refusal, because a previous incarnation may have started it.
+    """
+
+    target: TargetId
+    job: JobId
+    attempt: Attempt
+    started: bool = True
+
+
 class UsageReport(Message, frozen=True, tag=True):
     """Usage of a part as the platform reports it, with a lag."""
 
@@ -201,6 +214,7 @@
     | Probe
     | ProbeAnswer
     | PartReport
+    | AttemptAbsent
     | UsageReport
     | RunRequest
     | RequestAnswer
--- a/comfreyshelf/owner.py
+++ b/comfreyshelf/owner.py
@@ -42,6 +42,7 @@
 from comfreyshelf.membership import Roster
 from comfreyshelf.messages import (
     AnyMessage,
+    AttemptAbsent,
     Commit,
     Forget,
     PartReport,
@@ -57,7 +58,7 @@
     Welcome,
 )
 from comfreyshelf.metrics import Metrics
-from comfreyshelf.model import JobState
+from comfreyshelf.model import JobState, PartState
 from comfreyshelf.records import (
     AttemptEnded,
     AttemptStarted,
@@ -144,6 +145,7 @@
         self._domains: dict[DomainId, OwnedDomain] = {}
         self._renewal_seen: dict[DomainId, float] = {}
         self._claiming: set[DomainId] = set()
+        self._released: set[DomainId] = set()
         self._log_up = False
         self._log_up_since = 0.0
         self._announced_at = float("-inf")
@@ -221,7 +223,8 @@
             entry = self._reader.ledger.state.domains.get(domain)
             epoch = entry.epoch if entry else Epoch(0)
             since = max(self._renewal_seen.get(domain, 0.0), self._log_up_since)
-            if epoch and now - since < self._cfg.claim_after_s:
+            held = epoch and domain not in self._released
+            if held and now - since < self._cfg.claim_after_s:
                 continue
             self._claiming.add(domain)
             body = DomainClaimed(domain, Epoch(epoch + 1), epoch, self._entry)
@@ -247,7 +250,9 @@
                 self._renewal_seen[body.domain] = time.monotonic()
             case ConfigPublished() if verdict.accepted:
                 self._on_config()
-            case EntryUp() | EntryDown():
+            case EntryDown() if verdict.accepted:
+                self._on_entry_down(body)
+            case EntryUp():
                 pass
             case AttemptStarted():
                 self._on_attempt_started(record, body, verdict)
@@ -263,8 +268,15 @@
                 for owned in self._domains.values():
                     self._close_cancelled(owned, body.jobs)
 
+    def _on_entry_down(self, body: EntryDown) -> None:
+        """An entry that left no longer renews its domains, so they are claimed without waiting."""
+        with self._reader.lock:
+            domains = self._reader.ledger.state.domains.items()
+            self._released |= {name for name, entry in domains if entry.owner == body.entry}
+
     def _on_claim(self, body: DomainClaimed) -> None:
         now = time.monotonic()
+        self._released.discard(body.domain)
         self._renewal_seen[body.domain] = now
         if body.entry != self._entry:
             if self._domains.pop(body.domain, None) is not None:
@@ -357,6 +369,8 @@
                 self._feed(owned, event)
             case PartReport():
                 self._feed(owned, self._part_ended(message))
+            case AttemptAbsent():
+                self._on_absent(owned, message)
             case UsageReport():
                 self._feed(
                     owned,
@@ -365,6 +379,22 @@
             case ProbeAnswer():
                 self._feed(owned, ProbeEnded(target, message.passed))
 
+    def _on_absent(self, owned: OwnedDomain, message: AttemptAbsent) -> None:
+        gang = owned.scheduler.gangs.get(message.job)
+        if gang is None or gang.attempt != message.attempt:
+            return
+        for part in gang.on(message.target):
+            if part.state is None:
+                event = PartEnded(
+                    message.job,
+                    message.attempt,
+                    part.placement.part,
+                    message.target,
+                    PartState.STOPPED,
+                    started=message.started,
+                )
+                self._feed(owned, event)
+
     @staticmethod
     def _part_ended(message: PartReport) -> PartEnded:
         return PartEnded(
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -314,7 +314,10 @@
         if gang.whole and gang.phase is Phase.RUNNING:
             self._record_finish(gang)
         elif event.state is not PartState.FINISHED or gang.phase is Phase.STOPPING:
-            self._stop_gang(gang, AttemptOutcome.FAILED, now)
+            # A target that shuts down checkpoints its parts, so the others are checkpointed too.
+            moved = event.state is PartState.STOPPED and event.checkpointed
+            outcome = AttemptOutcome.DRAINED if moved else AttemptOutcome.FAILED
+            self._stop_gang(gang, outcome, now)
 
     def _record_finish(self, gang: Gang) -> None:
         gang.finish_sent = True
--- a/comfreyshelf/settings.py
+++ b/comfreyshelf/settings.py
@@ -30,7 +30,11 @@
 
 
 class TargetSettings(msgspec.Struct, frozen=True):
-    """Settings of a target process, section ``[target]``; `entries` are pipe addresses."""
+    """Settings of a target process, section ``[target]``; `entries` are pipe addresses.
+
+    `runner_urls` has `SERVICE=URL` for each back end over HTTP. Metrics are served at `/metrics` of
+    `metrics_address` if that is given. The `worker_` options set up the stand-in worker.
+    """
 
     name: str
     zone: str
@@ -41,7 +45,20 @@
     memory_gb: int = 256
     services: tuple[str, ...] = ()
     status_interval_s: float = 2.0
+    usage_interval_s: float = 10.0
     shutdown_grace_s: float = 30.0
+    metrics_address: str = ""
+    runner_urls: tuple[str, ...] = ()
+    worker_folder: str = ""
+    worker_fault: str = ""
+    worker_usage_lag_s: float = 5.0
+
+
+class RunnerStandinSettings(msgspec.Struct, frozen=True):
+    """Settings of the back end stand-in, section ``[runner]``."""
+
+    address: str
+    delay_s: float = 0.0
 
 
 class StandinSettings(msgspec.Struct, frozen=True):
@@ -88,8 +105,10 @@
 
 
 def _check_addresses(settings: msgspec.Struct, section: str) -> None:
-    for option in ("http_address", "pipe_address", "address"):
+    for option in ("http_address", "pipe_address", "address", "metrics_address"):
         value = getattr(settings, option, None)
+        if option == "metrics_address" and not value:
+            continue
         if value is not None and not _ADDRESS.match(value):
             raise SettingsError(
                 f"[{section}] {option} = {value} is not an address",
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -1,8 +1,11 @@
 """The target process: the shell around the agent core on one target VM."""
 
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
+import cherrypy
 import msgspec
 from absl import logging
 
@@ -16,17 +19,26 @@
     StopPart,
     TellOwner,
 )
+from comfreyshelf.errors import SettingsError
 from comfreyshelf.ids import RackId, RequestId, TargetId, ZoneId
 from comfreyshelf.kernel import Kernel, Service
-from comfreyshelf.messages import AnyMessage, ProbeAnswer, RunRequest, Welcome
+from comfreyshelf.messages import AnyMessage, ProbeAnswer, UsageReport, Welcome
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.model import WorkerInfo
+from comfreyshelf.runner import Runner, runners_of
 from comfreyshelf.settings import TargetSettings
 from comfreyshelf.tasks import Task
 from comfreyshelf.transport import Link
-from comfreyshelf.worker import PartExit, Runner, StandinRunner, StandinWorker, Worker
+from comfreyshelf.web import WebServer
+from comfreyshelf.worker import PartExit, StandinWorker, Worker, WorkerFault
 
-RUNNER_THREADS = 8
+# One thread per request that runs; the admission core never lets more run than a service's slots.
+MAX_RUNNER_THREADS = 64
+# The core's shortest time limit is 2 s, so a tick each quarter of a second is exact enough.
+TICK_S = 0.25
+# Limits usage reports to 64 a round, about 8 KB each `usage_interval_s`.
+MAX_USAGE_REPORTS = 64
+METRICS_THREADS = 2
 
 
 class FromEntry(msgspec.Struct, frozen=True):
@@ -39,13 +51,18 @@
 class RequestEnded(msgspec.Struct, frozen=True):
     """The runner answered or failed."""
 
-    address: str
     request: RequestId
     ok: bool
     body: bytes
 
 
-TargetMessage = FromEntry | PartExit | RequestEnded
+class BeginStop(msgspec.Struct, frozen=True):
+    """The process was asked to stop; what runs may take `grace_s` seconds."""
+
+    grace_s: float
+
+
+TargetMessage = FromEntry | PartExit | RequestEnded | BeginStop
 
 
 class AgentTask(Task[TargetMessage]):
@@ -58,7 +75,7 @@
         runners: dict[str, Runner],
         metrics: Metrics,
     ) -> None:
-        super().__init__("agent", tick_s=0.1)
+        super().__init__("agent", tick_s=TICK_S)
         info = WorkerInfo(
             TargetId(cfg.name),
             ZoneId(cfg.zone),
@@ -76,7 +93,9 @@
         self._links: dict[str, Link] = {}
         self._owner = ""
         self._status_at = 0.0
-        self._pool = ThreadPoolExecutor(RUNNER_THREADS, "runner")
+        self._usage_at = 0.0
+        self._empty = threading.Event()
+        self._pool = ThreadPoolExecutor(MAX_RUNNER_THREADS, "runner")
         worker.on_exit = self.send
 
     def start(self) -> None:
@@ -87,13 +106,9 @@
 
     def drain(self, timeout_s: float) -> bool:
         """Refuse new work and wait until what runs has ended and is recorded."""
-        self.agent.stopping = True
-        until = time.monotonic() + timeout_s
-        while time.monotonic() < until:
-            if self.agent.idle:
-                return True
-            time.sleep(0.05)
-        return self.agent.idle
+        self._empty.clear()
+        self.send(BeginStop(timeout_s))
+        return self._empty.wait(timeout_s)
 
     def handle(self, message: TargetMessage) -> None:
         """Handle one message."""
@@ -115,40 +130,67 @@
                 self._carry_out(actions, self._owner)
             case RequestEnded():
                 actions = self.agent.request_ended(message.request, message.ok, message.body, now)
-                self._carry_out(actions, message.address)
+                self._carry_out(actions, self._owner)
+            case BeginStop():
+                self._carry_out(self.agent.begin_stop(now, message.grace_s), self._owner)
+                self._send_status(now)
+        self._note_empty()
 
     def tick(self) -> None:
         """Send the status when due, and let the core expire what is overdue."""
         now = time.monotonic()
+        # The core comes first: after a pause the status must show that the parts were stopped.
+        self._carry_out(self.agent.tick(now), self._owner)
         if now - self._status_at >= self._cfg.status_interval_s:
             self._send_status(now)
-        self._carry_out(self.agent.tick(now), self._owner)
+        if now - self._usage_at >= self._cfg.usage_interval_s:
+            self._report_usage(now)
+        self._note_empty()
 
     def close(self) -> None:
-        """Close the links and the worker."""
-        for link in self._links.values():
-            link.stop()
+        """Close the worker and the runners, and the links last."""
         self._pool.shutdown(wait=True)
         self._worker.close()
+        for runner in self._runners.values():
+            runner.close()
+        for link in self._links.values():
+            link.stop()
+
+    def _note_empty(self) -> None:
+        if self.agent.stopping and self.agent.idle:
+            self._empty.set()
 
     def _on_entry(self, message: FromEntry, now: float) -> None:
-        before = (self.agent.epoch, self.agent.version, self.agent.draining, self._owner)
-        actions = self.agent.handle(message.message, now)
+        before = self._shown()
+        actions = self.agent.handle(message.message, now, message.address)
         if isinstance(message.message, Welcome):
             self._on_welcome(message.address, message.message)
         self._carry_out(actions, message.address)
-        if before != (self.agent.epoch, self.agent.version, self.agent.draining, self._owner):
+        if before != self._shown():
             self._send_status(now)
 
+    def _shown(self) -> tuple[object, ...]:
+        """What a status is sent for as soon as it changes."""
+        agent = self.agent
+        return (agent.domain, agent.epoch, agent.version, agent.leaving, self._owner)
+
     def _on_welcome(self, address: str, message: Welcome) -> None:
         if message.owner and message.epoch == self.agent.epoch and self._owner != address:
             logging.info("entry %s owns domain %s", message.entry, message.domain)
             self._owner = address
         for entry in message.entries:
             self._link(entry)
-        for address_ in set(self._links) - set(message.entries) - set(self._cfg.entries):
-            if message.version == self.agent.version and message.entries:
-                self._links.pop(address_).stop()
+        if message.entries and message.version == self.agent.version:
+            self._drop_links({*message.entries, *self._cfg.entries})
+
+    def _drop_links(self, wanted: set[str]) -> None:
+        """Close links to entries that left.
+
+        A connected one stays: an entry that is stopping waits on it for answers under way.
+        """
+        for address in set(self._links) - wanted:
+            if not self._links[address].connected:
+                self._links.pop(address).stop()
 
     def _link(self, address: str) -> None:
         if address in self._links:
@@ -162,12 +204,21 @@
         status = self.agent.status(now)
         for link in self._links.values():
             link.send(status)
+        for name, value in self.agent.counters.items():
+            self._metrics.gauge(f"agent_{name}", value)
+
+    def _report_usage(self, now: float) -> None:
+        self._usage_at = now
+        target = self.agent.worker.target
+        for usage in self._worker.usage()[:MAX_USAGE_REPORTS]:
+            report = UsageReport(target, usage.job, usage.part, usage.busy, usage.memory_gb)
+            self._send(self._owner, report)
 
     def _carry_out(self, actions: list[Action], address: str) -> None:
         for action in actions:
             match action:
                 case Reply():
-                    self._send(address, action.message)
+                    self._send(action.link or address, action.message)
                 case TellOwner():
                     self._send(self._owner, action.message)
                 case StartPart():
@@ -177,29 +228,46 @@
                         action.job, action.attempt, action.part, action.checkpoint
                     )
                 case RunProbe():
-                    answer = ProbeAnswer(self.agent.worker.target, self._worker.probe())
-                    self._send(self._owner, answer)
+                    self._pool.submit(self._probe, address)
                 case CallRunner():
-                    self._pool.submit(self._call_runner, action.request, address)
+                    self._pool.submit(self._call_runner, action)
 
     def _send(self, address: str, message: AnyMessage) -> None:
         link = self._links.get(address)
         if link is None or not link.send(message):
             self._metrics.count("message_undelivered")
 
-    def _call_runner(self, request: RunRequest, address: str) -> None:
-        runner = self._runners[request.service]
+    def _probe(self, address: str) -> None:
+        answer = ProbeAnswer(self.agent.worker.target, self._worker.probe())
+        self._send(address, answer)
+
+    def _call_runner(self, action: CallRunner) -> None:
+        request = action.request
         try:
-            body = runner.call(request.body, request.timeout_s)
-        except (OSError, TimeoutError) as exc:
+            body = self._runners[request.service].call(request.body, action.timeout_s)
+        except Exception as exc:
+            # Whatever the runner raised, the slot has to become free and the caller answered.
             self._metrics.count("runner_failed")
-            self.send(RequestEnded(address, request.request, False, str(exc).encode()))
+            self.send(RequestEnded(request.request, False, str(exc).encode()))
             return
-        self.send(RequestEnded(address, request.request, True, body))
+        self.send(RequestEnded(request.request, True, body))
+
+
+class MetricsResource:
+    """`/metrics` of a target process."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """All metrics as Prometheus text."""
+        cherrypy.response.headers["Content-Type"] = "text/plain; charset=utf-8"
+        return self._metrics.render().encode()
 
 
 class Target(Service):
-    """A target process; `worker` and `runners` default to stand-ins."""
+    """A target process; `worker` and `runners` default to what the settings name."""
 
     def __init__(
         self,
@@ -209,12 +277,15 @@
     ) -> None:
         self.kernel = Kernel()
         self.metrics = self.kernel.register("metrics", Metrics())
-        self.worker = worker or StandinWorker()
-        self.runners = runners or {name: StandinRunner() for name in cfg.services}
+        self.worker = worker or standin_worker(cfg)
+        self.runners = runners or runners_of(cfg.services, cfg.runner_urls)
         self._cfg = cfg
         self.task = self.kernel.register(
             "agent", AgentTask(cfg, self.worker, self.runners, self.metrics)
         )
+        if cfg.metrics_address:
+            resource = MetricsResource(self.metrics)
+            self.kernel.register("web", WebServer(cfg.metrics_address, resource, METRICS_THREADS))
 
     def start(self) -> None:
         """Start all services."""
@@ -227,3 +298,16 @@
             logging.warning("target %s stops with work that did not end", self._cfg.name)
         self.kernel.stop()
         logging.info("target %s stopped", self._cfg.name)
+
+
+def standin_worker(cfg: TargetSettings) -> StandinWorker:
+    """The stand-in worker that the settings describe; raises SettingsError."""
+    try:
+        fault = WorkerFault(cfg.worker_fault)
+    except ValueError as exc:
+        names = ", ".join(fault.value for fault in WorkerFault if fault.value)
+        raise SettingsError(
+            f"[target] worker_fault = {cfg.worker_fault} is unknown", f"use one of: {names}"
+        ) from exc
+    folder = Path(cfg.worker_folder) if cfg.worker_folder else None
+    return StandinWorker(folder=folder, fault=fault, usage_lag_s=cfg.worker_usage_lag_s)
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -1,6 +1,7 @@
 """pynng pipes between entries and target processes."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import pynng
@@ -12,7 +13,10 @@
 from comfreyshelf.tasks import Poller
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-_POLL_MS = 200
+# Closing a socket wakes its receiver; the limit only bounds how long a missed wake-up lasts.
+_POLL_MS = 5000
+# nng sends in the background and drops what is unsent when a socket closes.
+_LINGER_S = 0.1
 _SEND_TIMEOUT_MS = 500
 _BUFFERED_MESSAGES = 256
 
@@ -51,10 +55,12 @@
         super().start()
 
     def stop(self) -> None:
-        """End the thread and close the socket."""
-        super().stop()
+        """Let the last messages leave, close the socket, and end the thread."""
+        self._stopping.set()
         if self._socket is not None:
+            time.sleep(_LINGER_S)
             self._socket.close()
+        super().stop()
 
     def targets(self) -> list[TargetId]:
         """Targets with an open pipe."""
@@ -133,6 +139,7 @@
             recv_timeout=_POLL_MS,
             send_timeout=_SEND_TIMEOUT_MS,
             recv_max_size=MAX_MESSAGE_BYTES,
+            send_buffer_size=_BUFFERED_MESSAGES,
             reconnect_time_min=100,
             reconnect_time_max=1000,
         )
@@ -140,19 +147,26 @@
         super().start()
 
     def stop(self) -> None:
-        """End the thread and close the socket."""
-        super().stop()
+        """Let the last messages leave, close the socket, and end the thread."""
+        self._stopping.set()
         if self._socket is not None:
+            time.sleep(_LINGER_S)
             self._socket.close()
+        super().stop()
+
+    @property
+    def connected(self) -> bool:
+        """Whether the pipe is up."""
+        return self._socket is not None and bool(self._socket.pipes)
 
     def send(self, message: AnyMessage) -> bool:
         """Send a message; False if the pipe is down."""
-        assert self._socket is not None
-        if not self._socket.pipes:
+        if self._socket is None or not self.connected:
             return False
         data = encode_message(message)
         try:
-            self._socket.send(data)
+            # A paused entry must not block the target's only task, so a full pipe is a failure.
+            self._socket.send(data, block=False)
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
             return False
--- a/comfreyshelf/ui/daemons.py
+++ b/comfreyshelf/ui/daemons.py
@@ -10,7 +10,14 @@
 from comfreyshelf.demo import run_demo
 from comfreyshelf.entry import Entry, StopFlag, wait_for_stop
 from comfreyshelf.kernel import Service
-from comfreyshelf.settings import EntrySettings, StandinSettings, TargetSettings, load_settings
+from comfreyshelf.runner import RunnerStandin
+from comfreyshelf.settings import (
+    EntrySettings,
+    RunnerStandinSettings,
+    StandinSettings,
+    TargetSettings,
+    load_settings,
+)
 from comfreyshelf.standin import LogStandin
 from comfreyshelf.target import Target
 
@@ -22,6 +29,7 @@
     app.command("entry")(run_entry)
     app.command("target")(run_target)
     app.command("standin-log")(run_standin)
+    app.command("standin-runner")(run_standin_runner)
     app.command("demo")(demo)
 
 
@@ -48,6 +56,11 @@
     _run(LogStandin(load_settings(settings, "standin", StandinSettings)))
 
 
+def run_standin_runner(settings: SettingsPath) -> None:
+    """Run the stand-in for a back end until SIGTERM."""
+    _run(RunnerStandin(load_settings(settings, "runner", RunnerStandinSettings)))
+
+
 def demo() -> None:
     """Run the main job on loopback and print what happened."""
     run_demo()
--- a/comfreyshelf/web.py
+++ b/comfreyshelf/web.py
@@ -13,9 +13,18 @@
 
 
 class WebServer(Service):
-    """Serves a cherrypy resource tree at `ip:port`; stopping finishes the requests under way."""
-
-    def __init__(self, address: str, root: object, threads: int = 16) -> None:
+    """Serves a cherrypy resource tree at `ip:port`; stopping finishes the requests under way.
+
+    Requests that still run `grace_s` seconds after the stop are cut.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        root: object,
+        threads: int = 16,
+        grace_s: float = SOCKET_TIMEOUT_S,
+    ) -> None:
         host, port = address.rsplit(":", 1)
         application = cherrypy.Application(root, "", _CONFIG)
         application.log.screen = False
@@ -25,7 +34,7 @@
             (host, int(port)), application, numthreads=threads, timeout=SOCKET_TIMEOUT_S
         )
         self._server.max_request_body_size = MAX_BODY_BYTES
-        self._server.shutdown_timeout = SOCKET_TIMEOUT_S
+        self._server.shutdown_timeout = grace_s
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
--- a/comfreyshelf/worker.py
+++ b/comfreyshelf/worker.py
@@ -1,10 +1,12 @@
-"""The platform's worker and the service's runner as a target process sees them, with stand-ins."""
+"""The platform's worker as a target process sees it, with a stand-in."""
 
 import hashlib
 import threading
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
 
 import msgspec
 
@@ -24,34 +26,51 @@
     checkpointed: bool = False
 
 
+class PartUsage(msgspec.Struct, frozen=True):
+    """Usage of a part: `busy` is the share of its accelerators' time from 0 to 1."""
+
+    job: JobId
+    part: int
+    busy: float
+    memory_gb: float
+
+
 class Worker(ABC):
-    """Runs parts on the local accelerators; `on_exit` is called from any thread."""
+    """Runs parts on the local accelerators; `on_exit` is called from any thread.
+
+    All methods but `probe` return at once. A part that a method does not know is ignored, because
+    it may have ended a moment ago.
+    """
 
     on_exit: Callable[[PartExit], None]
 
     @abstractmethod
     def start_part(self, job: Job, attempt: Attempt, placement: Placement) -> None:
-        """Start a part; returns at once."""
+        """Start a part, from its newest checkpoint if the job has one."""
 
     @abstractmethod
     def stop_part(self, job: JobId, attempt: Attempt, part: int, checkpoint: bool) -> None:
-        """Stop a part, after a checkpoint if `checkpoint`; returns at once."""
+        """Stop a part, after a checkpoint if `checkpoint`."""
 
     @abstractmethod
-    def probe(self) -> bool:
-        """Run a short probe and tell whether it passed."""
+    def checkpoint_part(self, job: JobId, attempt: Attempt, part: int) -> None:
+        """Write a checkpoint of a part that goes on running."""
 
     @abstractmethod
-    def close(self) -> None:
-        """Stop everything."""
+    def throttle_part(self, job: JobId, attempt: Attempt, part: int, share: float) -> None:
+        """Limit a part to `share` (above 0, at most 1) of its accelerators' time."""
 
+    @abstractmethod
+    def usage(self) -> list[PartUsage]:
+        """Usage of the running parts as the platform knows it, some seconds old."""
 
-class Runner(ABC):
-    """A back end that answers short requests of one service."""
+    @abstractmethod
+    def probe(self) -> bool:
+        """Run a short probe and tell whether it passed."""
 
     @abstractmethod
-    def call(self, body: bytes, timeout_s: float) -> bytes:
-        """Answer a request; raises OSError or TimeoutError on failure."""
+    def close(self) -> None:
+        """Stop everything."""
 
 
 class StandinPayload(msgspec.Struct, frozen=True):
@@ -61,6 +80,15 @@
     fail: bool = False
 
 
+class WorkerFault(Enum):
+    """How a stand-in worker misbehaves."""
+
+    NONE = ""
+    SLOW = "slow"
+    FAILS_EVERYTHING = "fails_everything"
+    IGNORES_STOPS = "ignores_stops"
+
+
 def expected_result(job: Job) -> bytes:
     """The whole result that stand-in workers produce for a job."""
     return b"".join(part_result(job, part) for part in range(job.shape.parts))
@@ -72,88 +100,193 @@
     return f"{part}:{digest};".encode()
 
 
+PartKey = tuple[JobId, Attempt, int]
+
+
+class RunningPart(msgspec.Struct):
+    """A part on the stand-in worker.
+
+    `done_s` seconds of `total_s` were done at `since`; it advances at `speed` seconds a second.
+    """
+
+    job: Job
+    total_s: float
+    done_s: float
+    since: float
+    started_at: float
+    outcome: PartState
+    result: bytes
+    speed: float = 1.0
+    timer: threading.Timer | None = None
+    stopping: bool = False
+
+    def progress(self, now: float) -> float:
+        """Seconds of work done by `now`."""
+        return min(self.total_s, self.done_s + (now - self.since) * self.speed)
+
+
 class StandinWorker(Worker):
-    """Runs each part as a timer; it can be told to fail everything that it starts."""
+    """Runs each part as a timer; `fault` is how it misbehaves.
+
+    `folder` stands for the platform's storage, which several workers share: checkpoints are files
+    in it, and `started.txt` and `ended.txt` get one line `JOB ATTEMPT PART TEXT` for each part that
+    started or ended. Without a folder checkpoints stay in this worker.
+    """
+
+    SLOW_SPEED = 0.1
 
-    def __init__(self, checkpoint_s: float = 0.05) -> None:
+    def __init__(
+        self,
+        checkpoint_s: float = 0.05,
+        folder: Path | None = None,
+        fault: WorkerFault = WorkerFault.NONE,
+        usage_lag_s: float = 5.0,
+    ) -> None:
         self.on_exit = lambda exit_: None
-        self.fails_everything = False
-        self.started: list[tuple[JobId, Attempt, int]] = []
+        self.fault = fault
+        self.started: list[PartKey] = []
         self._checkpoint_s = checkpoint_s
+        self._folder = folder
+        self._usage_lag_s = usage_lag_s
         self._lock = threading.Lock()
-        self._timers: dict[tuple[JobId, Attempt, int], tuple[threading.Timer, float]] = {}
+        self._parts: dict[PartKey, RunningPart] = {}
+        self._checkpoints: dict[tuple[JobId, int], float] = {}
 
     def start_part(self, job: Job, attempt: Attempt, placement: Placement) -> None:
-        """Start a timer for the run time in the payload."""
+        """Start a timer for what the newest checkpoint leaves of the run time in the payload."""
         try:
             payload = msgspec.json.decode(job.payload or b"{}", type=StandinPayload)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, msgspec.ValidationError):
             payload = StandinPayload(fail=True)
-        state = PartState.FAILED if payload.fail or self.fails_everything else PartState.FINISHED
-        result = part_result(job, placement.part) if state is PartState.FINISHED else b""
+        fails = payload.fail or self.fault is WorkerFault.FAILS_EVERYTHING
         key = (job.id, attempt, placement.part)
-        self._start_timer(key, payload.run_s, state, result)
+        now = time.monotonic()
+        done_s = self._load_checkpoint(job.id, placement.part)
+        part = RunningPart(
+            job,
+            payload.run_s,
+            done_s,
+            now,
+            now,
+            PartState.FAILED if fails else PartState.FINISHED,
+            b"" if fails else part_result(job, placement.part),
+            self.SLOW_SPEED if self.fault is WorkerFault.SLOW else 1.0,
+        )
         self.started.append(key)
+        self._note("started", key, f"from {done_s:.2f}")
+        with self._lock:
+            self._parts[key] = part
+            self._set_timer(key, part, now)
 
     def stop_part(self, job: JobId, attempt: Attempt, part: int, checkpoint: bool) -> None:
-        """Replace the run timer by a short checkpoint timer."""
+        """End a part at once, or after the time that a checkpoint takes."""
+        if self.fault is WorkerFault.IGNORES_STOPS:
+            return
         key = (job, attempt, part)
         with self._lock:
-            timer = self._timers.pop(key, None)
-        if timer is None:
-            return
-        timer[0].cancel()
-        delay = self._checkpoint_s if checkpoint else 0.0
-        self._start_timer(key, delay, PartState.STOPPED, b"", checkpoint)
+            running = self._parts.get(key)
+            if running is None or (running.stopping and checkpoint):
+                return
+            running.stopping = True
+            delay_s = self._checkpoint_s if checkpoint else 0.0
+            self._restart_timer(running, delay_s, lambda: self._stopped(key, checkpoint))
+
+    def checkpoint_part(self, job: JobId, attempt: Attempt, part: int) -> None:
+        """Save the progress so far."""
+        with self._lock:
+            running = self._parts.get((job, attempt, part))
+            progress = running.progress(time.monotonic()) if running is not None else 0.0
+        if running is not None:
+            self._save_checkpoint(job, part, progress)
+
+    def throttle_part(self, job: JobId, attempt: Attempt, part: int, share: float) -> None:
+        """Let the part advance at `share` of its speed."""
+        key = (job, attempt, part)
+        now = time.monotonic()
+        with self._lock:
+            running = self._parts.get(key)
+            if running is None or running.stopping:
+                return
+            running.done_s = running.progress(now)
+            running.since = now
+            running.speed = max(0.01, min(1.0, share))
+            self._set_timer(key, running, now)
+
+    def usage(self) -> list[PartUsage]:
+        """Usage of parts that have run for longer than the lag."""
+        horizon = time.monotonic() - self._usage_lag_s
+        with self._lock:
+            return [
+                PartUsage(key[0], key[2], part.speed, float(part.job.shape.memory_gb))
+                for key, part in self._parts.items()
+                if part.started_at <= horizon
+            ]
 
     def probe(self) -> bool:
         """Pass unless the worker fails everything."""
-        return not self.fails_everything
+        return self.fault is not WorkerFault.FAILS_EVERYTHING
 
     def close(self) -> None:
         """Cancel all timers."""
         with self._lock:
-            for timer, _ in self._timers.values():
-                timer.cancel()
-            self._timers.clear()
-
-    def _start_timer(
-        self,
-        key: tuple[JobId, Attempt, int],
-        delay_s: float,
-        state: PartState,
-        result: bytes,
-        checkpointed: bool = False,
-    ) -> None:
-        timer = threading.Timer(delay_s, self._expire, (key, state, result, checkpointed))
-        timer.daemon = True
+            for part in self._parts.values():
+                if part.timer is not None:
+                    part.timer.cancel()
+            self._parts.clear()
+
+    def _set_timer(self, key: PartKey, part: RunningPart, now: float) -> None:
+        left_s = (part.total_s - part.progress(now)) / part.speed
+        self._restart_timer(part, left_s, lambda: self._ended(key))
+
+    @staticmethod
+    def _restart_timer(part: RunningPart, delay_s: float, call: Callable[[], None]) -> None:
+        if part.timer is not None:
+            part.timer.cancel()
+        part.timer = threading.Timer(delay_s, call)
+        part.timer.daemon = True
+        part.timer.start()
+
+    def _ended(self, key: PartKey) -> None:
         with self._lock:
-            self._timers[key] = (timer, time.monotonic())
-        timer.start()
+            part = self._parts.get(key)
+            if part is None or part.stopping:
+                return
+            del self._parts[key]
+        self._exit(key, part, part.outcome, part.result, False)
 
-    def _expire(
-        self, key: tuple[JobId, Attempt, int], state: PartState, result: bytes, checkpointed: bool
-    ) -> None:
+    def _stopped(self, key: PartKey, checkpoint: bool) -> None:
         with self._lock:
-            entry = self._timers.pop(key, None)
-        if entry is None:
+            part = self._parts.pop(key, None)
+        if part is None:
             return
-        run_s = time.monotonic() - entry[1]
-        self.on_exit(PartExit(*key, state, result, run_s, checkpointed))
+        if checkpoint:
+            self._save_checkpoint(key[0], key[2], part.progress(time.monotonic()))
+        self._exit(key, part, PartState.STOPPED, b"", checkpoint)
 
+    def _exit(
+        self, key: PartKey, part: RunningPart, state: PartState, result: bytes, checkpointed: bool
+    ) -> None:
+        run_s = time.monotonic() - part.started_at
+        self._note("ended", key, state.value)
+        self.on_exit(PartExit(*key, state, result, run_s, checkpointed))
 
-class StandinRunner(Runner):
-    """Answers a request with its body reversed after `delay_s` seconds."""
-
-    def __init__(self, delay_s: float = 0.0) -> None:
-        self.delay_s = delay_s
-        self.calls = 0
-
-    def call(self, body: bytes, timeout_s: float) -> bytes:
-        """Answer after the delay, or raise TimeoutError."""
-        self.calls += 1
-        if self.delay_s > timeout_s:
-            time.sleep(timeout_s)
-            raise TimeoutError("the runner did not answer in time")
-        time.sleep(self.delay_s)
-        return body[::-1]
+    def _note(self, event: str, key: PartKey, text: str) -> None:
+        if self._folder is None:
+            return
+        # One short write in append mode, so that lines of several processes do not mix.
+        with (self._folder / f"{event}.txt").open("a", encoding="utf-8") as file:
+            file.write(f"{key[0]} {key[1]} {key[2]} {text}\n")
+
+    def _save_checkpoint(self, job: JobId, part: int, progress: float) -> None:
+        self._checkpoints[job, part] = progress
+        if self._folder is not None:
+            (self._folder / f"checkpoint-{job}-{part}").write_text(str(progress), encoding="utf-8")
+
+    def _load_checkpoint(self, job: JobId, part: int) -> float:
+        if self._folder is None:
+            return self._checkpoints.get((job, part), 0.0)
+        try:
+            path = self._folder / f"checkpoint-{job}-{part}"
+            return float(path.read_text(encoding="utf-8"))
+        except (OSError, ValueError):
+            return 0.0
