Test faults and planned stops with separate processes

features/faults.feature kills, pauses and stops entries and targets while an idempotent and a non-idempotent gang run with a part each on the same two workers, takes the log down and loses its answers. Stand-in workers write what they started and ended to a shared folder, so a test sees double runs that the log's first-finish rule would hide.

The pause test failed at first because the stand-in's timer, which also counts a pause, ended the part at the same moment as the pause; the gang now runs for longer than the pause.

--- a/features/processes.py
+++ b/features/processes.py
@@ -12,6 +12,10 @@
 
 from comfreyshelf.client import Client
 from comfreyshelf.demo import free_address
+from comfreyshelf.ids import Offset
+from comfreyshelf.ledger import Ledger
+from comfreyshelf.log import HttpLog
+from comfreyshelf.records import decode_record
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 60.0
@@ -32,7 +36,14 @@
         """Start the stand-in log."""
         self._start("log", "standin-log", f"[standin]\naddress = {self.log_address}\n")
 
-    def start_entry(self, name: str, zone: str) -> None:
+    def start_runner(self, name: str, delay_s: float) -> str:
+        """Start a stand-in back end; returns its URL."""
+        address = free_address()
+        settings = f"[runner]\naddress = {address}\ndelay_s = {delay_s}\n"
+        self._start(name, "standin-runner", settings)
+        return f"http://{address}/"
+
+    def start_entry(self, name: str, zone: str, more: str = "") -> None:
         """Start an entry on addresses of its own."""
         self.http.setdefault(name, free_address())
         self.pipes.setdefault(name, free_address())
@@ -40,7 +51,7 @@
             name,
             "entry",
             f"[entry]\nname = {name}\nzone = {zone}\nhttp_address = {self.http[name]}\n"
-            f"pipe_address = {self.pipes[name]}\nlog_url = http://{self.log_address}\n",
+            f"pipe_address = {self.pipes[name]}\nlog_url = http://{self.log_address}\n{more}",
         )
 
     def start_target(
@@ -58,9 +69,30 @@
             "target",
             f"[target]\nname = {name}\nzone = {zone}\nrack = {rack}\nentries = {entries}\n"
             f"services = permit\nstatus_interval_s = {status_interval_s}\n"
-            f"shutdown_grace_s = 20\n{more}",
+            f"shutdown_grace_s = 6\nworker_folder = {self._folder}\n{more}",
         )
 
+    def ledger(self) -> Ledger:
+        """The fold of the log as it is now."""
+        log = HttpLog(f"http://{self.log_address}")
+        ledger = Ledger()
+        while items := log.read(ledger.next_offset).items:
+            for offset, data in items:
+                ledger.apply(Offset(offset), decode_record(data))
+        log.close()
+        return ledger
+
+    def parts(self, event: str, job: str) -> list[tuple[int, int, str]]:
+        """Attempt, part and text of each part of a job that `started` or `ended` on a worker."""
+        path = self._folder / f"{event}.txt"
+        lines = path.read_text(encoding="utf-8").splitlines() if path.exists() else []
+        rows = [line.split(" ", 3) for line in lines]
+        return [(int(row[1]), int(row[2]), row[3]) for row in rows if row[0] == job]
+
+    def logged(self, name: str) -> str:
+        """What a process wrote to its output."""
+        return (self._folder / f"{name}.log").read_text(encoding="utf-8")
+
     def client(self, entry: str, key: str) -> Client:
         """A client of one entry, once it is healthy."""
         client = Client(self.http[entry], key)
--- /dev/null
+++ b/features/steps/faults_steps.py
@@ -0,0 +1,268 @@
+"""Steps for faults of separate processes."""
+
+import signal
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.client import Client
+from comfreyshelf.demo import CALLER_KEY
+from comfreyshelf.ids import DomainId, JobId
+from comfreyshelf.ledger import JobEntry
+from features.processes import separate_processes
+from features.steps.job_path_steps import ZONES
+
+DOMAIN = DomainId("litoral")
+WAIT_S = 60.0
+# Cores a part: both gangs together spread over the two workers of the first zone, which have 64
+# cores each, with a part of each gang on either. Targets of the second zone start later, so that a
+# gang can move there.
+GANGS = {"idempotent": 40, "once": 20}
+RUN_S = 8.0
+
+
+def wait_for(what: str, ready: Callable[[], bool]) -> None:
+    until = time.monotonic() + WAIT_S
+    while not ready():
+        assert time.monotonic() < until, f"gave up waiting: {what}"
+        time.sleep(0.1)
+
+
+def owner(context: Context) -> str:
+    return context.processes.ledger().state.domains[DOMAIN].owner
+
+
+def other(name: str) -> str:
+    return "entry-1" if name == "entry-0" else "entry-0"
+
+
+def caller(context: Context, entry: str) -> Client:
+    return context.processes.client(entry, CALLER_KEY)
+
+
+def submit(
+    context: Context, entry: str, key: str, cores: int, idempotent: bool, run_s: float = RUN_S
+) -> str:
+    return caller(context, entry).submit(
+        key=key,
+        service="permit",
+        kind="survey-check",
+        shape={"parts": 2, "accelerators": 2, "cores": cores},
+        declared_s=run_s,
+        idempotent=idempotent,
+        payload=msgspec.json.encode({"run_s": run_s}).decode(),
+    )["id"]
+
+
+def job_entry(context: Context, gang: str) -> JobEntry:
+    return context.processes.ledger().state.jobs[JobId(context.gangs[gang])]
+
+
+def start_gangs(context: Context, names: list[str], run_s: float = RUN_S) -> None:
+    wait_for("claim", lambda: DOMAIN in context.processes.ledger().state.domains)
+    context.owner = owner(context)
+    context.survivor = other(context.owner)
+    context.gangs = {
+        name: submit(context, context.survivor, name, GANGS[name], name == "idempotent", run_s)
+        for name in names
+    }
+    for gang, job in context.gangs.items():
+        wait_for(
+            f"gang {gang} runs", lambda job=job: len(context.processes.parts("started", job)) == 2
+        )
+    start_targets(context, ZONES[1])
+    placements = {name: job_entry(context, name).placements for name in names}
+    shared = set.intersection(
+        *({placement.target for placement in items} for items in placements.values())
+    )
+    context.target = min(shared)
+    context.hit = {
+        name: [item.part for item in items if item.target == context.target]
+        for name, items in placements.items()
+    }
+
+
+def start_all(context: Context, entry: str, target: str) -> None:
+    processes = context.processes
+    context.target_count = 2
+    context.target_settings = target
+    processes.start_log()
+    for index, zone in enumerate(ZONES):
+        processes.start_entry(f"entry-{index}", zone, entry)
+    start_targets(context, ZONES[0])
+
+
+def start_targets(context: Context, zone: str) -> None:
+    for index in range(2):
+        context.processes.start_target(
+            f"{zone}-{index}", zone, f"{zone}-rack", more=context.target_settings
+        )
+
+
+@given("2 entries and 2 targets of one zone as separate processes")
+def start_normal(context: Context) -> None:
+    context.processes = context.stack.enter_context(separate_processes())
+    start_all(context, "", "")
+
+
+@given("2 entries that claim after {silence:d} s of silence and 2 targets with slow back ends")
+def start_slow(context: Context, silence: int) -> None:
+    context.processes = context.stack.enter_context(separate_processes())
+    url = context.processes.start_runner("runner", 4.0)
+    start_all(context, f"claim_after_s = {silence}\n", f"runner_urls = permit={url}\n")
+
+
+@when('a gang "idempotent" and a gang "once" run')
+def run_both(context: Context) -> None:
+    start_gangs(context, ["idempotent", "once"])
+
+
+@when('a gang "idempotent" and a gang "once" run for {seconds:d} seconds')
+def run_both_long(context: Context, seconds: int) -> None:
+    start_gangs(context, ["idempotent", "once"], float(seconds))
+
+
+@when("the owner of the domain is killed")
+def kill_owner(context: Context) -> None:
+    context.processes.kill(context.owner)
+
+
+@when("a target that runs both is killed")
+def kill_target(context: Context) -> None:
+    context.processes.kill(context.target)
+
+
+@when("a target that runs both is paused for {seconds:d} seconds")
+def pause_target(context: Context, seconds: int) -> None:
+    context.processes.signal(context.target, signal.SIGSTOP)
+    time.sleep(seconds)
+    context.processes.signal(context.target, signal.SIGCONT)
+
+
+@when("the owner of the domain is paused past a takeover")
+def pause_owner(context: Context) -> None:
+    context.processes.signal(context.owner, signal.SIGSTOP)
+    wait_for("takeover", lambda: owner(context) == context.survivor)
+    context.processes.signal(context.owner, signal.SIGCONT)
+
+
+def set_faults(context: Context, query: str) -> None:
+    url = f"http://{context.processes.log_address}/faults?{query}"
+    assert urllib3.request("GET", url).status == 200
+
+
+@when("the log is down for {seconds:d} seconds")
+def log_down(context: Context, seconds: int) -> None:
+    set_faults(context, "down=yes")
+    time.sleep(seconds)
+    set_faults(context, "down=no")
+
+
+@when("the next {count:d} answers of the log are lost")
+def lose_answers(context: Context, count: int) -> None:
+    set_faults(context, f"lost_answers={count}")
+
+
+@when("a target that runs both gets SIGTERM")
+def terminate_target(context: Context) -> None:
+    context.stopped = context.target
+    context.status = context.processes.stop(context.target)
+
+
+@when('a slow request and a gang "idempotent" run through the owner of the domain')
+def run_slow(context: Context) -> None:
+    start_gangs(context, ["idempotent"])
+    client = caller(context, context.owner)
+    context.answers = []
+    context.request = threading.Thread(
+        target=lambda: context.answers.append(client.request("permit", b"slow"))
+    )
+    context.request.start()
+    time.sleep(1.0)
+
+
+@when("the owner of the domain gets SIGTERM")
+def terminate_owner(context: Context) -> None:
+    context.stopped = context.owner
+    context.processes.signal(context.owner, signal.SIGTERM)
+
+
+@then("another entry owns the domain although silence alone allows no claim yet")
+def handed_over(context: Context) -> None:
+    wait_for("handover", lambda: owner(context) == context.survivor)
+
+
+@then("the slow request is answered whole")
+def slow_answered(context: Context) -> None:
+    context.request.join(WAIT_S)
+    assert context.answers == [b"wols"], context.answers
+
+
+@then("the stopped process exits cleanly with nothing cut")
+def clean_exit(context: Context) -> None:
+    if context.stopped == context.owner:
+        context.status = context.processes.stop(context.owner)
+    assert context.status == 0, context.status
+    assert "did not end" not in context.processes.logged(context.stopped)
+
+
+def check_finished(context: Context, gang: str) -> None:
+    client = caller(context, context.survivor)
+    job = context.gangs[gang]
+    view = client.job(job, wait_s=WAIT_S)
+    assert view["state"] == "finished", view
+    assert client.result(job).count(b";") == 2
+
+
+@then('gang "{gang}" finishes with the whole result')
+def gang_finishes(context: Context, gang: str) -> None:
+    check_finished(context, gang)
+
+
+@then("both gangs finish with the whole result")
+def both_finish(context: Context) -> None:
+    for gang in GANGS:
+        check_finished(context, gang)
+
+
+@then("a further gang through the resumed entry finishes with the whole result")
+def further_gang(context: Context) -> None:
+    context.gangs["further"] = submit(context, context.owner, "further", 2, True)
+    check_finished(context, "further")
+
+
+@then('gang "{gang}" ends as "{state}"')
+def gang_ends(context: Context, gang: str, state: str) -> None:
+    view = caller(context, context.survivor).job(context.gangs[gang], wait_s=WAIT_S)
+    assert view["state"] == state, view
+
+
+@then('gang "{gang}" started once')
+def started_once(context: Context, gang: str) -> None:
+    rows = context.processes.parts("started", context.gangs[gang])
+    assert sorted(part for _, part, _ in rows) == [0, 1], rows
+
+
+@then("no part runs beside a newer attempt of its job")
+def old_parts_stopped(context: Context) -> None:
+    for gang, parts in context.hit.items():
+        job = context.gangs[gang]
+        started = [attempt for attempt, _, _ in context.processes.parts("started", job)]
+        assert started == sorted(started), f"an old attempt started late: {started}"
+        ended = context.processes.parts("ended", job)
+        for part in parts:
+            assert (1, part, "stopped") in ended, f"part {part} was not stopped: {ended}"
+
+
+@then("every later attempt goes on from a checkpoint")
+def from_checkpoint(context: Context) -> None:
+    for job in context.gangs.values():
+        rows = context.processes.parts("started", job)
+        later = [text for attempt, _, text in rows if attempt > 1]
+        assert len(later) == 2, rows
+        assert all(float(text.split()[1]) > 0 for text in later), rows
