Send results to a new owner at once and ignore replaced targets

- Results that were sent to an owner that died were repeated after 5 s; a new owner now gets them with its first Welcome.
- An older process of a target that goes on after a pause, while its replacement runs, was taken for a restart: the owner counted the new one's parts as lost, and the old one got a lease.
The hub drops statuses of an older incarnation while a newer one is connected.
- A target closed its pipes as soon as it was empty, so a request sent in the same moment was lost instead of refused; it waits 0.5 s.

--- a/comfreyshelf/agent.py
+++ b/comfreyshelf/agent.py
@@ -234,6 +234,13 @@
         self._expire(now)
         return actions
 
+    def owner_changed(self, now: float) -> list[Action]:
+        """Send unrecorded results to a new owner, which never got those sent to the old one."""
+        actions = self._check_lease(now)
+        for held in self._held.values():
+            actions += self._resend(held, now)
+        return actions
+
     def begin_stop(self, now: float, grace_s: float) -> list[Action]:
         """Refuse new work from now on.
 
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -41,6 +41,7 @@
 # Limits usage reports to 64 a round, about 8 KB each `usage_interval_s`.
 MAX_USAGE_REPORTS = 64
 METRICS_THREADS = 2
+STOP_LINGER_S = 0.5
 REFUSALS = frozenset(reason.value for reason in RefusalReason)
 
 
@@ -168,7 +169,7 @@
         before = self._shown()
         actions = self.agent.handle(message.message, now, message.address)
         if isinstance(message.message, Welcome):
-            self._on_welcome(message.address, message.message)
+            actions += self._on_welcome(message.address, message.message, now)
         self._carry_out(actions, message.address)
         if before != self._shown():
             self._send_status(now)
@@ -178,14 +179,18 @@
         agent = self.agent
         return (agent.domain, agent.epoch, agent.version, agent.leaving, self._owner)
 
-    def _on_welcome(self, address: str, message: Welcome) -> None:
-        if message.owner and message.epoch == self.agent.epoch and self._owner != address:
+    def _on_welcome(self, address: str, message: Welcome, now: float) -> list[Action]:
+        current = (message.domain, message.epoch) == (self.agent.domain, self.agent.epoch)
+        actions: list[Action] = []
+        if message.owner and current and self._owner != address:
             logging.info("entry %s owns domain %s", message.entry, message.domain)
             self._owner = address
+            actions = self.agent.owner_changed(now)
         for entry in message.entries:
             self._link(entry)
         if message.entries and message.version == self.agent.version:
             self._drop_links({*message.entries, *self._cfg.entries})
+        return actions
 
     def _drop_links(self, wanted: set[str]) -> None:
         """Close links to entries that left.
@@ -308,6 +313,8 @@
         """Drain within the grace time, then stop all services."""
         if not self.task.drain(self._cfg.shutdown_grace_s):
             logging.warning("target %s stops with work that did not end", self._cfg.name)
+        # Requests sent before the entries saw that the target leaves are still refused, not lost.
+        time.sleep(STOP_LINGER_S)
         self.kernel.stop()
         logging.info("target %s stopped", self._cfg.name)
 
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -37,6 +37,7 @@
         self._receive = receive
         self._lock = threading.Lock()
         self._pipes: dict[TargetId, pynng.Pipe] = {}
+        self._incarnations: dict[TargetId, int] = {}
         self._targets: dict[int, TargetId] = {}
         self._socket: pynng.Pair1 | None = None
 
@@ -99,18 +100,31 @@
         except RecordError:
             self._metrics.count("message_damaged")
             return
-        if isinstance(message, Status):
-            self._learn(message.worker.target, received.pipe)
+        if isinstance(message, Status) and not self._learn(message, received.pipe):
+            self._metrics.count("status_of_old_incarnation")
+            return
         target = self._targets.get(received.pipe.id)
         if target is None:
             self._metrics.count("message_before_status")
             return
         self._receive(target, message)
 
-    def _learn(self, target: TargetId, pipe: pynng.Pipe) -> None:
+    def _learn(self, status: Status, pipe: pynng.Pipe) -> bool:
+        """Take the pipe of a status; False while a newer incarnation of the target is connected.
+
+        A replaced target may go on after a pause. It must neither be taken for the new one nor get
+        a lease, so that it stops what it runs.
+        """
+        target = status.worker.target
+        incarnation = status.worker.incarnation
         with self._lock:
+            if target in self._pipes and incarnation < self._incarnations[target]:
+                self._targets.pop(pipe.id, None)
+                return False
             self._pipes[target] = pipe
+            self._incarnations[target] = incarnation
             self._targets[pipe.id] = target
+        return True
 
     def _on_removed(self, pipe: pynng.Pipe) -> None:
         with self._lock:
@@ -118,6 +132,7 @@
             known = self._pipes.get(target) if target is not None else None
             if target is not None and known is not None and known.id == pipe.id:
                 del self._pipes[target]
+                del self._incarnations[target]
 
 
 class Link(Poller):
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -85,6 +85,18 @@
       | 10 | forget a          |                               |
       | 11 | stop a            | absent, may have started      |
 
+  Scenario: A new owner gets the results that are not recorded
+    # Guards against a finished job that waits for the next repetition after a takeover.
+    When these events reach a target whose lease lasts until 1000 s
+      | at | event            | actions         |
+      | 1  | reserve a        | reserved        |
+      | 1  | commit a         | start 1         |
+      | 2  | end a finished   | report finished |
+      | 3  | welcome epoch=2  |                 |
+      | 3  | owner            | report finished |
+      | 4  | forget a epoch=2 |                 |
+      | 5  | owner            |                 |
+
   Scenario: Shutdown checkpoints what can be moved and leaves the rest to end
     # Guards against parts that are cut when the process exits.
     When these events reach a target whose lease lasts until 1000 s
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -99,6 +99,8 @@
     match kind:
         case "tick":
             return agent.tick(now)
+        case "owner":
+            return agent.owner_changed(now)
         case "begin_stop":
             return agent.begin_stop(now, args["grace"])
         case "end":
--- a/features/steps/worker_steps.py
+++ b/features/steps/worker_steps.py
@@ -12,12 +12,15 @@
 
 from comfreyshelf.demo import free_address
 from comfreyshelf.ids import Attempt, Epoch, JobId, TargetId
+from comfreyshelf.messages import Status
+from comfreyshelf.metrics import Metrics
 from comfreyshelf.model import Job, PartState, Placement
 from comfreyshelf.runner import HttpRunner, RunnerStandin
 from comfreyshelf.settings import RunnerStandinSettings, TargetSettings
 from comfreyshelf.target import FromEntry, Target
+from comfreyshelf.transport import Hub, Link
 from comfreyshelf.worker import PartExit, StandinWorker, WorkerFault
-from features.steps.agent_steps import reserve
+from features.steps.agent_steps import new_agent, reserve
 
 PLACEMENT = Placement(0, TargetId("target-0"), 1)
 FIRST = Attempt(1)
@@ -137,3 +140,26 @@
 
 def read_metrics(address: str) -> str:
     return urllib3.request("GET", f"http://{address}/metrics").data.decode()
+
+
+@then("an entry drops the statuses of an old incarnation while the new one is connected")
+def drops_old_incarnation(context: Context) -> None:
+    address = free_address()
+    received: queue.Queue[Status] = queue.Queue()
+    hub = Hub(address, Metrics(), lambda _, message: received.put(message))
+    links = [Link(address, Metrics(), lambda _, message: None) for _ in range(2)]
+    for service in (hub, *links):
+        service.start()
+        context.stack.callback(service.stop)
+    status = new_agent(6.0).status(0.0)
+    seen = []
+    for link, incarnation in ((links[0], 1), (links[1], 2), (links[0], 1), (links[1], 2)):
+        info = msgspec.structs.replace(status.worker, incarnation=incarnation)
+        while not link.send(msgspec.structs.replace(status, worker=info)):
+            time.sleep(0.05)
+        if len(seen) != 2 or link is links[1]:
+            seen.append(received.get(timeout=10.0).worker.incarnation)
+        else:
+            # Lets the old status arrive first; if it comes later it cannot fail the test.
+            time.sleep(0.3)
+    assert seen == [1, 2, 2], seen
--- a/features/worker.feature
+++ b/features/worker.feature
@@ -1,4 +1,4 @@
-Feature: The stand-in worker, runners over HTTP and the metrics of a target process
+Feature: Stand-in workers, runners over HTTP, pipes and metrics of a target process
 
   Scenario: A stopped part goes on from its checkpoint on another worker
     # Guards against a move that loses the work done before it.
@@ -22,3 +22,7 @@
   Scenario: A target process shows its metrics at the address in its settings
     # Guards against counters of the target's refusals that nobody can read.
     Then a target process with a metrics address shows there that it refused a message
+
+  Scenario: A replaced target that goes on is not taken for the new one
+    # Guards against a lease for the old process, and against parts of the new one taken for lost.
+    Then an entry drops the statuses of an old incarnation while the new one is connected
