--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -37,6 +37,7 @@
 from comfreyshelf.ledger import Ledger, Verdict
 from comfreyshelf.messages import (
     AnyMessage,
+    AttemptAbsent,
     Commit,
     Forget,
     PartReport,
@@ -51,7 +52,7 @@
     UsageReport,
     Welcome,
 )
-from comfreyshelf.model import Job, JobState
+from comfreyshelf.model import Job, JobState, PartState
 from comfreyshelf.reasons import RefusalReason, RetryReason
 from comfreyshelf.records import (
     AnyBody,
@@ -60,6 +61,7 @@
     ConfigPublished,
     DomainClaimed,
     DomainRenewed,
+    EntryDown,
     EntryUp,
     JobAccepted,
     JobFinished,
@@ -184,6 +186,7 @@
         self._zones: dict[TargetId, ZoneId] = {}
         self._renewal_seen: dict[DomainId, float] = {}
         self._claiming: dict[DomainId, float] = {}
+        self._released: set[DomainId] = set()
         self._log_up = False
         self._log_up_since = 0.0
         self._announced_at = float("-inf")
@@ -263,7 +266,8 @@
             entry = self._ledger.state.domains.get(domain)
             epoch = entry.epoch if entry else Epoch(0)
             since = max(self._renewal_seen.get(domain, 0.0), self._log_up_since)
-            if epoch and now - since < self._cfg.claim_after_s:
+            held = epoch and domain not in self._released
+            if held and now - since < self._cfg.claim_after_s:
                 continue
             self._claiming[domain] = now + self._cfg.claim_after_s
             body = DomainClaimed(domain, Epoch(epoch + 1), epoch, self._entry)
@@ -304,6 +308,7 @@
             del owned.queued_since[job_id]
 
     def _on_claim(self, record: Record, body: DomainClaimed, now: float) -> None:
+        self._released.discard(body.domain)
         self._renewal_seen[body.domain] = now
         if record.writer != self._writer:
             if self.domains.pop(body.domain, None) is not None:
@@ -352,6 +357,8 @@
                 self._on_claim(record, body, now)
             case DomainRenewed():
                 self._renewal_seen[body.domain] = now
+            case EntryDown():
+                self._on_entry_down(body)
             case ConfigPublished():
                 self._on_config(now)
             case JobAccepted():
@@ -365,6 +372,11 @@
                 for job in body.jobs:
                     self._close(job, None, now)
 
+    def _on_entry_down(self, body: EntryDown) -> None:
+        """An entry that left no longer renews its domains, so they are claimed without waiting."""
+        domains = self._ledger.state.domains.items()
+        self._released |= {name for name, entry in domains if entry.owner == body.entry}
+
     def _on_config(self, now: float) -> None:
         # The next tick announces the version, so that operators can read back where it is in force.
         self._announced_at = float("-inf")
@@ -413,10 +425,29 @@
             return
         if isinstance(message, ReserveAnswer) and message.reason is not None:
             self._emit(Refused(message.reason))
+        if isinstance(message, AttemptAbsent):
+            self._on_absent(owned, message, now)
+            return
         event = _event_of(target, message)
         if event is not None:
             self._feed(owned, event, now)
 
+    def _on_absent(self, owned: OwnedDomain, message: AttemptAbsent, now: float) -> None:
+        gang = owned.scheduler.gangs.get(message.job)
+        if gang is None or gang.attempt != message.attempt:
+            return
+        for part in gang.on(message.target):
+            if part.state is None:
+                event = PartEnded(
+                    message.job,
+                    message.attempt,
+                    part.placement.part,
+                    message.target,
+                    PartState.STOPPED,
+                    started=message.started,
+                )
+                self._feed(owned, event, now)
+
     def _on_status(self, status: Status, now: float) -> None:
         target = status.worker.target
         self._zones[target] = status.worker.zone
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -1,6 +1,7 @@
 """pynng pipes between entries and target processes."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import pynng
@@ -12,7 +13,10 @@
 from comfreyshelf.tasks import Poller
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-_POLL_MS = 200
+# Closing a socket wakes its receiver; the limit only bounds how long a missed wake-up lasts.
+_POLL_MS = 5000
+# nng sends in the background and drops what is unsent when a socket closes.
+_LINGER_S = 0.1
 _SEND_TIMEOUT_MS = 500
 _BUFFERED_MESSAGES = 256
 
@@ -33,6 +37,7 @@
         self._receive = receive
         self._lock = threading.Lock()
         self._pipes: dict[TargetId, pynng.Pipe] = {}
+        self._incarnations: dict[TargetId, int] = {}
         self._targets: dict[int, TargetId] = {}
         self._socket: pynng.Pair1 | None = None
 
@@ -51,10 +56,12 @@
         super().start()
 
     def stop(self) -> None:
-        """End the thread and close the socket."""
-        super().stop()
+        """Let the last messages leave, close the socket, and end the thread."""
+        self._stopping.set()
         if self._socket is not None:
+            time.sleep(_LINGER_S)
             self._socket.close()
+        super().stop()
 
     def targets(self) -> list[TargetId]:
         """Targets with an open pipe."""
@@ -93,18 +100,31 @@
         except RecordError:
             self._metrics.count("message_damaged")
             return
-        if isinstance(message, Status):
-            self._learn(message.worker.target, received.pipe)
+        if isinstance(message, Status) and not self._learn(message, received.pipe):
+            self._metrics.count("status_of_old_incarnation")
+            return
         target = self._targets.get(received.pipe.id)
         if target is None:
             self._metrics.count("message_before_status")
             return
         self._receive(target, message)
 
-    def _learn(self, target: TargetId, pipe: pynng.Pipe) -> None:
+    def _learn(self, status: Status, pipe: pynng.Pipe) -> bool:
+        """Take the pipe of a status; False while a newer incarnation of the target is connected.
+
+        A replaced target may go on after a pause. It must neither be taken for the new one nor get
+        a lease, so that it stops what it runs.
+        """
+        target = status.worker.target
+        incarnation = status.worker.incarnation
         with self._lock:
+            if target in self._pipes and incarnation < self._incarnations[target]:
+                self._targets.pop(pipe.id, None)
+                return False
             self._pipes[target] = pipe
+            self._incarnations[target] = incarnation
             self._targets[pipe.id] = target
+        return True
 
     def _on_removed(self, pipe: pynng.Pipe) -> None:
         with self._lock:
@@ -112,6 +132,7 @@
             known = self._pipes.get(target) if target is not None else None
             if target is not None and known is not None and known.id == pipe.id:
                 del self._pipes[target]
+                del self._incarnations[target]
 
 
 class Link(Poller):
@@ -133,6 +154,7 @@
             recv_timeout=_POLL_MS,
             send_timeout=_SEND_TIMEOUT_MS,
             recv_max_size=MAX_MESSAGE_BYTES,
+            send_buffer_size=_BUFFERED_MESSAGES,
             reconnect_time_min=100,
             reconnect_time_max=1000,
         )
@@ -140,19 +162,26 @@
         super().start()
 
     def stop(self) -> None:
-        """End the thread and close the socket."""
-        super().stop()
+        """Let the last messages leave, close the socket, and end the thread."""
+        self._stopping.set()
         if self._socket is not None:
+            time.sleep(_LINGER_S)
             self._socket.close()
+        super().stop()
+
+    @property
+    def connected(self) -> bool:
+        """Whether the pipe is up."""
+        return self._socket is not None and bool(self._socket.pipes)
 
     def send(self, message: AnyMessage) -> bool:
         """Send a message; False if the pipe is down."""
-        assert self._socket is not None
-        if not self._socket.pipes:
+        if self._socket is None or not self.connected:
             return False
         data = encode_message(message)
         try:
-            self._socket.send(data)
+            # A paused entry must not block the target's only task, so a full pipe is a failure.
+            self._socket.send(data, block=False)
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
             return False
--- a/comfreyshelf/ui/daemons.py
+++ b/comfreyshelf/ui/daemons.py
@@ -10,7 +10,14 @@
 from comfreyshelf.entry import Entry, StopFlag, wait_for_stop
 from comfreyshelf.kernel import Service
 from comfreyshelf.logs import LogFormat, configure
-from comfreyshelf.settings import EntrySettings, StandinSettings, TargetSettings, load_settings
+from comfreyshelf.runner import RunnerStandin
+from comfreyshelf.settings import (
+    EntrySettings,
+    RunnerStandinSettings,
+    StandinSettings,
+    TargetSettings,
+    load_settings,
+)
 from comfreyshelf.standin import LogStandin
 from comfreyshelf.target import Target
 
@@ -23,6 +30,7 @@
     app.command("entry")(run_entry)
     app.command("target")(run_target)
     app.command("standin-log")(run_standin)
+    app.command("standin-runner")(run_standin_runner)
     app.command("demo")(demo)
 
 
@@ -54,6 +62,15 @@
     _run(LogStandin(cfg))
 
 
+def run_standin_runner(
+    settings: SettingsPath, log_format: LogFormatOption = LogFormat.TEXT
+) -> None:
+    """Run the stand-in for a back end until SIGTERM."""
+    cfg = load_settings(settings, "runner", RunnerStandinSettings)
+    configure("standin-runner", log_format)
+    _run(RunnerStandin(cfg))
+
+
 def demo() -> None:
     """Run the main job on loopback and print what happened."""
     run_demo()
