Replan after gained capacity and give up unneeded rests of used cells

Changes: other cells also move after a gain, jobs that lost their cell may be preempted again, rests of used cells are given up for an unused guarantee after a loss, and a resumed cell never covers other firm work.

--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -25,13 +25,15 @@
 class Cell(msgspec.Struct):
     """The accelerators kept for one guarantee.
 
-    `job` uses the cell or, while `reclaiming`, waits for borrowed work in it to stop.
+    `job` uses the cell or, while `reclaiming`, waits for borrowed work in it to stop. `used` are
+    the placements of a job that uses the cell.
     """
 
     guarantee: Guarantee
     placements: Placements
     job: JobId | None = None
     reclaiming: bool = False
+    used: Placements = ()
 
     @property
     def key(self) -> CellKey:
@@ -91,10 +93,14 @@
     Cells never overlap each other or firm work outside them, so the plan shows that all unused
     guaranteed shapes fit into free and preemptible accelerators at the same time. A cell whose job
     is smaller keeps the rest of the shape, because the whole is unused again when the job ends.
+    Only after a loss of capacity is such a rest given up for an unused guarantee.
+
+    `detached` names running jobs that lost their cell; other work may preempt them again.
     """
 
     def __init__(self, topology: Topology, counters: Counter[str]) -> None:
         self.cells: dict[CellKey, Cell] = {}
+        self.detached: list[JobId] = []
         self._topology = topology
         self._counters = counters
         self._guarantees: dict[CellKey, Guarantee] = {}
@@ -125,7 +131,7 @@
             self._by_organisation.setdefault(guarantee.organisation, []).append(guarantee)
         self._missing = wanted.keys() - self.cells.keys()
         self._reported &= wanted.keys()
-        self._capacity_lost()
+        self._replan()
 
     def withdraw(self, targets: frozenset[TargetId]) -> None:
         """Plan no unused cell on these targets; used cells stay until their job ends."""
@@ -133,7 +139,7 @@
             return
         added = targets - self._withdrawn
         self._withdrawn = targets
-        self._stale = True
+        self._replan()
         for target in added:
             for key in list(self._by_target.get(target, ())):
                 cell = self.cells[key]
@@ -146,8 +152,9 @@
             self._miss(key)
 
     def capacity_gained(self) -> None:
-        """Try missing cells again at the next decision."""
-        self._stale = bool(self._missing) or self._stale
+        """Try missing cells again at the next decision or tick, and move others for them."""
+        if self._missing:
+            self._replan()
 
     def evict(self, target: TargetId, mask: int) -> None:
         """Plan anew the unused cells that firm work of an earlier owner stands on."""
@@ -207,13 +214,14 @@
             placements = self._displace(job)
         return Decision(placements)
 
-    def start(self, job: JobId, key: CellKey) -> None:
-        """The job starts inside the cell."""
+    def start(self, job: JobId, key: CellKey, placements: Placements) -> None:
+        """The job starts at `placements` inside the cell."""
         cell = self.cells[key]
         if cell.reclaiming:
             self._hold(cell, False)
             cell.reclaiming = False
         cell.job = job
+        cell.used = placements
         self._by_job[job] = key
 
     def release(self, job: JobId) -> None:
@@ -226,7 +234,10 @@
             self._hold(cell, False)
             cell.reclaiming = False
         cell.job = None
-        if any(placement.target in self._withdrawn for placement in cell.placements):
+        cell.used = ()
+        self.capacity_gained()
+        withdrawn = any(placement.target in self._withdrawn for placement in cell.placements)
+        if withdrawn or not _has_shape(cell.placements, cell.guarantee.shape):
             self._miss(key)
 
     def use_of(self, job: JobId) -> CellUse | None:
@@ -234,10 +245,11 @@
         key = self._by_job.get(job)
         return None if key is None else CellUse(key[1], self.cells[key].placements)
 
-    def adopt(self, job: Job, use: CellUse) -> bool:
+    def adopt(self, job: Job, use: CellUse, placements: Placements) -> bool:
         """Let a job that an earlier owner started occupy its cell again.
 
-        Returns False if the guarantee has changed since, or if other work uses the cell.
+        Only the job's own accelerators stay in the cell if the rest was given up meanwhile.
+        Returns False if the guarantee has changed since or is in use.
         """
         key = (job.organisation, use.index)
         guarantee = self._guarantees.get(key)
@@ -246,18 +258,19 @@
         cell = self.cells.get(key)
         if cell is not None and cell.job is not None and not cell.reclaiming:
             return False
-        if any(other.job is not None for other in self._overlapped(use.placements)):
-            return False
         if cell is not None:
             self._miss(key)
-        for placement in use.placements:
+        kept = use.placements if self._is_kept(use.placements, placements) else placements
+        for placement in kept:
             self.evict(placement.target, placement.mask)
-        self._put(Cell(guarantee, use.placements, job.id))
+        for other in self._overlapped(kept):
+            self._move(other, other.used)
+        self._put(Cell(guarantee, kept, job.id, used=placements))
         self._by_job[job.id] = key
         return True
 
     def refresh(self) -> None:
-        """Plan what is missing; after a loss of capacity also move other unused cells."""
+        """Plan what is missing; where that fails, also move other unused cells."""
         if not self._stale:
             return
         self._stale = False
@@ -265,6 +278,7 @@
             self._plan(guarantee)
         if self._missing and self._replan_all:
             self._plan_all()
+            self._give_up_rests()
         self._replan_all = False
         for key in self._missing - self._reported:
             self._counters["guarantee_lost"] += 1
@@ -444,6 +458,18 @@
                 return False
         return True
 
+    def _is_kept(self, cell: Placements, used: Placements) -> bool:
+        """Whether no other firm work and no other used cell stands in a resumed cell."""
+        if any(other.used for other in self._overlapped(cell)):
+            return False
+        for placement in cell:
+            own = 0
+            for part in used:
+                own |= part.mask if part.target == placement.target else 0
+            if self._topology.workers[placement.target].firm & placement.mask & ~own:
+                return False
+        return True
+
     def _is_excluded(self, placements: Placements) -> bool:
         return any(placement.target in self._topology.excluded for placement in placements)
 
@@ -475,6 +501,23 @@
         for cell in unused:
             self._put(cell)
 
+    def _give_up_rests(self) -> None:
+        """Plan missing cells on what used cells keep beyond their jobs."""
+        if not self._missing:
+            return
+        whole = [
+            (cell, cell.placements)
+            for cell in self.cells.values()
+            if cell.used and cell.used != cell.placements
+        ]
+        for cell, _ in whole:
+            self._move(cell, cell.used)
+        for guarantee in self._missing_guarantees():
+            self._plan(guarantee)
+        for cell, placements in whole:
+            if self._overlapped(placements) == [cell]:
+                self._move(cell, placements)
+
     def _trial(self, guarantees: list[Guarantee]) -> list[Guarantee]:
         """Plan guarantees on top of the present cells, undo it, and return what did not fit."""
         planned: list[Placement] = []
@@ -490,14 +533,14 @@
             self._topology.set_cell(placement.target, placement.mask, False)
         return lost
 
-    def _capacity_lost(self) -> None:
+    def _replan(self) -> None:
         self._stale = True
         self._replan_all = True
 
     def _miss(self, key: CellKey) -> None:
         self._drop(key)
         self._missing.add(key)
-        self._capacity_lost()
+        self._replan()
 
     def _drop(self, key: CellKey) -> None:
         cell = self.cells[key]
@@ -505,6 +548,8 @@
             self._hold(cell, False)
         if cell.job is not None:
             self._by_job.pop(cell.job, None)
+            if not cell.reclaiming:
+                self.detached.append(cell.job)
         self._remove(cell)
 
     def _move(self, cell: Cell, placements: Placements) -> None:
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -238,14 +238,28 @@
         if any(place.target not in self.topology.workers for place in use.placements):
             return
         del self._resumed[gang.job.id]
-        if not self.plan.adopt(gang.job, use) or gang.firm:
+        placements = tuple(part.placement for part in gang.parts)
+        if self.plan.adopt(gang.job, use, placements):
+            self._set_firm(gang, True)
+
+    def _set_firm(self, gang: Gang, firm: bool) -> None:
+        if gang.firm == firm:
             return
-        gang.firm = True
+        gang.firm = firm
         shape = gang.job.shape
         for part in gang.parts:
             if part.state is None:
                 place = part.placement
-                self.topology.make_firm(place.target, place.mask, shape.cores, shape.memory_gb)
+                self.topology.set_firm(place.target, place.mask, shape.cores, shape.memory_gb, firm)
+
+    def _loosen_detached(self) -> None:
+        """Let others reclaim preemptible jobs whose guarantee has changed or moved."""
+        for job in self.plan.detached:
+            gang = self.gangs.get(job)
+            if gang is not None and gang.job.preemptible:
+                self._set_firm(gang, False)
+                self.plan.capacity_gained()
+        self.plan.detached.clear()
 
     def _on_job_closed(self, job: JobId, now: float) -> None:
         self.queue.remove(job)
@@ -262,6 +276,7 @@
 
     def _schedule(self, now: float) -> None:
         self._exclude(now)
+        self._loosen_detached()
         for job in list(self.queue.ordered(now)):
             decision = self._decide(job)
             if decision.placements:
@@ -295,7 +310,7 @@
         self.gangs[job.id] = gang
         self._timed[job.id] = None
         if decision.cell is not None:
-            self.plan.start(job.id, decision.cell)
+            self.plan.start(job.id, decision.cell, decision.placements)
         for part in parts:
             self._take(gang, part)
         for target in gang.targets:
--- a/comfreyshelf/topology.py
+++ b/comfreyshelf/topology.py
@@ -249,17 +249,19 @@
         worker.cores_free += cores
         worker.memory_free_gb += memory_gb
         if firm:
-            worker.firm &= ~mask
-            worker.firm_cores -= cores
-            worker.firm_memory_gb -= memory_gb
+            self._remove_firm(worker, mask, cores, memory_gb)
         self._reindex(worker, before)
 
-    def make_firm(self, target: TargetId, mask: int, cores: int, memory_gb: int) -> None:
-        """Turn used accelerators into firm ones."""
-        worker = self.workers[target]
-        before = self._masks(worker)
-        self._add_firm(worker, mask, cores, memory_gb)
-        self._reindex(worker, before)
+    def set_firm(self, target: TargetId, mask: int, cores: int, memory_gb: int, firm: bool) -> None:
+        """Turn used accelerators into firm ones or back."""
+        worker = self.workers.get(target)
+        if worker is not None:
+            before = self._masks(worker)
+            if firm:
+                self._add_firm(worker, mask, cores, memory_gb)
+            else:
+                self._remove_firm(worker, mask, cores, memory_gb)
+            self._reindex(worker, before)
 
     def set_cell(self, target: TargetId, mask: int, planned: bool) -> None:
         """Add accelerators to the planned cells of a worker or remove them."""
@@ -300,6 +302,12 @@
         worker.firm_cores += cores
         worker.firm_memory_gb += memory_gb
 
+    @staticmethod
+    def _remove_firm(worker: Worker, mask: int, cores: int, memory_gb: int) -> None:
+        worker.firm &= ~mask
+        worker.firm_cores -= cores
+        worker.firm_memory_gb -= memory_gb
+
     @staticmethod
     def _masks(worker: Worker) -> dict[View, int]:
         return {view: worker.mask(view) for view in View}
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -40,7 +40,6 @@
 )
 from comfreyshelf.model import (
     Adjacency,
-    CellUse,
     HeldPart,
     Job,
     PartState,
@@ -94,7 +93,7 @@
         self.open: set[JobId] = set()
         self.parts: dict[tuple[JobId, int], dict[int, tuple[Placement, PartState]]] = {}
         self.stuck: set[JobId] = set()
-        self.cells: dict[tuple[JobId, int], CellUse | None] = {}
+        self.starts: dict[tuple[JobId, int], AttemptStarted] = {}
         self.commands: list[Command] = []
         self.scheduler = Scheduler(DOMAIN, Epoch(1))
         self.configure()
@@ -153,10 +152,9 @@
             if not held:
                 queued.append(JobQueued(self.jobs[job], max(self.attempts(job), default=0)))
                 continue
-            attempt, parts = held[-1]
-            placements = tuple(place for place, _ in parts.values())
-            cell = self.cells.get((job, attempt))
-            resumed.append(JobResumed(self.jobs[job], attempt, placements, cell))
+            attempt, _ = held[-1]
+            start = self.starts[(job, attempt)]
+            resumed.append(JobResumed(self.jobs[job], attempt, start.placements, start.cell))
         for worker in self.workers.values():
             parts = tuple(
                 HeldPart(job, attempt, part, place.mask, state)
@@ -197,7 +195,7 @@
             case StopParts() if not command.checkpoint or command.job not in self.stuck:
                 yield from self.stop(command)
             case AppendRecord(body=AttemptStarted() as body):
-                self.cells[(body.job, body.attempt)] = body.cell
+                self.starts[(body.job, body.attempt)] = body
                 yield StartRecorded(body.job, body.attempt, True)
             case AppendRecord(body=JobFinished() as body):
                 self.open.discard(body.job)
