Drain leaving targets and explain what holds them

Preemptible gangs on a leaving target are checkpointed only when they have room elsewhere, which is held until they start; a gang in a guarantee claims its new cell first, so guarantees leave one at a time. drain.explain returns typed holders and names guarantees that scrapping would cost. A gang whose last part finishes before its preemption arrives is recorded as finished; before, it was queued again, or ended as may-have-run if it was not idempotent. Ruled out: cutting drain checkpoints of non-idempotent work, because nobody waits for that target.

--- /dev/null
+++ b/comfreyshelf/drain.py
@@ -0,0 +1,206 @@
+"""The steps of a target's drain, and what still keeps the target in service."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from comfreyshelf.config import Config
+from comfreyshelf.gangs import Gang, GangTable, Phase
+from comfreyshelf.guarantees import CellPlan
+from comfreyshelf.ids import JobId, OrganisationId, ServiceId, TargetId
+from comfreyshelf.messages import RunnerLoad
+from comfreyshelf.model import HeldPart, Job, PartState, Shape
+from comfreyshelf.placement import Placements, Placer
+from comfreyshelf.topology import Topology, View
+
+# Gangs considered in one pass, so that scrapping many targets does not delay other decisions.
+GANGS_PER_PASS = 64
+
+
+class Drain:
+    """Moves preemptible gangs off leaving targets, each only when it has room elsewhere.
+
+    The room of a moving gang is held until the gang starts there. A gang that uses a guarantee
+    first gets a new cell, so the guarantees of an organisation leave a target one at a time and
+    never without a replacement. A gang without room elsewhere finishes where it is.
+    """
+
+    def __init__(self, topology: Topology, plan: CellPlan, gangs: GangTable) -> None:
+        self._topology = topology
+        self._plan = plan
+        self._gangs = gangs
+        self._rooms: dict[JobId, Placements] = {}
+        self._position = 0
+
+    def next_moves(self, leaving: Iterable[TargetId], placer: Placer) -> list[Gang]:
+        """Gangs to checkpoint and stop now; the topology already excludes the leaving targets."""
+        staying = {
+            gang.job.id: gang
+            for target in sorted(leaving)
+            for gang in self._gangs.on_target(target)
+            if gang.phase is Phase.RUNNING and gang.job.preemptible
+        }
+        jobs = list(staying)
+        first = self._position % max(1, len(jobs))
+        self._position = first + GANGS_PER_PASS
+        considered = (jobs[first:] + jobs[:first])[:GANGS_PER_PASS]
+        return [staying[job] for job in considered if self._make_room(staying[job], placer)]
+
+    def take_room(self, job: Job) -> Placements:
+        """The room held for a gang that has stopped, or an empty tuple; it is held no longer."""
+        placements = self._rooms.get(job.id, ())
+        self.forget(job.id)
+        parts = Counter(placement.target for placement in placements)
+        for placement in placements:
+            worker = self._topology.workers.get(placement.target)
+            if worker is None or worker.excluded or placement.mask & ~worker.free:
+                return ()
+            count = parts[placement.target]
+            cores, memory_gb = worker.room(View.BORROW)
+            if cores < count * job.shape.cores or memory_gb < count * job.shape.memory_gb:
+                return ()
+        return placements
+
+    def forget(self, job: JobId) -> None:
+        """Hold no room for a job any more."""
+        for placement in self._rooms.pop(job, ()):
+            self._topology.set_held(placement.target, placement.mask, False)
+
+    def _make_room(self, gang: Gang, placer: Placer) -> bool:
+        if any(part.state is not None for part in gang.parts):
+            return False
+        if self._plan.uses_cell(gang.job.id):
+            return self._plan.relocate(gang.job, self._gangs)
+        placements = placer.place(gang.job.shape, self._topology, View.OPEN)
+        if not placements:
+            return False
+        self._rooms[gang.job.id] = placements
+        for placement in placements:
+            self._topology.set_held(placement.target, placement.mask, True)
+        return True
+
+
+class Holder(msgspec.Struct, frozen=True, tag=True):
+    """Base of what keeps a target in service."""
+
+
+class HeldByJob(Holder, frozen=True, tag=True):
+    """A job with `parts` parts on the target; a job that is not preemptible finishes there."""
+
+    job: JobId
+    organisation: OrganisationId
+    parts: int
+    preemptible: bool
+    stopping: bool
+
+
+class HeldByResult(Holder, frozen=True, tag=True):
+    """The target keeps results of a job until the log has them."""
+
+    job: JobId
+    parts: int
+
+
+class HeldByRequests(Holder, frozen=True, tag=True):
+    """Requests that the target's runner of a service has not answered yet."""
+
+    service: ServiceId
+    running: int
+    waiting: int
+
+
+class HeldByGuarantee(Holder, frozen=True, tag=True):
+    """A guaranteed shape that does not fit into the domain without the target."""
+
+    organisation: OrganisationId
+    shape: Shape
+
+
+class HeldByService(Holder, frozen=True, tag=True):
+    """The target has the last healthy runner of a service that others depend on."""
+
+    service: ServiceId
+    dependents: tuple[ServiceId, ...]
+
+
+class DrainView(msgspec.Struct, frozen=True):
+    """What holds a target. Of a target in service it tells what scrapping it would affect."""
+
+    target: TargetId
+    leaving: bool
+    holders: tuple[Holder, ...]
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing on the target itself is left; a lost guarantee does not stop it."""
+        kept = (HeldByJob, HeldByResult, HeldByRequests)
+        return not any(isinstance(holder, kept) for holder in self.holders)
+
+
+def explain(
+    target: TargetId,
+    config: Config,
+    parts: Iterable[HeldPart],
+    runners: Mapping[TargetId, Iterable[RunnerLoad]],
+    gangs: GangTable,
+    plan: CellPlan,
+) -> DrainView:
+    """Tell what keeps a target in service.
+
+    `parts` are those of the target's newest status; `runners` are the loads of all targets.
+    """
+    holders: list[Holder] = []
+    holders += _jobs(target, gangs)
+    holders += _results(parts)
+    holders += _requests(runners.get(target, ()))
+    holders += [HeldByGuarantee(item.organisation, item.shape) for item in plan.lost_to(target)]
+    holders += _services(target, config, runners)
+    return DrainView(target, target in config.scrapped, tuple(holders))
+
+
+def _jobs(target: TargetId, gangs: GangTable) -> list[HeldByJob]:
+    holders = []
+    for gang in gangs.on_target(target):
+        active = sum(1 for part in gang.on(target) if part.state is None)
+        if active:
+            stopping = gang.phase is Phase.STOPPING
+            job = gang.job
+            holders.append(HeldByJob(job.id, job.organisation, active, job.preemptible, stopping))
+    return holders
+
+
+def _results(parts: Iterable[HeldPart]) -> list[HeldByResult]:
+    counts: dict[JobId, int] = {}
+    for part in parts:
+        if part.state is PartState.FINISHED:
+            counts[part.job] = counts.get(part.job, 0) + 1
+    return [HeldByResult(job, count) for job, count in counts.items()]
+
+
+def _requests(loads: Iterable[RunnerLoad]) -> list[HeldByRequests]:
+    return [
+        HeldByRequests(ServiceId(load.service), load.running, load.waiting)
+        for load in loads
+        if load.running or load.waiting
+    ]
+
+
+def _services(
+    target: TargetId, config: Config, runners: Mapping[TargetId, Iterable[RunnerLoad]]
+) -> list[HeldByService]:
+    elsewhere = {
+        load.service
+        for other, loads in runners.items()
+        if other != target and other not in config.scrapped
+        for load in loads
+        if load.healthy
+    }
+    holders = []
+    for load in runners.get(target, ()):
+        dependents = tuple(
+            service.id for service in config.services.values() if load.service in service.depends
+        )
+        if dependents and load.healthy and load.service not in elsewhere:
+            holders.append(HeldByService(ServiceId(load.service), dependents))
+    return holders
--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -175,6 +175,17 @@
         """Cells that stand at least partly on a target."""
         return [self.cells[key] for key in sorted(self._by_target.get(target, ()))]
 
+    def lost_to(self, target: TargetId) -> list[Guarantee]:
+        """Guarantees that do not fit without a target: those it would cost, or has cost."""
+        if target not in self._withdrawn:
+            return self.lost_without(target)
+        missing = self.lost()
+        excluded = self._topology.excluded
+        self._topology.exclude(excluded - {target})
+        lost = self._trial(missing)
+        self._topology.exclude(excluded)
+        return [guarantee for guarantee in missing if guarantee not in lost]
+
     def lost_without(self, target: TargetId) -> list[Guarantee]:
         """Guarantees that would have no cell any more if a target left; changes nothing."""
         self.refresh()
@@ -245,6 +256,33 @@
         key = self._by_job.get(job)
         return None if key is None else CellUse(key[1], self.cells[key].placements)
 
+    def uses_cell(self, job: JobId) -> bool:
+        """Whether a running job uses a cell."""
+        key = self._by_job.get(job)
+        return key is not None and not self.cells[key].reclaiming
+
+    def relocate(self, job: Job, gangs: GangTable) -> bool:
+        """Claim a new cell for a running job before it is stopped on a leaving target.
+
+        The job reclaims the new cell as soon as it is queued again.
+        """
+        cell = self.cells[self._by_job[job.id]]
+        if not _has_shape(cell.placements, cell.guarantee.shape):
+            return False
+        best = self._cheapest(job, cell, gangs)
+        if self._is_excluded(best):
+            return False
+        self._move(cell, best)
+        cell.used = ()
+        cell.reclaiming = True
+        self._hold(cell, True)
+        return True
+
+    def end_use(self, job: JobId) -> None:
+        """The job's attempt ended and the job is queued again; it keeps a cell it claimed."""
+        if self.uses_cell(job):
+            self.release(job)
+
     def adopt(self, job: Job, use: CellUse, placements: Placements) -> bool:
         """Let a job that an earlier owner started occupy its cell again.
 
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -14,6 +14,7 @@
     StopParts,
 )
 from comfreyshelf.config import EMPTY_CONFIG, Config
+from comfreyshelf.drain import Drain
 from comfreyshelf.events import (
     ConfigInForce,
     Event,
@@ -44,6 +45,9 @@
 # Preempted work that has not stopped after this time is stopped without a checkpoint, so that a
 # reclaim ends well inside the 9.7 s in which urgent work has to start.
 CHECKPOINT_TIMEOUT_S = 4.0
+# Nobody waits for the accelerators of a leaving target, so its checkpoints get more time, and only
+# work that may run again is cut.
+DRAIN_TIMEOUT_S = 30.0
 # Abandoned reservations free accelerators at once, so a pass may let the next one start more.
 MAX_PASSES = 3
 # A status may have been sent before the newest command arrived, so differences are only acted on
@@ -76,6 +80,7 @@
         self.gangs = GangTable()
         self.counters: Counter[str] = Counter()
         self.plan = CellPlan(self.topology, self.counters)
+        self.drain = Drain(self.topology, self.plan, self.gangs)
         self._placer = placer or Cells()
         self._resumed: dict[JobId, CellUse] = {}
         self._awaiting: dict[TargetId, list[JobId]] = {}
@@ -267,6 +272,7 @@
         gang = self.gangs.get(job)
         if gang is None:
             self.plan.release(job)
+            self.drain.forget(job)
             self._attempts.pop(job, None)
             return
         self._closed.add(job)
@@ -285,6 +291,9 @@
                 self._stop_gang(self.gangs[victim], AttemptOutcome.PREEMPTED, now)
 
     def _decide(self, job: Job) -> Decision:
+        room = self.drain.take_room(job)
+        if room:
+            return Decision(room)
         if self._placer.keeps_guarantees:
             return self.plan.decide(job, self._placer, self.gangs)
         return Decision(self._placer.place(job.shape, self.topology, View.BORROW))
@@ -388,7 +397,10 @@
         part.started = event.started
         part.checkpointed = event.checkpointed
         self._end_part(gang, part, event.state)
-        if gang.whole and gang.phase is Phase.RUNNING:
+        started = gang.phase in (Phase.RUNNING, Phase.STOPPING)
+        if gang.whole and started and gang.job.id not in self._closed:
+            # The last part may finish before a preemption reaches it; the result counts.
+            gang.phase = Phase.RUNNING
             self._record_finish(gang)
         elif event.state is not PartState.FINISHED or gang.phase is Phase.STOPPING:
             self._stop_gang(gang, AttemptOutcome.FAILED, now)
@@ -420,12 +432,14 @@
     def _close_gang(self, gang: Gang, now: float) -> None:
         del self.gangs[gang.job.id]
         self._resumed.pop(gang.job.id, None)
-        self.plan.release(gang.job.id)
+        self.plan.end_use(gang.job.id)
         self._dirty = True
         for target in gang.targets:
             self._emit(ForgetParts(target, gang.job.id, gang.attempt))
         if gang.job.id in self._closed:
             self._closed.discard(gang.job.id)
+            self.plan.release(gang.job.id)
+            self.drain.forget(gang.job.id)
             self._attempts.pop(gang.job.id, None)
             return
         outcome = gang.final_outcome()
@@ -456,9 +470,14 @@
                 self._emit(CountRetry(RetryReason.RESERVE_TIMEOUT))
                 self._abandon(gang, now)
         self.plan.refresh()
+        self._exclude(now)
+        for gang in self.drain.next_moves(self.config.scrapped, self._placer):
+            self._stop_gang(gang, AttemptOutcome.DRAINED, now)
 
     def _force_stop(self, gang: Gang, now: float) -> None:
-        if gang.forced or now - gang.since <= CHECKPOINT_TIMEOUT_S:
+        drained = gang.outcome is AttemptOutcome.DRAINED
+        limit = DRAIN_TIMEOUT_S if drained else CHECKPOINT_TIMEOUT_S
+        if gang.forced or now - gang.since <= limit or (drained and not gang.job.idempotent):
             return
         gang.forced = True
         self.counters["checkpoint_timeout"] += 1
--- a/features/cells.feature
+++ b/features/cells.feature
@@ -50,3 +50,31 @@
     Then a gang of 3 workers in one rack is placed in the whole rack
     And a gang of 4 workers in one rack is not placed
     And a gang of 5 workers in one zone is placed
+
+  Scenario: A gang leaves a target when there is room elsewhere
+    # Guards against new work on leaving targets, lost work, and gangs stopped without a place to go.
+    Given 2 workers, one with a preemptible job and one with a job that is not preemptible
+    When the worker of the preemptible job is scrapped
+    Then the preemptible job stays until the other job finishes
+    And then it is checkpointed and runs on the other worker
+
+  Scenario: Guaranteed jobs leave one at a time
+    # Guards against losing the guarantee of an organisation by emptying all its targets at once.
+    Given 3 workers of which 2 run guaranteed preemptible jobs
+    When the workers of both jobs are scrapped
+    Then one job moves and the other finishes where it is
+
+  Scenario: A result that is complete before a preemption counts
+    # Guards against running a finished job again because its preemption came too late.
+    Given a domain whose guaranteed worker is borrowed by preemptible jobs
+    And borrowed jobs never finish a checkpoint
+    When the organisation submits a job of its guaranteed shape
+    And the borrowed jobs finish before they are stopped
+    Then the borrowed jobs are recorded as finished
+
+  Scenario: The read-back names everything that holds a target
+    # Guards against a target that looks empty while something still needs it.
+    Given a domain with 2 workers of which one is guaranteed
+    When a job runs on a worker whose runner is the last one of a needed service
+    Then the read-back names the job, its result, the requests, the service and the guarantee
+    And scrapping both workers is announced as the loss of the guarantee
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -1,12 +1,25 @@
 """Steps for planned cells, placement and drain of the scheduler core."""
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as given_random
 
 from comfreyshelf.commands import StopParts
-from comfreyshelf.model import Adjacency, Shape, Urgency
+from comfreyshelf.config import Service
+from comfreyshelf.drain import (
+    DrainView,
+    HeldByGuarantee,
+    HeldByJob,
+    HeldByRequests,
+    HeldByResult,
+    HeldByService,
+    explain,
+)
+from comfreyshelf.ids import ServiceId
+from comfreyshelf.messages import RunnerLoad
+from comfreyshelf.model import Adjacency, HeldPart, PartState, Shape, Urgency
 from comfreyshelf.placement import Cells
 from comfreyshelf.scheduler import CHECKPOINT_TIMEOUT_S
 from comfreyshelf.topology import Topology, View
@@ -253,3 +266,124 @@
 @then("a gang of 5 workers in one zone is placed")
 def zone_gang(context: Context) -> None:
     assert len(place(context, 5, 8, Adjacency.ZONE)) == 5
+
+
+def target_of(fleet: Fleet, job: str) -> str:
+    """The target that holds part 0 of a job."""
+    targets = [held[0][0].target for (name, _), held in fleet.parts.items() if name == job and held]
+    assert len(targets) == 1, targets
+    return targets[0]
+
+
+@given("2 workers, one with a preemptible job and one with a job that is not preemptible")
+def two_busy_workers(context: Context) -> None:
+    context.fleet = Fleet({}, WORKERS[:2])
+    whole = Shape(1, 4, Adjacency.WORKER)
+    context.fleet.submit(make_job("moves", "none", whole))
+    context.fleet.submit(make_job("firm", "none", whole, preemptible=False))
+
+
+@when("the worker of the preemptible job is scrapped")
+def scrap_preemptible(context: Context) -> None:
+    context.leaving = target_of(context.fleet, "moves")
+    context.fleet.configure([context.leaving])
+
+
+@then("the preemptible job stays until the other job finishes")
+def stays(context: Context) -> None:
+    context.fleet.wait(5.0)
+    assert target_of(context.fleet, "moves") == context.leaving
+    assert not [item for item in context.fleet.commands if isinstance(item, StopParts)]
+    context.fleet.finish("firm")
+
+
+@then("then it is checkpointed and runs on the other worker")
+def moved(context: Context) -> None:
+    context.fleet.wait(1.0)
+    stops = [item for item in context.fleet.commands if isinstance(item, StopParts)]
+    assert [(stop.target, stop.checkpoint) for stop in stops] == [(context.leaving, True)]
+    assert target_of(context.fleet, "moves") != context.leaving
+
+
+@given("3 workers of which 2 run guaranteed preemptible jobs")
+def two_guaranteed(context: Context) -> None:
+    whole = Shape(1, 4, Adjacency.WORKER, 0, 0)
+    context.fleet = Fleet({"large": [whole, whole]}, WORKERS[:3])
+    for name in ("first", "second"):
+        context.fleet.submit(make_job(name, "large", Shape(1, 4, Adjacency.WORKER)))
+
+
+@when("the workers of both jobs are scrapped")
+def scrap_both(context: Context) -> None:
+    context.leaving = {target_of(context.fleet, name) for name in ("first", "second")}
+    context.fleet.configure(context.leaving)
+    context.fleet.wait(5.0)
+
+
+@then("one job moves and the other finishes where it is")
+def one_moves(context: Context) -> None:
+    targets = {target_of(context.fleet, name) for name in ("first", "second")}
+    assert len(targets - context.leaving) == 1, targets
+    assert len(targets & context.leaving) == 1, targets
+    assert not context.fleet.scheduler.plan.lost()
+
+
+@when("the borrowed jobs finish before they are stopped")
+def finish_borrowed(context: Context) -> None:
+    context.stopping = sorted(
+        {item.job for item in context.fleet.commands if isinstance(item, StopParts)}
+    )
+    for job in context.stopping:
+        context.fleet.finish(job)
+
+
+@then("the borrowed jobs are recorded as finished")
+def recorded_finished(context: Context) -> None:
+    assert context.stopping == ["borrower-2", "borrower-3"]
+    assert not context.fleet.open.intersection(context.stopping)
+    assert "owed" in context.fleet.running()
+
+
+@when("a job runs on a worker whose runner is the last one of a needed service")
+def run_with_runner(context: Context) -> None:
+    fleet = context.fleet
+    for name in ("one", "two"):
+        fleet.submit(make_job(name, "large", Shape(1, 4, Adjacency.WORKER), preemptible=False))
+    context.target = target_of(fleet, "one")
+    context.runners = {context.target: [RunnerLoad("survey", running=2, waiting=1)]}
+    context.services = {
+        ServiceId("survey"): Service(ServiceId("survey")),
+        ServiceId("permit"): Service(ServiceId("permit"), (ServiceId("survey"),)),
+    }
+    context.parts = [HeldPart("done", 1, 0, 0b1, PartState.FINISHED)]
+
+
+def read_back(context: Context, target: str) -> DrainView:
+    core = context.fleet.scheduler
+    config = msgspec.structs.replace(core.config, services=context.services)
+    return explain(target, config, context.parts, context.runners, core.gangs, core.plan)
+
+
+@then("the read-back names the job, its result, the requests, the service and the guarantee")
+def names_all(context: Context) -> None:
+    view = read_back(context, context.target)
+    assert not view.leaving
+    assert not view.empty
+    assert set(view.holders) == {
+        HeldByJob("one", "large", 1, False, False),
+        HeldByResult("done", 1),
+        HeldByRequests("survey", 2, 1),
+        HeldByService("survey", ("permit",)),
+        HeldByGuarantee("large", Shape(1, 4, Adjacency.WORKER, 0, 0)),
+    }, view.holders
+
+
+@then("scrapping both workers is announced as the loss of the guarantee")
+def announces_loss(context: Context) -> None:
+    fleet = context.fleet
+    other = next(target for target in fleet.workers if target != context.target)
+    fleet.finish("two")
+    assert not fleet.scheduler.plan.lost_to(context.target), "the other worker is free"
+    fleet.configure([other])
+    assert [item.organisation for item in fleet.scheduler.plan.lost_to(context.target)] == ["large"]
+    assert not fleet.scheduler.plan.lost(), "asking must not change the plan"
