Keep an organisation's own work running when an equal job has room elsewhere

Cause: a job that fits its organisation's guarantee reclaimed the cell even from a running job of the same organisation, so two gangs of one caller took turns.

Ruled out: never reclaiming from the same organisation, because then a whole guaranteed shape could wait for a part of it that is only borrowed.

Conclusion: reclaiming from own work of equal urgency comes last, after room outside the cells.

--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -76,6 +76,12 @@
     return (-gang.job.urgency.rank, not gang.job.idempotent, -gang.since, gang.job.id)
 
 
+def _is_own(gang: Gang, job: Job) -> bool:
+    """Whether a gang is work of the job's organisation and no less urgent."""
+    same = gang.job.organisation == job.organisation
+    return same and gang.job.urgency.rank <= job.urgency.rank
+
+
 def _hardest_first(guarantee: Guarantee) -> tuple[int, int, int, CellKey]:
     shape = guarantee.shape
     width = _WIDTHS.index(shape.adjacency)
@@ -217,13 +223,18 @@
         self.refresh()
         cell = self._cell_for(job)
         if cell is not None:
-            return self._decide_in_cell(job, cell, gangs)
+            return self._decide_in_cell(job, cell, placer, gangs)
+        placements = self._find_outside(job, placer)
+        if not placements and not job.preemptible:
+            placements = self._displace(job)
+        return Decision(placements)
+
+    def _find_outside(self, job: Job, placer: Placer) -> Placements:
+        """Free room outside the cells, or for preemptible work also inside unused ones."""
         placements = placer.place(job.shape, self._topology, View.OPEN)
         if not placements and job.preemptible:
             placements = placer.place(job.shape, self._topology, View.BORROW)
-        elif not placements:
-            placements = self._displace(job)
-        return Decision(placements)
+        return placements
 
     def start(self, job: JobId, key: CellKey, placements: Placements) -> None:
         """The job starts at `placements` inside the cell."""
@@ -337,7 +348,7 @@
                 return cell
         return None
 
-    def _decide_in_cell(self, job: Job, cell: Cell, gangs: GangTable) -> Decision:
+    def _decide_in_cell(self, job: Job, cell: Cell, placer: Placer, gangs: GangTable) -> Decision:
         placements = self._free_placements(job, cell.placements)
         if placements:
             return Decision(placements, cell.key)
@@ -348,6 +359,12 @@
             placements = self._free_placements(job, best)
             if placements:
                 return Decision(placements, cell.key)
+        victims = self._victims(job, best, gangs)
+        # Stopping the organisation's own work gains nothing while there is room elsewhere.
+        if not cell.reclaiming and any(_is_own(gang, job) for gang in victims):
+            placements = self._find_outside(job, placer)
+            if placements:
+                return Decision(placements)
         if self._is_excluded(best):
             return Decision()
         if not cell.reclaiming:
@@ -355,7 +372,6 @@
             cell.reclaiming = True
             self._by_job[job.id] = cell.key
             self._hold(cell, True)
-        victims = self._victims(job, best, gangs)
         return Decision((), cell.key, tuple(gang.job.id for gang in victims))
 
     def _free_placements(self, job: Job, cell: Placements) -> Placements:
--- a/features/cells.feature
+++ b/features/cells.feature
@@ -26,6 +26,12 @@
     When the organisation submits a job of its guaranteed shape
     Then the job starts only after the checkpoint timeout
 
+  Scenario: An organisation's own work is not stopped while there is room elsewhere
+    # Guards against an organisation that preempts its own running job for an equal one.
+    Given an organisation whose own job borrows the worker of its guarantee
+    When the organisation submits a smaller job that has room elsewhere
+    Then both jobs run and nothing was stopped
+
   Scenario: Lost capacity is reported
     # Guards against a guarantee that is silently not kept.
     Given a domain with 2 workers of which one is guaranteed
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -160,6 +160,27 @@
     assert len(context.fleet.running()) == 4
 
 
+@given("an organisation whose own job borrows the worker of its guarantee")
+def own_borrower(context: Context) -> None:
+    context.fleet = Fleet({"large": [Shape(1, 8, Adjacency.WORKER, 0, 0)]}, WORKERS[:2])
+    # Two parts of these do not fit one worker's cores, so the job stands on both workers.
+    cores = WORKERS[0].cores * 5 // 8
+    context.fleet.submit(make_job("own", "large", Shape(2, 2, Adjacency.ZONE, cores, 1)))
+    assert context.fleet.running() == ["own"]
+
+
+@when("the organisation submits a smaller job that has room elsewhere")
+def submit_smaller(context: Context) -> None:
+    cores = WORKERS[0].cores * 5 // 16
+    context.fleet.submit(make_job("next", "large", Shape(2, 2, Adjacency.ZONE, cores, 1)))
+
+
+@then("both jobs run and nothing was stopped")
+def nothing_stopped(context: Context) -> None:
+    assert context.fleet.running() == ["next", "own"], context.fleet.running()
+    assert not [command for command in context.fleet.commands if isinstance(command, StopParts)]
+
+
 @given("borrowed jobs never finish a checkpoint")
 def stuck_checkpoints(context: Context) -> None:
     context.fleet.stuck.update(context.fleet.running())
