--- a/features/faults.feature
+++ b/features/faults.feature
@@ -19,6 +19,17 @@
     And gang "once" ends as "may_have_run"
     And gang "once" started once
 
+  Scenario: The owner entry and a target are killed together
+    # Guards against a takeover that waits for a target which died before the new owner saw it.
+    Given 2 entries and 2 targets of one zone as separate processes
+    And the demo configuration is published
+    When a gang "idempotent" and a gang "once" run
+    And the owner of the domain is killed
+    And a target that runs both is killed
+    Then gang "idempotent" finishes with the whole result
+    And gang "once" ends as "may_have_run"
+    And gang "once" started once
+
   Scenario: A target is paused past its lease
     # Guards against parts that go on after the pause while the job runs elsewhere.
     Given 2 entries and 2 targets of one zone as separate processes
