Route short requests by region, load, health and dependencies, and retry them safely

Cause: the router chose the first target of its own zone, counted no outstanding requests, never retried, and told a caller of a broken pipe only after the whole timeout.

Each sending has a request id of its own. A non-idempotent request is sent again only after a proof that it did not start. DisproveStart names the incarnation that the request was sent to: a restarted target process knows nothing of the request and could otherwise 'disprove' a start that happened.

Ruled out: a timeout per attempt, because it would run slow idempotent requests twice. Instead the router asks the target every 2 s, which also covers answers lost with a pipe.

--- /dev/null
+++ b/comfreyshelf/admission.py
@@ -0,0 +1,127 @@
+"""Limits at the entry: rates per organisation and caller, queued jobs, requests in flight."""
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from comfreyshelf.config import Caller, Organisation
+from comfreyshelf.errors import Refusal, not_run
+from comfreyshelf.ids import CallerId, OrganisationId
+from comfreyshelf.reasons import RefusalReason
+
+MAX_RETRY_AFTER_S = 60
+# A recount visits every job of the fold, so it is not done for each submission.
+RECOUNT_S = 0.5
+
+JobOwner = tuple[OrganisationId, CallerId]
+
+
+class TokenBucket(msgspec.Struct):
+    """A bucket that gains `rate` tokens a second up to `burst`; `at` is in seconds."""
+
+    rate: float
+    burst: float
+    tokens: float
+    at: float
+
+    def refill(self, rate: float, burst: float, now: float) -> None:
+        """Add what was gained since `at`; a changed limit applies from now on."""
+        gained = max(0.0, now - self.at) * self.rate
+        self.tokens = min(burst, self.tokens + gained)
+        self.rate = rate
+        self.burst = burst
+        self.at = now
+
+    def missing_s(self) -> float:
+        """Seconds until a whole token is there, 0 if one is there now."""
+        return max(0.0, 1.0 - self.tokens) / self.rate
+
+
+class RateLimits:
+    """Token buckets per organisation and per caller; a token is taken from both or neither.
+
+    An entry enforces its share of the published rate, one part in `entries`.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[tuple[str, str], TokenBucket] = {}
+
+    def take(
+        self, organisation: Organisation, caller: Caller, entries: int, now: float
+    ) -> Refusal | None:
+        """Take a token for one new job or request, or refuse."""
+        share = 1.0 / max(1, entries)
+        ours = self._bucket(
+            (organisation.id, ""), organisation.rate * share, organisation.burst, now
+        )
+        own = self._bucket((organisation.id, caller.id), caller.rate * share, caller.burst, now)
+        missing = max(ours.missing_s(), own.missing_s())
+        if missing > 0:
+            who = "organisation" if ours.missing_s() >= own.missing_s() else "caller"
+            return _over_rate(who, missing)
+        ours.tokens -= 1
+        own.tokens -= 1
+        return None
+
+    def _bucket(self, key: tuple[str, str], rate: float, burst: int, now: float) -> TokenBucket:
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = TokenBucket(rate, burst, burst, now)
+        bucket.refill(rate, burst, now)
+        return bucket
+
+
+class QueueLimits:
+    """Queued jobs per organisation and caller.
+
+    Counts are taken from the fold every RECOUNT_S and grow with each admission in between, so
+    the limit can be exceeded only by what other entries accept within that time.
+    """
+
+    def __init__(self) -> None:
+        self._counts: Counter[JobOwner] = Counter()
+        self._totals: Counter[OrganisationId] = Counter()
+        self._counted_at = -math.inf
+
+    def is_stale(self, now: float) -> bool:
+        """Whether `recount` is due."""
+        return now - self._counted_at >= RECOUNT_S
+
+    def recount(self, queued: Iterable[JobOwner], now: float) -> None:
+        """Replace the counts by the owners of all queued jobs."""
+        self._counts = Counter(queued)
+        self._totals = Counter()
+        for (organisation, _), count in self._counts.items():
+            self._totals[organisation] += count
+        self._counted_at = now
+
+    def admit(self, organisation: Organisation, caller: Caller) -> Refusal | None:
+        """Count one more queued job, or refuse."""
+        key = (organisation.id, caller.id)
+        if self._counts[key] >= caller.max_queued:
+            return _queue_full("caller", caller.max_queued)
+        if self._totals[organisation.id] >= organisation.max_queued:
+            return _queue_full("organisation", organisation.max_queued)
+        self._counts[key] += 1
+        self._totals[organisation.id] += 1
+        return None
+
+
+def _over_rate(who: str, missing_s: float) -> Refusal:
+    return not_run(
+        RefusalReason.RATE_LIMIT,
+        f"the rate limit of the {who} is reached",
+        "send less often, or wait for the time in 'Retry-After'",
+        min(MAX_RETRY_AFTER_S, max(1, math.ceil(missing_s))),
+    )
+
+
+def _queue_full(who: str, limit: int) -> Refusal:
+    return not_run(
+        RefusalReason.QUEUE_FULL,
+        f"the {who} has {limit} queued jobs, which is its limit",
+        "submit again when some of them have started",
+        5,
+    )
--- a/comfreyshelf/agent.py
+++ b/comfreyshelf/agent.py
@@ -25,7 +25,7 @@
     Stop,
     Welcome,
 )
-from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.model import MAX_RESULT_BYTES, HeldPart, Job, PartState, Placement, WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 
 RESERVATION_S = 10.0
@@ -206,8 +206,11 @@
         """Note the runner's answer to a request."""
         if self._running.pop(request, None) is None:
             return []
+        reason = None
+        if len(body) > MAX_RESULT_BYTES:
+            ok, body, reason = False, b"", RefusalReason.TOO_LARGE
         digest = hashlib.sha256(body).hexdigest()
-        answer = RequestAnswer(self.worker.target, request, True, ok, body, digest)
+        answer = RequestAnswer(self.worker.target, request, True, ok, body, digest, reason)
         self._answered[request] = (now, answer)
         return [Reply(answer)]
 
@@ -382,6 +385,8 @@
         limits = self._limits.get(message.service)
         if limits is None:
             return RefusalReason.UNKNOWN_SERVICE
+        if message.digest and hashlib.sha256(message.body).hexdigest() != message.digest:
+            return RefusalReason.MALFORMED
         if self.draining or self.stopping:
             return RefusalReason.DRAINING
         running = sum(1 for other in self._running.values() if other.service == message.service)
@@ -389,7 +394,8 @@
 
     def _on_disprove(self, message: DisproveStart, now: float) -> list[Action]:
         target = self.worker.target
-        if message.request in self._running:
+        is_other = message.incarnation not in (0, self.worker.incarnation)
+        if is_other or message.request in self._running:
             return [Reply(StartDisproved(target, message.request, False))]
         done = self._answered.get(message.request)
         if done is not None and done[1].started:
--- a/comfreyshelf/messages.py
+++ b/comfreyshelf/messages.py
@@ -150,7 +150,10 @@
 
 
 class RunRequest(Message, frozen=True, tag=True):
-    """Send a short request to the local runner within `timeout_s`."""
+    """Send a short request to the local runner within `timeout_s`.
+
+    `digest` is the SHA-256 of `body`; a target process refuses a body that does not match it.
+    """
 
     request: RequestId
     service: str
@@ -158,6 +161,7 @@
     timeout_s: float
     body: bytes
     idempotent: bool = True
+    digest: str = ""
 
 
 class RequestAnswer(Message, frozen=True, tag=True):
@@ -176,9 +180,14 @@
 
 
 class DisproveStart(Message, frozen=True, tag=True):
-    """Ask for a proof that a request has not started and never will."""
+    """Ask for a proof that a request has not started and never will.
+
+    `incarnation` is that of the target process that the request was sent to. A later incarnation
+    cannot prove anything about it; 0 stands for a request that was sent to none.
+    """
 
     request: RequestId
+    incarnation: int = 0
 
 
 class StartDisproved(Message, frozen=True, tag=True):
--- a/comfreyshelf/reasons.py
+++ b/comfreyshelf/reasons.py
@@ -33,6 +33,9 @@
     OCCUPIED = "occupied"
     LEASE_LAPSED = "lease_lapsed"
     QUARANTINED = "quarantined"
+    SLOW_SENDER = "slow_sender"
+    RUNNER_FAILED = "runner_failed"
+    INTERNAL = "internal"
 
 
 class RetryReason(Enum):
--- /dev/null
+++ b/comfreyshelf/retries.py
@@ -0,0 +1,145 @@
+"""Retry budgets, jittered delays, deadlines, and when a request may be sent once more."""
+
+import math
+import random
+
+import msgspec
+from expression import Error, Ok, Result
+
+from comfreyshelf.errors import Refusal, not_run
+from comfreyshelf.ids import OrganisationId
+from comfreyshelf.reasons import RefusalReason, RetryReason
+
+BASE_DELAY_S = 0.01
+MAX_DELAY_S = 1.0
+MAX_ATTEMPTS = 5
+# A budget holds the retries that this many first requests earn, so a short fault is covered.
+BUDGET_REQUESTS = 100
+MAX_DEADLINE_MS = 86_400_000
+# Another runner would end the same way.
+FINAL_REASONS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.DEADLINE_PASSED})
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """How one attempt ended without a whole answer.
+
+    `proven` means that the attempt never started and never will, by `RequestAnswer.started` False
+    or `StartDisproved.disproved` True, or because it was never handed to a pipe.
+    """
+
+    reason: RetryReason
+    proven: bool
+    refusal: Refusal
+
+
+class Retry(msgspec.Struct, frozen=True):
+    """Send the request once more after `delay_s` seconds."""
+
+    delay_s: float
+
+
+class RetryBudgets:
+    """A budget of retries per organisation, earned by its first requests.
+
+    With a ratio of 0.2, each first request earns 0.2 retries.
+    """
+
+    def __init__(self) -> None:
+        self._tokens: dict[OrganisationId, float] = {}
+
+    def earn(self, organisation: OrganisationId, ratio: float) -> None:
+        """Note a first request."""
+        cap = ratio * BUDGET_REQUESTS
+        tokens = self._tokens.get(organisation, cap)
+        self._tokens[organisation] = min(cap, tokens + ratio)
+
+    def spend(self, organisation: OrganisationId) -> bool:
+        """Take one retry; False if the budget is used up."""
+        tokens = self._tokens.get(organisation, 0.0)
+        if tokens < 1.0:
+            return False
+        self._tokens[organisation] = tokens - 1.0
+        return True
+
+
+class Retries:
+    """Decides whether and when an attempt is followed by another one."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._budgets = RetryBudgets()
+
+    def first(self, organisation: OrganisationId, ratio: float) -> None:
+        """Note a first request of an organisation."""
+        self._budgets.earn(organisation, ratio)
+
+    def next(
+        self,
+        outcome: Outcome,
+        organisation: OrganisationId,
+        idempotent: bool,
+        attempt: int,
+        left_s: float,
+    ) -> Result[Retry, Refusal]:
+        """What follows attempt number `attempt` (from 1) with `left_s` seconds to the deadline.
+
+        A non-idempotent request is repeated only after a proof that it did not start.
+        """
+        if not outcome.proven and not idempotent:
+            return Error(outcome.refusal)
+        if outcome.refusal.reason in FINAL_REASONS:
+            return Error(outcome.refusal)
+        delay_s = self.delay(attempt)
+        if attempt >= MAX_ATTEMPTS or delay_s >= left_s:
+            return Error(outcome.refusal)
+        if not self._budgets.spend(organisation):
+            return Error(_over_budget(outcome.refusal))
+        return Ok(Retry(delay_s))
+
+    def delay(self, attempt: int) -> float:
+        """Exponential delay in seconds after attempt `attempt`, with jitter over its upper half."""
+        ceiling = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** (attempt - 1))
+        return self._rng.uniform(ceiling / 2, ceiling)
+
+
+def _over_budget(refusal: Refusal) -> Refusal:
+    return Refusal(
+        RefusalReason.RETRY_BUDGET,
+        refusal.execution,
+        f"{refusal.message}; the organisation's retry budget is used up",
+        refusal.remedy,
+        max(1, refusal.retry_after_s),
+    )
+
+
+def deadline_s(header: str | None, timeout_s: float) -> Result[float, Refusal]:
+    """Seconds that a request may take: the caller's `Deadline-Ms`, at most the service's timeout.
+
+    deadline_s("1500", 30.0) is Ok(1.5).
+    """
+    if header is None:
+        return Ok(timeout_s)
+    try:
+        value = float(header)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value <= MAX_DEADLINE_MS:
+        return Error(
+            not_run(
+                RefusalReason.MALFORMED,
+                "'Deadline-Ms' is not a number of milliseconds",
+                f"give a number from 1 to {MAX_DEADLINE_MS}",
+            )
+        )
+    if value == 0:
+        return Error(deadline_passed())
+    return Ok(min(value / 1000, timeout_s))
+
+
+def deadline_passed() -> Refusal:
+    """The deadline passed before the request was sent to any runner."""
+    return not_run(
+        RefusalReason.DEADLINE_PASSED,
+        "the deadline passed before the request was sent",
+        "allow more time in 'Deadline-Ms'",
+    )
--- a/comfreyshelf/router.py
+++ b/comfreyshelf/router.py
@@ -1,32 +1,76 @@
 """The entry's router: sends short requests to runners and matches the answers."""
 
 import hashlib
+import random
 import threading
+import time
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
+import msgspec
 from expression import Error, Ok, Result
 
 from comfreyshelf.config import Config
-from comfreyshelf.errors import Refusal, may_have_run, not_run
-from comfreyshelf.ids import RequestId, ServiceId, ZoneId
-from comfreyshelf.membership import Roster, TargetView
-from comfreyshelf.messages import AnyMessage, RequestAnswer, RunRequest
+from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
+from comfreyshelf.ids import OrganisationId, RequestId, ServiceId, TargetId, ZoneId
+from comfreyshelf.membership import Roster
+from comfreyshelf.messages import (
+    AnyMessage,
+    DisproveStart,
+    RequestAnswer,
+    RunRequest,
+    StartDisproved,
+)
 from comfreyshelf.metrics import Metrics
-from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.model import MAX_RESULT_BYTES
+from comfreyshelf.reasons import RefusalReason, RetryReason
+from comfreyshelf.retries import Outcome, Retries, deadline_passed
+from comfreyshelf.routing import SILENT_AFTER_S, Routing
 from comfreyshelf.transport import Hub
 
+# Asking covers a message or an answer that was lost with a broken pipe.
+ASK_INTERVAL_S = 2.0
+# An idempotent request does not wait for a pipe to come back; the pipe redials within 1 s.
+PIPE_GRACE_S = 1.0
+_CHECK_INTERVAL_S = 0.25
+
+Reply = RequestAnswer | StartDisproved
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One short request of a caller; `until` is its deadline in monotonic seconds."""
+
+    request: RequestId
+    organisation: OrganisationId
+    service: ServiceId
+    body: bytes
+    until: float
+    idempotent: bool = True
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One sending of a call; each has a request id of its own, to which the answer refers."""
+
+    id: RequestId
+    target: TargetId
+    incarnation: int
+    future: "Future[Reply]"
+
 
 class Router:
-    """Routes a request to one runner and waits for its whole answer."""
+    """Routes a request to one runner at a time and waits for its whole answer."""
 
-    def __init__(self, zone: ZoneId, roster: Roster, metrics: Metrics) -> None:
-        self._zone = zone
+    def __init__(
+        self, zone: ZoneId, roster: Roster, metrics: Metrics, rng: random.Random | None = None
+    ) -> None:
+        rng = rng or random.Random()
         self._roster = roster
         self._metrics = metrics
         self._hub: Hub | None = None
         self._lock = threading.Lock()
-        self._waiting: dict[RequestId, Future[RequestAnswer]] = {}
+        self._waiting: dict[RequestId, Attempt] = {}
+        self._routing = Routing(zone, rng)
+        self._retries = Retries(rng)
 
     def attach(self, hub: Hub) -> None:
         """Set the hub through which targets are reached."""
@@ -34,79 +78,193 @@
 
     def receive(self, message: AnyMessage) -> None:
         """Take an answer; one that nobody waits for is counted and dropped."""
-        if not isinstance(message, RequestAnswer):
+        if isinstance(message, StartDisproved) and not message.disproved:
+            return
+        if not isinstance(message, RequestAnswer | StartDisproved):
             return
         with self._lock:
-            future = self._waiting.pop(message.request, None)
-        if future is None:
+            attempt = self._waiting.get(message.request)
+            if attempt is not None and attempt.target == message.target:
+                del self._waiting[message.request]
+            else:
+                attempt = None
+        if attempt is None:
             self._metrics.count("answer_late")
             return
-        future.set_result(message)
-
-    def call(
-        self,
-        config: Config,
-        service: ServiceId,
-        request: RequestId,
-        body: bytes,
-        timeout_s: float,
-        idempotent: bool,
-    ) -> Result[bytes, Refusal]:
-        """Send a request and wait for the answer for `timeout_s` seconds at most."""
-        view = self._choose(service, config)
-        if view is None or self._hub is None:
-            return Error(
-                not_run(RefusalReason.NO_RUNNER, "no runner is available", "try again later", 1)
-            )
-        future: Future[RequestAnswer] = Future()
+        attempt.future.set_result(message)
+
+    def check(self, config: Config, service: ServiceId) -> Refusal | None:
+        """Why a request to `service` would be refused now, or None if a runner is available."""
         with self._lock:
-            self._waiting[request] = future
-        message = RunRequest(request, service, config.version, timeout_s, body, idempotent)
-        if not self._hub.send(view.worker.target, message):
-            return Error(
-                not_run(RefusalReason.NO_RUNNER, "the runner's link is down", "try again later", 1)
-            )
-        try:
-            answer = future.result(timeout_s)
-        except FutureTimeoutError:
+            chosen = self._routing.choose(config, service, self._roster.views(), time.monotonic())
+        return chosen.error if chosen.is_error() else None
+
+    def call(self, config: Config, call: Call) -> Result[bytes, Refusal]:
+        """Send a request, and again where that is safe, until its deadline."""
+        with self._lock:
+            organisation = config.organisations[call.organisation]
+            self._retries.first(call.organisation, organisation.retry_ratio)
+        tried: list[TargetId] = []
+        may_have: Refusal | None = None
+        number = 0
+        while True:
+            number += 1
+            result = self._attempt(config, call, number, tried)
+            if result.is_ok():
+                return Ok(result.ok)
+            outcome = result.error
+            if not outcome.proven:
+                may_have = outcome.refusal
             with self._lock:
-                self._waiting.pop(request, None)
-            return Error(
-                may_have_run(
-                    RefusalReason.MAY_HAVE_RUN,
-                    "the runner did not answer",
-                    "check the effect before sending it again",
+                step = self._retries.next(
+                    outcome,
+                    call.organisation,
+                    call.idempotent,
+                    number,
+                    call.until - time.monotonic(),
                 )
+            if step.is_error():
+                return Error(_with_history(step.error, may_have))
+            self._metrics.retried(outcome.reason)
+            time.sleep(step.ok.delay_s)
+
+    def _attempt(
+        self, config: Config, call: Call, number: int, tried: list[TargetId]
+    ) -> Result[bytes, Outcome]:
+        now = time.monotonic()
+        if now >= call.until:
+            return Error(Outcome(RetryReason.RUNNER_TIMEOUT, True, deadline_passed()))
+        views = self._roster.views()
+        with self._lock:
+            chosen = self._routing.choose(config, call.service, views, now, tried)
+            if chosen.is_error():
+                return Error(Outcome(RetryReason.RUNNER_BUSY, True, chosen.error))
+            target = chosen.ok
+            view = next(view for view in views if view.worker.target == target)
+            attempt = Attempt(
+                RequestId(f"{call.request}.{number}"), target, view.worker.incarnation, Future()
             )
-        return self._checked(answer)
-
-    def _choose(self, service: ServiceId, config: Config) -> TargetView | None:
-        views = [
-            view
-            for view in self._roster.views()
-            if not view.draining
-            and view.worker.target not in config.scrapped
-            and any(load.service == service for load in view.runners)
-        ]
-        views.sort(
-            key=lambda view: (
-                view.worker.zone != self._zone,
-                sum(load.running for load in view.runners),
-            )
+            self._waiting[attempt.id] = attempt
+            self._routing.sent(target, call.service)
+        tried.append(target)
+        try:
+            return self._exchange(config, call, attempt)
+        finally:
+            with self._lock:
+                self._waiting.pop(attempt.id, None)
+                self._routing.ended(target, call.service)
+
+    def _exchange(self, config: Config, call: Call, attempt: Attempt) -> Result[bytes, Outcome]:
+        digest = hashlib.sha256(call.body).hexdigest()
+        message = RunRequest(
+            attempt.id,
+            call.service,
+            config.version,
+            call.until - time.monotonic(),
+            call.body,
+            call.idempotent,
+            digest,
         )
-        return views[0] if views else None
-
-    @staticmethod
-    def _checked(answer: RequestAnswer) -> Result[bytes, Refusal]:
-        if not answer.started:
-            reason = answer.reason or RefusalReason.NO_RUNNER
-            return Error(not_run(reason, "the runner refused the request", "try again later", 1))
-        if not answer.ok or hashlib.sha256(answer.body).hexdigest() != answer.digest:
-            return Error(
-                may_have_run(
-                    RefusalReason.MAY_HAVE_RUN,
-                    "the runner failed",
-                    "check the effect before sending it again",
-                )
-            )
-        return Ok(answer.body)
+        if not self._send(attempt.target, message):
+            self._failed(call, attempt)
+            return Error(Outcome(RetryReason.LINK_DOWN, True, _link_down()))
+        return self._judge(call, attempt, self._wait(call, attempt))
+
+    def _send(self, target: TargetId, message: AnyMessage) -> bool:
+        return self._hub is not None and self._hub.send(target, message)
+
+    def _wait(self, call: Call, attempt: Attempt) -> Reply | RetryReason:
+        """The reply, or why it is no longer waited for."""
+        ask_at = time.monotonic() + ASK_INTERVAL_S
+        down_since = 0.0
+        grace_s = PIPE_GRACE_S if call.idempotent else SILENT_AFTER_S
+        while (left_s := call.until - time.monotonic()) > 0:
+            try:
+                return attempt.future.result(min(left_s, _CHECK_INTERVAL_S))
+            except FutureTimeoutError:
+                now = time.monotonic()
+            if self._hub is not None and attempt.target not in self._hub.targets():
+                down_since = down_since or now
+                if now - down_since >= grace_s:
+                    return RetryReason.TARGET_LOST
+                # The question is sent as soon as the pipe is back.
+                ask_at = now
+            elif now >= ask_at:
+                down_since = 0.0
+                ask_at = now + ASK_INTERVAL_S
+                self._send(attempt.target, DisproveStart(attempt.id, attempt.incarnation))
+        return RetryReason.RUNNER_TIMEOUT
+
+    def _judge(
+        self, call: Call, attempt: Attempt, reply: Reply | RetryReason
+    ) -> Result[bytes, Outcome]:
+        match reply:
+            case RetryReason():
+                self._failed(call, attempt)
+                return Error(Outcome(reply, False, _no_answer()))
+            case StartDisproved():
+                return Error(Outcome(RetryReason.LINK_DOWN, True, _link_down()))
+            case RequestAnswer(started=False):
+                return Error(Outcome(RetryReason.RUNNER_BUSY, True, _refused(reply)))
+        refusal = _check_answer(reply)
+        if refusal is None:
+            with self._lock:
+                self._routing.succeeded(attempt.target, call.service)
+            return Ok(reply.body)
+        # An answer that is too long is no fault of the runner's health.
+        if refusal.reason is not RefusalReason.TOO_LARGE:
+            self._failed(call, attempt)
+        return Error(Outcome(RetryReason.RUNNER_FAILED, False, refusal))
+
+    def _failed(self, call: Call, attempt: Attempt) -> None:
+        with self._lock:
+            ejected = self._routing.failed(attempt.target, call.service, time.monotonic())
+        if ejected:
+            self._metrics.count("runner_ejected")
+
+
+def _check_answer(answer: RequestAnswer) -> Refusal | None:
+    """Why an answer cannot be given to the caller, or None if it is whole and good."""
+    if answer.reason is RefusalReason.TOO_LARGE or len(answer.body) > MAX_RESULT_BYTES:
+        return may_have_run(
+            RefusalReason.TOO_LARGE,
+            f"the runner's answer exceeds {MAX_RESULT_BYTES} bytes",
+            "store the data elsewhere and answer with a reference to it",
+        )
+    if hashlib.sha256(answer.body).hexdigest() != answer.digest:
+        return may_have_run(
+            RefusalReason.RUNNER_FAILED,
+            "the runner's answer does not match its digest",
+            "check the effect before sending it again",
+        )
+    if not answer.ok:
+        return may_have_run(
+            RefusalReason.RUNNER_FAILED,
+            "the runner failed",
+            "check the effect before sending it again",
+        )
+    return None
+
+
+def _with_history(refusal: Refusal, may_have: Refusal | None) -> Refusal:
+    """A later attempt that did not run does not undo an earlier one that may have."""
+    if may_have is None or refusal.execution is Execution.MAY_HAVE_RUN:
+        return refusal
+    return may_have
+
+
+def _link_down() -> Refusal:
+    return not_run(RefusalReason.NO_RUNNER, "the link to the runner is down", "try again later", 1)
+
+
+def _no_answer() -> Refusal:
+    return may_have_run(
+        RefusalReason.MAY_HAVE_RUN,
+        "the runner did not answer in time",
+        "check the effect before sending it again",
+    )
+
+
+def _refused(answer: RequestAnswer) -> Refusal:
+    reason = answer.reason or RefusalReason.NO_RUNNER
+    return not_run(reason, "the target process refused the request", "try again later", 1)
