Split the HTTP interface, limit callers at the entry and drain it before it stops

Cause: api.py held everything in one module; bodies without Content-Length were cut silently at the limit, errors of the HTTP library were HTML or plain text, form bodies were parsed into parameters, a sender of one byte per 9 s held a thread for ever, and SIGTERM closed the listener before the balancer could see a failing health check.

Rates are shared out over the entries in the directory. Queue counts are taken from the fold every 0.5 s, because a count per submission would visit every job.

--- a/benchmarks/http_latency.py
+++ b/benchmarks/http_latency.py
@@ -11,6 +11,7 @@
 
 from comfreyshelf.client import Client
 from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
+from comfreyshelf.worker import StandinWorker
 
 REQUEST_SECONDS = 6.0
 JOB_SECONDS = 8.0
@@ -51,13 +52,19 @@
     return call
 
 
+def started_parts(deployment: Deployment) -> int:
+    """Parts that the stand-in workers have started."""
+    workers = [target.worker for target in deployment.targets]
+    return sum(len(worker.started) for worker in workers if isinstance(worker, StandinWorker))
+
+
 def job_call(client: Client, deployment: Deployment) -> Callable[[], float]:
     """One job of one part, from submission until a worker starts it."""
     state = {"number": 0}
 
     def call() -> float:
         state["number"] += 1
-        before = sum(len(target.worker.started) for target in deployment.targets)
+        before = started_parts(deployment)
         started = time.monotonic()
         job = client.submit(
             key=f"latency-{state['number']}",
@@ -66,7 +73,7 @@
             shape={"parts": 1, "accelerators": 1},
             payload='{"run_s": 0.01}',
         )
-        while sum(len(target.worker.started) for target in deployment.targets) == before:
+        while started_parts(deployment) == before:
             time.sleep(0.0005)
         seconds = time.monotonic() - started
         client.job(job["id"], wait_s=5.0)
--- a/comfreyshelf/auth.py
+++ b/comfreyshelf/auth.py
@@ -1,7 +1,6 @@
 """Keys of callers and operators; the configuration keeps only their SHA-256 hashes."""
 
 import hashlib
-import hmac
 import secrets
 
 from comfreyshelf.config import Caller, Config, Operator
@@ -14,7 +13,7 @@
 
 def hash_key(key: str) -> str:
     """The hash to put into the configuration; keys are random, so no slow hash is needed."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 def bearer_key(header: str | None) -> str:
@@ -23,19 +22,22 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def find_caller(config: Config, key: str) -> Caller | None:
-    """The caller whose key this is."""
-    digest = hash_key(key)
-    for caller in config.callers.values():
-        if hmac.compare_digest(caller.key_sha256, digest):
-            return caller
-    return None
+class KeyIndex:
+    """Callers and operators of one configuration by the hash of their key.
 
+    A lookup by hash reveals nothing about a key through its time, because the caller cannot choose
+    the hash of a key that it does not know.
+    """
 
-def find_operator(config: Config, key: str) -> Operator | None:
-    """The operator whose key this is."""
-    digest = hash_key(key)
-    for operator in config.operators.values():
-        if hmac.compare_digest(operator.key_sha256, digest):
-            return operator
-    return None
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self._callers = {caller.key_sha256: caller for caller in config.callers.values()}
+        self._operators = {one.key_sha256: one for one in config.operators.values()}
+
+    def caller(self, key: str) -> Caller | None:
+        """The caller whose key this is."""
+        return self._callers.get(hash_key(key))
+
+    def operator(self, key: str) -> Operator | None:
+        """The operator whose key this is."""
+        return self._operators.get(hash_key(key))
--- a/comfreyshelf/demo.py
+++ b/comfreyshelf/demo.py
@@ -68,6 +68,7 @@
                 free_address(),
                 free_address(),
                 f"http://{log_address}",
+                shutdown_notice_s=0.1,
             )
             for index in range(entries)
         ]
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -48,7 +48,8 @@
             cfg.name, self.reader, self.appender, self.roster, self.router, self.metrics
         )
         self.web = self.kernel.register(
-            "api", WebServer(cfg.http_address, Root(self.front), cfg.http_threads)
+            "api",
+            WebServer(cfg.http_address, Root(self.front), cfg.http_threads, self.front.error_page),
         )
 
     def start(self) -> None:
@@ -57,8 +58,10 @@
         logging.info("entry %s listens on %s", self._cfg.name, self._cfg.http_address)
 
     def stop(self) -> None:
-        """Leave the domains to others, finish the requests under way, and stop."""
+        """Finish the requests under way, leave the domains to others, and stop."""
         self.front.stopping = True
+        if not self.web.drain(self._cfg.shutdown_notice_s, self._cfg.shutdown_grace_s):
+            logging.warning("entry %s stops with requests under way", self._cfg.name)
         self.owner.leave()
         if self.reader.log_up:
             body = EntryDown(EntryId(self._cfg.name))
--- /dev/null
+++ b/comfreyshelf/front.py
@@ -0,0 +1,326 @@
+"""What the HTTP resources share: answers, keys, limits, bodies, and appends with a verdict."""
+
+import math
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import TypeVar
+
+import cherrypy
+import msgspec
+from expression import Error, Ok, Result
+
+from comfreyshelf.admission import QueueLimits, RateLimits
+from comfreyshelf.auth import KeyIndex, bearer_key
+from comfreyshelf.config import Caller, Config, Operator
+from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
+from comfreyshelf.journal import Appender, AppendResult, LedgerReader
+from comfreyshelf.membership import Roster
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.model import JobState
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import AnyBody
+from comfreyshelf.router import Router
+
+APPEND_TIMEOUT_S = 5.0
+MAX_WAIT_S = 60.0
+MAX_IN_FLIGHT = 48
+# Waiting callers hold a thread each; the rest of the threads serves new work and health checks.
+MAX_WAITERS = 32
+
+T = TypeVar("T")
+
+STATUS_OF = {
+    RefusalReason.MALFORMED: 400,
+    RefusalReason.INVALID_TEXT: 422,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.UNAUTHORISED: 401,
+    RefusalReason.FORBIDDEN: 403,
+    RefusalReason.UNKNOWN: 404,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.KEY_CONFLICT: 409,
+    RefusalReason.STALE_VERSION: 409,
+    RefusalReason.NEVER_FITS: 422,
+    RefusalReason.FAILS_EVERYWHERE: 422,
+    RefusalReason.QUEUE_FULL: 429,
+    RefusalReason.RATE_LIMIT: 429,
+    RefusalReason.SHED: 429,
+    RefusalReason.SLOW_SENDER: 408,
+    RefusalReason.RUNNER_FAILED: 502,
+    RefusalReason.MAY_HAVE_RUN: 504,
+    RefusalReason.DEADLINE_PASSED: 504,
+    RefusalReason.INTERNAL: 500,
+}
+
+_REASON_OF = {
+    401: RefusalReason.UNAUTHORISED,
+    403: RefusalReason.FORBIDDEN,
+    404: RefusalReason.UNKNOWN,
+    408: RefusalReason.SLOW_SENDER,
+    413: RefusalReason.TOO_LARGE,
+    414: RefusalReason.TOO_LARGE,
+}
+
+
+def status_of(refusal: Refusal) -> int:
+    """The HTTP status of a refusal; 503 for whatever passes by itself."""
+    if refusal.reason is RefusalReason.TOO_LARGE and refusal.execution is Execution.MAY_HAVE_RUN:
+        return 502
+    return STATUS_OF.get(refusal.reason, 503)
+
+
+class Front:
+    """State and helpers of all resources of one entry."""
+
+    def __init__(
+        self,
+        name: str,
+        reader: LedgerReader,
+        appender: Appender,
+        roster: Roster,
+        router: Router,
+        metrics: Metrics,
+    ) -> None:
+        self.name = name
+        self.reader = reader
+        self.appender = appender
+        self.roster = roster
+        self.router = router
+        self.metrics = metrics
+        self.stopping = False
+        self._lock = threading.Lock()
+        self._keys = KeyIndex(self.config)
+        self._rates = RateLimits()
+        self._queues = QueueLimits()
+        self._working = 0
+        self._waiters = 0
+
+    @property
+    def config(self) -> Config:
+        """The configuration in force here."""
+        return self.reader.ledger.config
+
+    @property
+    def keys(self) -> KeyIndex:
+        """The keys of the configuration in force."""
+        config = self.config
+        if self._keys.config is not config:
+            self._keys = KeyIndex(config)
+        return self._keys
+
+    def answer(self, work: Callable[[], Result[T, Refusal]], ok: int = 200) -> bytes:
+        """Run `work` and render its result or refusal as JSON."""
+        result = work()
+        if result.is_error():
+            return self.refuse(result.error)
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        cherrypy.response.status = ok
+        return msgspec.json.encode(result.ok)
+
+    def refuse(self, refusal: Refusal) -> bytes:
+        """Render and count a refusal."""
+        self.metrics.refused(refusal.reason)
+        response = cherrypy.response
+        response.headers["Content-Type"] = "application/json"
+        response.status = status_of(refusal)
+        if refusal.retry_after_s:
+            response.headers["Retry-After"] = str(refusal.retry_after_s)
+        if refusal.reason is RefusalReason.UNAUTHORISED:
+            response.headers["WWW-Authenticate"] = "Bearer"
+        return msgspec.json.encode(refusal)
+
+    def wrong_method(self, *allowed: str) -> bytes:
+        """Refuse the method of the request."""
+        body = self.refuse(
+            not_run(
+                RefusalReason.MALFORMED,
+                f"method {cherrypy.request.method} is not supported here",
+                f"use {' or '.join(allowed)}",
+            )
+        )
+        cherrypy.response.status = 405
+        cherrypy.response.headers["Allow"] = ", ".join(allowed)
+        return body
+
+    def error_page(self, status: int, message: str) -> dict[str, object]:
+        """The refusal for an error that the HTTP library found; counted like the others."""
+        if status >= 500:
+            refusal = may_have_run(
+                RefusalReason.INTERNAL,
+                "the entry failed on this request",
+                "look up the effect before sending it again, and report this as a bug",
+            )
+        else:
+            reason = _REASON_OF.get(status, RefusalReason.MALFORMED)
+            refusal = not_run(reason, message, "correct the request")
+        self.metrics.refused(refusal.reason)
+        encoded: dict[str, object] = msgspec.to_builtins(refusal)
+        return encoded
+
+    def working(
+        self, label: str, work: Callable[[], Result[T, Refusal]]
+    ) -> Callable[[], Result[T, Refusal]]:
+        """Wrap new work: refused while stopping or above MAX_IN_FLIGHT, and timed."""
+
+        def bounded() -> Result[T, Refusal]:
+            with self._lock:
+                refusal = self._entry_refusal()
+                if refusal is None:
+                    self._working += 1
+            if refusal is not None:
+                return Error(refusal)
+            started = time.monotonic()
+            try:
+                return work()
+            finally:
+                self.metrics.record_latency(label, time.monotonic() - started)
+                with self._lock:
+                    self._working -= 1
+
+        return bounded
+
+    def _entry_refusal(self) -> Refusal | None:
+        if self.stopping:
+            return not_run(
+                RefusalReason.SHUTTING_DOWN,
+                "this entry is shutting down",
+                "connect again, to reach another entry",
+                1,
+            )
+        if self._working >= MAX_IN_FLIGHT:
+            return not_run(
+                RefusalReason.SHED,
+                f"this entry has {MAX_IN_FLIGHT} requests under way",
+                "try again later, or through another entry",
+                1,
+            )
+        return None
+
+    @contextmanager
+    def waiting(self) -> Iterator[bool]:
+        """Reserve a thread for a waiting caller; False if too many wait already."""
+        with self._lock:
+            may_wait = self._waiters < MAX_WAITERS
+            self._waiters += may_wait
+        try:
+            yield may_wait
+        finally:
+            with self._lock:
+                self._waiters -= may_wait
+
+    def body_bytes(self, limit: int) -> Result[bytes, Refusal]:
+        """Read the whole body, which must not exceed `limit` bytes."""
+        try:
+            data = cherrypy.request.body.read(limit + 1) or b""
+        except TimeoutError:
+            return Error(
+                not_run(RefusalReason.SLOW_SENDER, "the body came too slowly", "send it faster")
+            )
+        except ValueError as exc:
+            return Error(_malformed(f"the body is not framed correctly: {exc}"))
+        if len(data) > limit:
+            return Error(
+                not_run(RefusalReason.TOO_LARGE, f"the body exceeds {limit} bytes", "shorten it")
+            )
+        declared = cherrypy.request.headers.get("Content-Length")
+        if declared is not None and int(declared) != len(data):
+            return Error(_malformed("the body is shorter than 'Content-Length'"))
+        return Ok(data)
+
+    def body(self, kind: type[T], limit: int) -> Result[T, Refusal]:
+        """Read and decode the JSON body of the request."""
+        data = self.body_bytes(limit)
+        if data.is_error():
+            return Error(data.error)
+        try:
+            return Ok(msgspec.json.decode(data.ok, type=kind))
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            return Error(_malformed(f"malformed body: {exc}"))
+
+    def caller(self) -> Result[Caller, Refusal]:
+        """The caller whose key the request carries."""
+        key = bearer_key(cherrypy.request.headers.get("Authorization"))
+        caller = self.keys.caller(key)
+        return Ok(caller) if caller else Error(unauthorised("caller"))
+
+    def operator(self, keys: KeyIndex | None = None) -> Result[Operator, Refusal]:
+        """The operator whose key the request carries, by default in the text in force."""
+        key = bearer_key(cherrypy.request.headers.get("Authorization"))
+        operator = (keys or self.keys).operator(key)
+        return Ok(operator) if operator else Error(unauthorised("operator"))
+
+    def limit_rate(self, caller: Caller) -> Refusal | None:
+        """Take a token of the caller and its organisation, or refuse."""
+        config = self.config
+        organisation = config.organisations[caller.organisation]
+        entries = len(self.reader.ledger.state.entries)
+        with self._lock:
+            return self._rates.take(organisation, caller, entries, time.monotonic())
+
+    def limit_queue(self, caller: Caller) -> Refusal | None:
+        """Count one more queued job of the caller and its organisation, or refuse."""
+        organisation = self.config.organisations[caller.organisation]
+        now = time.monotonic()
+        with self._lock:
+            if self._queues.is_stale(now):
+                self._queues.recount(self._queued(), now)
+            return self._queues.admit(organisation, caller)
+
+    def _queued(self) -> list[tuple]:
+        with self.reader.lock:
+            return [
+                (entry.job.organisation, entry.job.caller)
+                for entry in self.reader.ledger.state.jobs.values()
+                if entry.state is JobState.QUEUED
+            ]
+
+    def append(
+        self, body: AnyBody, timeout_s: float = APPEND_TIMEOUT_S
+    ) -> Result[AppendResult, Refusal]:
+        """Append a record and wait for its verdict."""
+        if not self.reader.log_up:
+            return Error(log_down())
+        outcome = self.appender.submit(body, timeout_s).result()
+        if outcome.verdict is None and not outcome.tried:
+            return Error(log_down())
+        if outcome.verdict is None:
+            return Error(
+                may_have_run(
+                    RefusalReason.MAY_HAVE_RUN,
+                    "the log did not confirm the record in time",
+                    "submit again with the same key, or look the key up",
+                )
+            )
+        return Ok(outcome)
+
+
+def seconds(text: str, name: str, most: float) -> Result[float, Refusal]:
+    """Parse a parameter in seconds; longer times are cut to `most`."""
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not value >= 0:
+        return Error(_malformed(f"'{name}' is not a number of seconds"))
+    return Ok(min(value, most))
+
+
+def _malformed(message: str) -> Refusal:
+    return not_run(RefusalReason.MALFORMED, message, "correct the request")
+
+
+def log_down() -> Refusal:
+    """The platform's log is unavailable and nothing was appended."""
+    return not_run(
+        RefusalReason.LOG_DOWN, "the platform's log is unavailable", "try again later", 5
+    )
+
+
+def unauthorised(who: str) -> Refusal:
+    """No `who` has the key of the request."""
+    return not_run(
+        RefusalReason.UNAUTHORISED,
+        f"no {who} has this key",
+        "send 'Authorization: Bearer KEY' with a key from the configuration",
+    )
--- /dev/null
+++ b/comfreyshelf/jobs_api.py
@@ -0,0 +1,336 @@
+"""Jobs over HTTP: submit, look up, wait, read the result, cancel."""
+
+import time
+import uuid
+from typing import Annotated
+
+import cherrypy
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from comfreyshelf.config import Caller
+from comfreyshelf.errors import Refusal, not_run
+from comfreyshelf.front import MAX_WAIT_S, Front, seconds
+from comfreyshelf.ids import DomainId, JobId, ServiceId
+from comfreyshelf.ledger import JobEntry
+from comfreyshelf.model import (
+    MAX_PARTS,
+    MAX_PAYLOAD_BYTES,
+    Adjacency,
+    Job,
+    JobState,
+    Shape,
+    Urgency,
+)
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import JobAccepted, JobsCancelled
+
+# JSON may write a byte of the payload as the six characters of '\u00e9'.
+MAX_JOB_BODY_BYTES = MAX_PAYLOAD_BYTES * 6 + 8192
+MAX_CANCEL_BODY_BYTES = 512 * 1024
+MAX_CANCELLED = 10_000
+MAX_ACCELERATORS = 64
+MAX_SECONDS = 366 * 86_400.0
+
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Seconds = Annotated[float, Meta(gt=0, le=MAX_SECONDS)]
+Delay = Annotated[float, Meta(ge=0, le=MAX_SECONDS)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Size = Annotated[int, Meta(ge=0, le=1_000_000)]
+
+
+class ShapeRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """The shape in a job submission; `cores` and `memory_gb` are per part."""
+
+    parts: Count
+    accelerators: Count
+    adjacency: Adjacency = Adjacency.ZONE
+    cores: Size = 1
+    memory_gb: Size = 1
+
+    def shape(self) -> Shape:
+        """The shape as the scheduler knows it."""
+        return Shape(self.parts, self.accelerators, self.adjacency, self.cores, self.memory_gb)
+
+
+class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a job submission; `deadline_s` is in seconds from now, 0 for none."""
+
+    key: Name
+    service: Name
+    kind: Name
+    shape: ShapeRequest
+    declared_s: Seconds = 60.0
+    urgency: Urgency = Urgency.NORMAL
+    deadline_s: Delay = 0.0
+    idempotent: bool = True
+    preemptible: bool = True
+    payload: str = ""
+
+
+class JobView(msgspec.Struct):
+    """A job as its organisation sees it; `length` is in bytes."""
+
+    id: JobId
+    key: str
+    state: JobState
+    domain: DomainId
+    attempt: int
+    reason: RefusalReason | None = None
+    digest: str = ""
+    length: int = 0
+
+
+class CancelRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a batch of cancellations."""
+
+    jobs: Annotated[list[Name], Meta(min_length=1, max_length=MAX_CANCELLED)]
+
+
+def view_of(entry: JobEntry) -> JobView:
+    """Build the public view of a job."""
+    return JobView(
+        entry.job.id,
+        entry.job.key,
+        entry.state,
+        entry.domain,
+        entry.attempt,
+        entry.reason,
+        entry.digest,
+        len(entry.result),
+    )
+
+
+@cherrypy.popargs("job")
+class Jobs:
+    """`/v1/jobs`: submit; `/v1/jobs/ID`: look up, wait and cancel; `/v1/jobs/ID/result`."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    @cherrypy.expose
+    def index(self, job: str = "", wait_s: str = "0", key: str = "") -> bytes:
+        """Dispatch on method."""
+        method = cherrypy.request.method
+        if method == "POST" and not job:
+            return self._front.answer(self._front.working("submit", self._submit), 202)
+        if method in ("GET", "HEAD") and (job or key):
+            return self._front.answer(lambda: self._look_up(JobId(job), key, wait_s))
+        if method == "DELETE" and job:
+            work = self._front.working("cancel", lambda: self.cancel([JobId(job)]))
+            return self._front.answer(work)
+        if method in ("GET", "HEAD"):
+            return self._front.refuse(
+                not_run(
+                    RefusalReason.MALFORMED,
+                    "neither a job id nor a key is given",
+                    "use /v1/jobs/ID or /v1/jobs?key=KEY",
+                )
+            )
+        return self._front.wrong_method(*(("GET", "DELETE") if job else ("GET", "POST")))
+
+    @cherrypy.expose
+    def result(self, job: str = "") -> bytes:
+        """The whole result of a finished job as bytes, with its digest in `Digest`."""
+        if cherrypy.request.method not in ("GET", "HEAD"):
+            return self._front.wrong_method("GET")
+        found = self._find(JobId(job), "")
+        if found.is_error():
+            return self._front.refuse(found.error)
+        entry = found.ok
+        if entry.state is not JobState.FINISHED:
+            return self._front.refuse(
+                not_run(
+                    RefusalReason.UNKNOWN, "the job has no result", "wait until it is finished", 1
+                )
+            )
+        cherrypy.response.headers["Content-Type"] = "application/octet-stream"
+        cherrypy.response.headers["Digest"] = f"sha-256={entry.digest}"
+        return entry.result
+
+    def cancel(self, jobs: list[JobId]) -> Result[list[JobView], Refusal]:
+        """Cancel jobs of the caller's organisation with one record; others are passed over."""
+        caller = self._front.caller()
+        if caller.is_error():
+            return Error(caller.error)
+        own = [entry for job in jobs if (entry := self._owned(job, caller.ok)) is not None]
+        if not own:
+            return Error(unknown_job())
+        open_jobs = tuple(entry.job.id for entry in own if not entry.state.final)
+        if open_jobs:
+            body = JobsCancelled(open_jobs, caller.ok.organisation, caller.ok.id)
+            outcome = self._front.append(body)
+            if outcome.is_error():
+                return Error(outcome.error)
+        with self._front.reader.lock:
+            return Ok([view_of(entry) for entry in own])
+
+    def _owned(self, job: JobId, caller: Caller) -> JobEntry | None:
+        with self._front.reader.lock:
+            entry = self._front.reader.ledger.state.jobs.get(job)
+        if entry is None or entry.job.organisation != caller.organisation:
+            return None
+        return entry
+
+    def _submit(self) -> Result[JobView, Refusal]:
+        caller = self._front.caller()
+        if caller.is_error():
+            return Error(caller.error)
+        limited = self._front.limit_rate(caller.ok)
+        if limited is not None:
+            return Error(limited)
+        request = self._front.body(JobRequest, MAX_JOB_BODY_BYTES)
+        if request.is_error():
+            return Error(request.error)
+        refusal = self._check(request.ok)
+        if refusal is not None:
+            return Error(refusal)
+        return self._accept(caller.ok, request.ok)
+
+    def _check(self, request: JobRequest) -> Refusal | None:
+        shape = request.shape
+        config = self._front.config
+        if ServiceId(request.service) not in config.services:
+            return not_run(
+                RefusalReason.UNKNOWN_SERVICE,
+                f"service '{request.service}' is unknown",
+                f"use one of: {', '.join(config.services)}",
+            )
+        if shape.parts > MAX_PARTS or shape.accelerators > MAX_ACCELERATORS:
+            return not_run(
+                RefusalReason.NEVER_FITS,
+                "the shape can never fit",
+                f"use 1 to {MAX_PARTS} parts of 1 to {MAX_ACCELERATORS} accelerators",
+            )
+        if len(request.payload.encode()) > MAX_PAYLOAD_BYTES:
+            return not_run(
+                RefusalReason.TOO_LARGE,
+                f"'payload' exceeds {MAX_PAYLOAD_BYTES} bytes",
+                "store the data elsewhere and submit a reference to it",
+            )
+        return None
+
+    def _accept(self, caller: Caller, request: JobRequest) -> Result[JobView, Refusal]:
+        now = time.time()
+        job = Job(
+            JobId(uuid.uuid4().hex),
+            caller.organisation,
+            caller.id,
+            request.key,
+            ServiceId(request.service),
+            request.kind,
+            request.shape.shape(),
+            request.declared_s,
+            request.urgency,
+            now + request.deadline_s if request.deadline_s else 0.0,
+            request.idempotent,
+            request.preemptible,
+            request.payload.encode(),
+            now,
+        )
+        known = self._known(job)
+        if known is not None:
+            return known
+        full = self._front.limit_queue(caller)
+        if full is not None:
+            return Error(full)
+        outcome = self._front.append(JobAccepted(job, self._choose_domain(job)))
+        if outcome.is_error():
+            return Error(outcome.error)
+        self._front.metrics.count("jobs_accepted")
+        return self._known(job) or Error(unknown_job())
+
+    def _known(self, job: Job) -> Result[JobView, Refusal] | None:
+        with self._front.reader.lock:
+            ledger = self._front.reader.ledger
+            known = ledger.job_by_key(job.organisation, job.caller, job.key)
+            if known is None:
+                return None
+            entry = ledger.state.jobs[known]
+        same = (entry.job.shape, entry.job.payload, entry.job.kind) == (
+            job.shape,
+            job.payload,
+            job.kind,
+        )
+        if not same:
+            return Error(
+                not_run(
+                    RefusalReason.KEY_CONFLICT,
+                    f"key '{job.key}' names another job",
+                    "use a new key for a different job",
+                )
+            )
+        return Ok(view_of(entry))
+
+    def _choose_domain(self, job: Job) -> DomainId:
+        domains = self._front.config.domains
+        free: dict[DomainId, int] = dict.fromkeys(domains, 0)
+        for view in self._front.roster.views():
+            zone = self._front.config.zones.get(view.worker.zone)
+            if zone is not None:
+                free[zone.domain] += view.worker.accelerators
+        return max(domains, key=lambda domain: free[domain])
+
+    def _find(self, job: JobId, key: str) -> Result[JobEntry, Refusal]:
+        caller = self._front.caller()
+        if caller.is_error():
+            return Error(caller.error)
+        if key:
+            with self._front.reader.lock:
+                ledger = self._front.reader.ledger
+                job = ledger.job_by_key(caller.ok.organisation, caller.ok.id, key) or job
+        entry = self._owned(job, caller.ok)
+        return Ok(entry) if entry is not None else Error(unknown_job())
+
+    def _look_up(self, job: JobId, key: str, wait_s: str) -> Result[JobView, Refusal]:
+        wait = seconds(wait_s, "wait_s", MAX_WAIT_S)
+        if wait.is_error():
+            return Error(wait.error)
+        found = self._find(job, key)
+        if found.is_error():
+            return Error(found.error)
+        entry = found.ok
+        if wait.ok > 0 and not entry.state.final:
+            with self._front.waiting() as may_wait:
+                if may_wait:
+                    self._wait(entry, time.monotonic() + wait.ok)
+        return Ok(view_of(entry))
+
+    def _wait(self, entry: JobEntry, until: float) -> None:
+        """Wait for the end of a job; a stopping entry answers at once, so the caller moves on."""
+        front = self._front
+        while not entry.state.final and not front.stopping:
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                return
+            front.reader.wait_until(lambda _: entry.state.final, min(left_s, 0.5))
+
+
+class Cancellations:
+    """`/v1/cancellations`: cancel a batch of jobs."""
+
+    def __init__(self, front: Front, jobs: Jobs) -> None:
+        self._front = front
+        self._jobs = jobs
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Cancel the jobs that the body lists."""
+        if cherrypy.request.method != "POST":
+            return self._front.wrong_method("POST")
+        return self._front.answer(self._front.working("cancel", self._cancel))
+
+    def _cancel(self) -> Result[list[JobView], Refusal]:
+        caller = self._front.caller()
+        if caller.is_error():
+            return Error(caller.error)
+        request = self._front.body(CancelRequest, MAX_CANCEL_BODY_BYTES)
+        if request.is_error():
+            return Error(request.error)
+        return self._jobs.cancel([JobId(job) for job in request.ok.jobs])
+
+
+def unknown_job() -> Refusal:
+    """No job of the caller's organisation has this id or key."""
+    return not_run(RefusalReason.UNKNOWN, "no such job", "check the id or the key")
--- /dev/null
+++ b/comfreyshelf/operators_api.py
@@ -0,0 +1,142 @@
+"""Operators' resources over HTTP: the configuration and the targets."""
+
+from typing import Annotated
+
+import cherrypy
+import msgspec
+from expression import Error, Ok, Result
+from msgspec import Meta
+
+from comfreyshelf.auth import KeyIndex
+from comfreyshelf.config import parse_config
+from comfreyshelf.errors import Refusal, not_run
+from comfreyshelf.front import Front
+from comfreyshelf.ids import Version
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import ConfigPublished
+
+MAX_TEXT_BYTES = 512 * 1024
+MAX_VERSION = 2**53
+
+
+class PublishRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of a publication; `base` is the version that the text was edited from."""
+
+    base: Annotated[int, Meta(ge=0, le=MAX_VERSION)]
+    text: str
+
+
+class Configuration:
+    """`/v1/config`: read what is in force and publish; `/v1/config/history`."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Dispatch on method."""
+        if cherrypy.request.method == "POST":
+            return self._front.answer(self._front.working("publish", self._publish))
+        if cherrypy.request.method in ("GET", "HEAD"):
+            return self._front.answer(self._show)
+        return self._front.wrong_method("GET", "POST")
+
+    @cherrypy.expose
+    def history(self) -> bytes:
+        """The newest accepted texts, oldest first."""
+        if cherrypy.request.method not in ("GET", "HEAD"):
+            return self._front.wrong_method("GET")
+
+        def work() -> Result[object, Refusal]:
+            operator = self._front.operator()
+            if operator.is_error():
+                return Error(operator.error)
+            return Ok(self._front.reader.ledger.state.history)
+
+        return self._front.answer(work)
+
+    def _show(self) -> Result[object, Refusal]:
+        operator = self._front.operator()
+        if operator.is_error():
+            return Error(operator.error)
+        state = self._front.reader.ledger.state
+        targets = {view.worker.target: view.version for view in self._front.roster.views()}
+        return Ok(
+            {
+                "version": self._front.config.version,
+                "text": state.config.text if state.config else "",
+                "operator": state.config.operator if state.config else "",
+                "entry": self._front.name,
+                "targets": targets,
+            }
+        )
+
+    def _publish(self) -> Result[object, Refusal]:
+        request = self._front.body(PublishRequest, MAX_TEXT_BYTES)
+        if request.is_error():
+            return Error(request.error)
+        version = Version(request.ok.base + 1)
+        # Before the first publication no operator is known, so the text vouches for its own.
+        is_first = self._front.config.version == 0
+        known = self._front.operator()
+        if not is_first and known.is_error():
+            return Error(known.error)
+        parsed = parse_config(request.ok.text, version)
+        if parsed.is_error():
+            problems = "\n".join(str(problem) for problem in parsed.error)
+            return Error(not_run(RefusalReason.INVALID_TEXT, problems, "correct these lines"))
+        operator = self._front.operator(KeyIndex(parsed.ok)) if is_first else known
+        if operator.is_error():
+            return Error(operator.error)
+        outcome = self._front.append(
+            ConfigPublished(version, Version(request.ok.base), request.ok.text, operator.ok.id)
+        )
+        if outcome.is_error():
+            return Error(outcome.error)
+        verdict = outcome.ok.verdict
+        assert verdict is not None
+        if not verdict.accepted:
+            return Error(
+                not_run(
+                    RefusalReason.STALE_VERSION,
+                    f"version {version} was not accepted: {verdict.reason}",
+                    "read the version in force, apply your change to it, and publish again",
+                )
+            )
+        return Ok({"version": version})
+
+
+class Targets:
+    """`/v1/targets`: targets and what still holds those that are leaving."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """List all targets."""
+        if cherrypy.request.method not in ("GET", "HEAD"):
+            return self._front.wrong_method("GET")
+        return self._front.answer(self._list)
+
+    def _list(self) -> Result[object, Refusal]:
+        operator = self._front.operator()
+        if operator.is_error():
+            return Error(operator.error)
+        scrapped = self._front.config.scrapped
+        return Ok(
+            [
+                {
+                    "target": view.worker.target,
+                    "zone": view.worker.zone,
+                    "rack": view.worker.rack,
+                    "version": view.version,
+                    "scrap": view.worker.target in scrapped,
+                    "draining": view.draining,
+                    "empty": view.draining and view.idle,
+                    "held_by": sorted({part.job for part in view.parts}),
+                    "requests": sum(load.running for load in view.runners),
+                }
+                for view in self._front.roster.views()
+            ]
+        )
--- a/comfreyshelf/settings.py
+++ b/comfreyshelf/settings.py
@@ -15,7 +15,11 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
-    """Settings of an entry process, section ``[entry]``; addresses are ``ip:port``."""
+    """Settings of an entry process, section ``[entry]``; addresses are ``ip:port``.
+
+    For `shutdown_notice_s` a stopping entry still answers, with a failing health check, so that the
+    balancer removes it first; it has to be longer than the interval of the balancer's checks.
+    """
 
     name: str
     zone: str
@@ -26,7 +30,8 @@
     claim_after_s: float = 3.0
     status_wait_s: float = 2.5
     shutdown_grace_s: float = 30.0
-    http_threads: int = 16
+    shutdown_notice_s: float = 2.0
+    http_threads: int = 96
 
 
 class TargetSettings(msgspec.Struct, frozen=True):
--- a/comfreyshelf/web.py
+++ b/comfreyshelf/web.py
@@ -1,30 +1,208 @@
 """A cherrypy application on a server of its own, so that one process can hold several."""
 
+import json
+import socket
+import sys
 import threading
+import time
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
 
 import cherrypy
-from cheroot import wsgi
+from absl import logging
+from cheroot import makefile, wsgi
+from cheroot.server import HTTPConnection, HTTPRequest
 
 from comfreyshelf.kernel import Service
 
 MAX_BODY_BYTES = 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 10
-_CONFIG: dict[str, dict[str, object]] = {"/": {"tools.trailing_slash.on": False}}
+# The socket timeout starts again with each byte; this bounds a whole request of a slow sender.
+RECEIVE_TIMEOUT_S = 20.0
+DISCARD_TIMEOUT_S = 0.5
+_CHECK_INTERVAL_S = 0.02
+# After these the rest of the body is not read, so the connection cannot be used again.
+_CLOSING_STATUSES = (408, 413)
+
+ErrorPage = Callable[[int, str], dict[str, object]]
+"""Makes the JSON body of an error from the HTTP status and a message."""
+
+
+def plain_error(status: int, message: str) -> dict[str, object]:
+    """The error body of servers that give no `ErrorPage`."""
+    return {"status": status, "message": message}
+
+
+class _TimedSocket(socket.SocketIO):
+    """Raw reads of one connection that end at `deadline`, in monotonic seconds."""
+
+    def __init__(self, sock: socket.socket, mode: Any) -> None:
+        super().__init__(sock, mode)
+        self._conn = sock
+        self.deadline = 0.0
+
+    def readinto(self, buffer: Any) -> int | None:
+        left_s = min(SOCKET_TIMEOUT_S, self.deadline - time.monotonic())
+        if left_s <= 0:
+            raise TimeoutError("timed out")
+        self._conn.settimeout(left_s)
+        try:
+            return super().readinto(buffer)
+        finally:
+            self._conn.settimeout(SOCKET_TIMEOUT_S)
+
+
+class _TimedReader(makefile.StreamReader):
+    """cheroot's reader over a `_TimedSocket`."""
+
+    def __init__(self, sock: socket.socket, mode: str, bufsize: int) -> None:
+        self.timed = _TimedSocket(sock, mode)
+        # StreamReader's own constructor would open an untimed SocketIO.
+        super(makefile.StreamReader, self).__init__(self.timed, bufsize)
+        self.bytes_read = 0
+
+
+def _make_file(sock: socket.socket, mode: str = "r", bufsize: int = 8192) -> object:
+    if "r" in mode:
+        return _TimedReader(sock, mode, bufsize)
+    return makefile.MakeFile(sock, mode, bufsize)
+
+
+class _Request(HTTPRequest):
+    """Answers the errors that cheroot finds before cherrypy in the same JSON form."""
+
+    def send_headers(self) -> None:
+        connection = [value for name, value in self.outheaders if name.lower() == b"connection"]
+        if int(self.status[:3]) in _CLOSING_STATUSES or b"close" in connection:
+            self.close_connection = True
+            self.conn.has_unread_input = self.chunked_read or self.rfile.remaining > 0
+        super().send_headers()
+
+    def simple_response(self, status: object, msg: str = "") -> None:
+        code = int(str(status)[:3])
+        self.conn.has_unread_input = True
+        body = json.dumps(self.server.error_body(code, msg or str(status)[4:])).encode()
+        self.close_connection = True
+        head = (
+            f"{self.server.protocol} {status}\r\nContent-Length: {len(body)}\r\n"
+            "Content-Type: application/json\r\nConnection: close\r\n\r\n"
+        )
+        try:
+            self.conn.wfile.write(head.encode("iso-8859-1") + body)
+        except OSError:
+            logging.debug("the peer closed the connection before its error answer")
+
+
+class _Connection(HTTPConnection):
+    """A connection whose every request has to arrive within RECEIVE_TIMEOUT_S."""
+
+    RequestHandlerClass = _Request
+
+    def __init__(self, server: wsgi.Server, sock: socket.socket, _: object = None) -> None:
+        super().__init__(server, sock, _make_file)
+        self.has_unread_input = False
+
+    def communicate(self) -> bool:
+        self.rfile.timed.deadline = time.monotonic() + RECEIVE_TIMEOUT_S
+        return super().communicate()
+
+    def close(self) -> None:
+        if self.has_unread_input:
+            self._discard_input()
+        super().close()
+
+    def _discard_input(self) -> None:
+        """Read on for a moment, because a reset would take the answer from the peer."""
+        until = time.monotonic() + DISCARD_TIMEOUT_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left_s := until - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                if not self.socket.recv(MAX_HEADER_BYTES):
+                    return
+        except OSError:
+            return
+
+
+class _Server(wsgi.Server):
+    """A cheroot server with the connections above."""
+
+    ConnectionClass = _Connection
+    error_body: ErrorPage = staticmethod(plain_error)
+
+
+class InFlight:
+    """WSGI middleware that counts requests until their answers are written."""
+
+    def __init__(self, application: Any) -> None:
+        self._application = application
+        self._lock = threading.Lock()
+        self.count = 0
+        self.last_at = 0.0
+        self.closing = False
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        is_health = environ.get("PATH_INFO") == "/health"
+        with self._lock:
+            self.count += 1
+            if not is_health:
+                self.last_at = time.monotonic()
+
+        def start(status: str, headers: list[tuple[str, str]], exc_info: Any = None) -> Any:
+            if self.closing:
+                headers = [*headers, ("Connection", "close")]
+            return start_response(status, headers, exc_info)
+
+        try:
+            chunks = self._application(environ, start)
+        except BaseException:
+            self._done()
+            raise
+        return _Counted(chunks, self._done)
+
+    def _done(self) -> None:
+        with self._lock:
+            self.count -= 1
+
+
+class _Counted:
+    """A WSGI answer that tells when the server has written it."""
+
+    def __init__(self, chunks: Any, done: Callable[[], None]) -> None:
+        self._chunks = chunks
+        self._done = done
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._chunks)
+
+    def close(self) -> None:
+        try:
+            if hasattr(self._chunks, "close"):
+                self._chunks.close()
+        finally:
+            self._done()
 
 
 class WebServer(Service):
     """Serves a cherrypy resource tree at `ip:port`; stopping finishes the requests under way."""
 
-    def __init__(self, address: str, root: object, threads: int = 16) -> None:
+    def __init__(
+        self, address: str, root: object, threads: int = 16, error_page: ErrorPage = plain_error
+    ) -> None:
         host, port = address.rsplit(":", 1)
-        application = cherrypy.Application(root, "", _CONFIG)
+        self._error_page = error_page
+        application = cherrypy.Application(root, "", {"/": self._config()})
         application.log.screen = False
         application.log.access_log.propagate = False
         application.log.error_log.propagate = False
-        self._server = wsgi.Server(
-            (host, int(port)), application, numthreads=threads, timeout=SOCKET_TIMEOUT_S
+        self._in_flight = InFlight(application)
+        self._server = _Server(
+            (host, int(port)), self._in_flight, numthreads=threads, timeout=SOCKET_TIMEOUT_S
         )
+        self._server.error_body = error_page
         self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.shutdown_timeout = SOCKET_TIMEOUT_S
         self._thread: threading.Thread | None = None
 
@@ -34,8 +212,39 @@
         self._thread = threading.Thread(target=self._server.serve, name="http", daemon=True)
         self._thread.start()
 
+    def drain(self, notice_s: float, grace_s: float) -> bool:
+        """Keep serving until callers have left, and tell whether all requests have ended.
+
+        Lasts at least `notice_s`, in which the balancer sees the health check fail, and then until
+        nothing is under way and no request has come for as long, `grace_s` at most.
+        """
+        self._in_flight.closing = True
+        started = time.monotonic()
+        while (now := time.monotonic()) - started < grace_s:
+            is_quiet = now - max(started, self._in_flight.last_at) >= notice_s
+            if is_quiet and self._in_flight.count == 0:
+                return True
+            time.sleep(_CHECK_INTERVAL_S)
+        return self._in_flight.count == 0
+
     def stop(self) -> None:
         """Stop accepting, finish what is under way, and close."""
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
+
+    def _config(self) -> dict[str, object]:
+        return {
+            "tools.trailing_slash.on": False,
+            # A form body would otherwise be parsed into parameters and hidden from the resources.
+            "request.body.processors": {},
+            "request.show_tracebacks": False,
+            "error_page.default": self._render_error,
+        }
+
+    def _render_error(self, status: str, message: str, traceback: str, version: str) -> bytes:
+        code = int(status[:3])
+        if code >= 500 and sys.exc_info()[0] is not None:
+            logging.exception("a request failed with an unexpected error")
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return json.dumps(self._error_page(code, message)).encode()
