--- a/comfreyshelf/client.py
+++ b/comfreyshelf/client.py
@@ -1,12 +1,21 @@
 """A client of an entry's HTTP interface, for the command line, the demo and tests."""
 
 import hashlib
+import time
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
 import urllib3
 
 from comfreyshelf.errors import Refusal, UserError
+from comfreyshelf.reasons import RefusalReason
+
+WAIT_LEG_S = 20.0
+RECONNECT_DELAY_S = 0.2
+FINAL_STATES = frozenset({"finished", "cancelled", "refused", "may_have_run"})
+# With these urllib3 has not sent anything.
+_NOT_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
 
 
 class RefusedError(UserError):
@@ -19,20 +28,31 @@
 
 
 class UnreachableError(UserError):
-    """No entry answered."""
+    """No entry answered; `was_sent` tells whether the call may have reached one."""
+
+    def __init__(self, message: str, remedy: str, was_sent: bool = True) -> None:
+        super().__init__(message, remedy)
+        self.was_sent = was_sent
 
 
 class Client:
     """Calls one entry, or the balancer in front of several.
 
-    `Client("127.0.0.1:8080", key).wait("my-key", 30.0)` returns the job's view as a dict.
+    `Client("127.0.0.1:8080", key).wait(job, 30.0)` returns the job's view as a dict. With `others`,
+    a call that is safe to repeat goes on to the next entry when one is unreachable or stopping.
     """
 
-    def __init__(self, address: str, key: str, timeout_s: float = 90.0) -> None:
-        self._base = f"http://{address}"
+    def __init__(
+        self, address: str, key: str, timeout_s: float = 90.0, others: Sequence[str] = ()
+    ) -> None:
+        self._bases = [f"http://{one}" for one in (address, *others)]
         self._headers = {"Authorization": f"Bearer {key}"}
         self._pool = urllib3.PoolManager(timeout=timeout_s, retries=False)
 
+    @property
+    def _base(self) -> str:
+        return self._bases[0]
+
     def submit(self, **job: object) -> dict[str, Any]:
         """Submit a job; the fields are those of `JobRequest`."""
         return self._json("POST", "/v1/jobs", job)
@@ -41,6 +61,23 @@
         """Look up a job, waiting for its end for up to `wait_s` seconds."""
         return self._json("GET", f"/v1/jobs/{job}?wait_s={wait_s}")
 
+    def wait(self, job: str, timeout_s: float) -> dict[str, Any]:
+        """Wait for the end of a job, through other entries if need be; the newest view."""
+        until = time.monotonic() + timeout_s
+        while True:
+            left_s = max(0.0, until - time.monotonic())
+            try:
+                view = self.job(job, min(left_s, WAIT_LEG_S))
+            except UnreachableError:
+                if left_s <= 0:
+                    raise
+                time.sleep(RECONNECT_DELAY_S)
+                continue
+            if view["state"] in FINAL_STATES or left_s <= 0:
+                return view
+            # A stopping entry answers at once; the next one waits on.
+            self._rotate()
+
     def job_by_key(self, key: str) -> dict[str, Any]:
         """Look up a job by the client key."""
         return self._json("GET", f"/v1/jobs?key={key}")
@@ -53,10 +90,24 @@
         """Cancel jobs."""
         return self._json("POST", "/v1/cancellations", {"jobs": jobs})
 
-    def request(self, service: str, body: bytes, idempotent: bool = True) -> bytes:
-        """Send a short request to a service."""
-        headers = {"Idempotent": "yes" if idempotent else "no"}
-        return self._bytes("POST", f"/v1/services/{service}/requests", body, headers)
+    def request(
+        self,
+        service: str,
+        body: bytes,
+        idempotent: bool = True,
+        key: str = "",
+        deadline_ms: float = 0.0,
+    ) -> bytes:
+        """Send a short request to a service; `key` makes a non-idempotent one run at most once."""
+        headers = {
+            "Idempotent": "yes" if idempotent else "no",
+            "Digest": f"sha-256={hashlib.sha256(body).hexdigest()}",
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_ms:
+            headers["Deadline-Ms"] = f"{deadline_ms:g}"
+        return self._bytes("POST", f"/v1/services/{service}/requests", body, headers, idempotent)
 
     def config(self) -> dict[str, Any]:
         """The configuration in force."""
@@ -68,7 +119,7 @@
 
     def publish(self, text: str, base: int) -> dict[str, Any]:
         """Publish a text that was edited from version `base`."""
-        return self._json("POST", "/v1/config", {"base": base, "text": text})
+        return self._json("POST", "/v1/config", {"base": base, "text": text}, repeat=False)
 
     def targets(self) -> list[dict[str, Any]]:
         """All targets and what holds them."""
@@ -85,19 +136,40 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def _json(self, method: str, path: str, body: object = None) -> Any:
+    def _json(self, method: str, path: str, body: object = None, repeat: bool = True) -> Any:
         data = msgspec.json.encode(body) if body is not None else b""
-        answer = self._send(method, path, data, {"Content-Type": "application/json"})
-        return msgspec.json.decode(answer.data)
+        headers = {"Content-Type": "application/json"}
+        return msgspec.json.decode(self._send(method, path, data, headers, repeat).data)
 
-    def _bytes(self, method: str, path: str, body: bytes, headers: dict[str, str]) -> bytes:
-        answer = self._send(method, path, body, headers)
+    def _bytes(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], repeat: bool = True
+    ) -> bytes:
+        answer = self._send(method, path, body, headers, repeat)
         expected = answer.headers.get("Digest", "").removeprefix("sha-256=")
         if hashlib.sha256(answer.data).hexdigest() != expected:
             raise ValueError("the answer does not match its digest")
         return answer.data
 
     def _send(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], repeat: bool = True
+    ) -> urllib3.BaseHTTPResponse:
+        """Call the entries in turn; a call without `repeat` only after one that did not run."""
+        for _ in self._bases[1:]:
+            try:
+                return self._send_once(method, path, body, headers)
+            except UnreachableError as exc:
+                if exc.was_sent and not repeat:
+                    raise
+            except RefusedError as exc:
+                if exc.refusal.reason is not RefusalReason.SHUTTING_DOWN:
+                    raise
+            self._rotate()
+        return self._send_once(method, path, body, headers)
+
+    def _rotate(self) -> None:
+        self._bases = [*self._bases[1:], self._bases[0]]
+
+    def _send_once(
         self, method: str, path: str, body: bytes, headers: dict[str, str]
     ) -> urllib3.BaseHTTPResponse:
         try:
@@ -105,7 +177,10 @@
                 method, self._base + path, body=body, headers=self._headers | headers
             )
         except urllib3.exceptions.HTTPError as exc:
-            raise UnreachableError(f"no entry answered: {exc}", "check the address") from exc
+            was_sent = not isinstance(exc, _NOT_SENT)
+            raise UnreachableError(
+                f"no entry answered: {exc}", "check the address", was_sent
+            ) from exc
         if answer.status >= 400:
             raise self._refused(answer)
         return answer
--- a/comfreyshelf/retries.py
+++ b/comfreyshelf/retries.py
@@ -15,6 +15,8 @@
 MAX_ATTEMPTS = 5
 # A budget holds the retries that this many first requests earn, so a short fault is covered.
 BUDGET_REQUESTS = 100
+# Ten times a ratio of 0.1 adds up to slightly less than 1.
+ROUNDING = 1e-9
 MAX_DEADLINE_MS = 86_400_000
 # Another runner would end the same way.
 FINAL_REASONS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.DEADLINE_PASSED})
@@ -56,9 +58,9 @@
     def spend(self, organisation: OrganisationId) -> bool:
         """Take one retry; False if the budget is used up."""
         tokens = self._tokens.get(organisation, 0.0)
-        if tokens < 1.0:
+        if tokens < 1.0 - ROUNDING:
             return False
-        self._tokens[organisation] = tokens - 1.0
+        self._tokens[organisation] = max(0.0, tokens - 1.0)
         return True
 
 
--- /dev/null
+++ b/features/steps/http_steps.py
@@ -0,0 +1,395 @@
+"""Steps for the callers' HTTP interface of a deployment in this process."""
+
+import contextlib
+import hashlib
+import http.client
+import json
+import socket
+import threading
+import time
+
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as for_all
+
+from comfreyshelf import web
+from comfreyshelf.client import Client, RefusedError, UnreachableError
+from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
+from comfreyshelf.errors import Execution
+from comfreyshelf.reasons import RefusalReason
+
+OTHER_KEY = "balseros-desk-key"
+TEXT = (
+    DEMO_TEXT.replace("weight = 2", "weight = 2\nrate = 100000\nburst = 100000")
+    .replace(
+        "organisation = hidrovia-dragados",
+        "organisation = hidrovia-dragados\nrate = 100000\nburst = 100000",
+    )
+    .replace("[service permit]", "[service permit]\ntimeout_s = 8")
+    + "\n[organisation cooperativa-balseros]\n[caller balseros-desk]\n"
+    + "organisation = cooperativa-balseros\n"
+    + f"key_sha256 = {hashlib.sha256(OTHER_KEY.encode()).hexdigest()}\n"
+)
+JOB = {
+    "key": "k",
+    "service": "permit",
+    "kind": "check",
+    "shape": {"parts": 1, "accelerators": 1},
+    "payload": '{"run_s": 0.05}',
+}
+REQUESTS = "/v1/services/permit/requests"
+
+
+@given("a deployment in this process")
+def deployment(context: Context) -> None:
+    context.deployment = context.stack.enter_context(Deployment(2, 2).run())
+    context.operator = context.deployment.client(OPERATOR_KEY)
+    context.operator.publish(TEXT, 0)
+    wait_for_targets(context.operator, 2, 1)
+    context.address = context.deployment.entry_settings[0].http_address
+    context.caller = context.deployment.client(CALLER_KEY)
+    until = time.monotonic() + 10.0
+    while context.deployment.entries[1].front.config.version < 1:
+        assert time.monotonic() < until
+        time.sleep(0.02)
+    while len(context.deployment.entries[1].hub.targets()) < 2:
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
+def send(context, method: str, path: str, body=b"", key: str = CALLER_KEY, **headers: str):
+    """Status, headers and body of one call."""
+    pool = http.client.HTTPConnection(context.address, timeout=30)
+    with contextlib.closing(pool):
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        pool.request(method, path, body, {"Authorization": f"Bearer {key}", **named})
+        answer = pool.getresponse()
+        return answer.status, answer.headers, answer.read()
+
+
+def raw(context, data: bytes) -> tuple[int, bytes]:
+    """Status and body of an answer to bytes that no HTTP client would send."""
+    host, port = context.address.split(":")
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(data)
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        return answer.status, answer.read()
+
+
+def check_refusal(status: int, expected: int, body: bytes, reason: str, what: object) -> None:
+    assert status == expected, (what, status, body)
+    refusal = json.loads(body)
+    assert refusal["reason"] == reason, (what, refusal)
+    assert refusal["execution"] == "not_run" and refusal["message"] and refusal["remedy"], refusal
+    assert b"Traceback" not in body, body
+
+
+def job_body(**changes: object) -> bytes:
+    return json.dumps(JOB | changes).encode()
+
+
+BAD_JOBS = (
+    (b"{", 400, "malformed"),
+    (b"\xff\xfe", 400, "malformed"),
+    (b"[" * 100_000, 400, "malformed"),
+    (b"null", 400, "malformed"),
+    (job_body(extra=1), 400, "malformed"),
+    (job_body(key=""), 400, "malformed"),
+    (job_body(key=7), 400, "malformed"),
+    (job_body(declared_s=-1), 400, "malformed"),
+    (job_body(declared_s=float("nan")), 400, "malformed"),
+    (job_body(declared_s=float("inf")), 400, "malformed"),
+    (job_body(declared_s=1e300), 400, "malformed"),
+    (job_body(deadline_s=-1), 400, "malformed"),
+    (job_body(urgency="now"), 400, "malformed"),
+    (job_body(shape={"parts": 0, "accelerators": 1}), 400, "malformed"),
+    (job_body(shape={"parts": 10**30, "accelerators": 1}), 400, "malformed"),
+    (job_body(shape={"parts": 1, "accelerators": 1, "x": 1}), 400, "malformed"),
+    (job_body(shape={"parts": 513, "accelerators": 1}), 422, "never_fits"),
+    (job_body(service="none"), 404, "unknown_service"),
+    (job_body(payload="x" * 65537), 413, "too_large"),
+    (b" " * 600_000, 413, "too_large"),
+    (b" " * 3_000_000, 413, "too_large"),
+)
+BAD_CALLS = (
+    ("PUT", "/v1/jobs", b"", 405, "malformed"),
+    ("GET", "/v1/jobs", b"", 400, "malformed"),
+    ("GET", "/v1/cancellations", b"", 405, "malformed"),
+    ("DELETE", REQUESTS, b"", 405, "malformed"),
+    ("POST", "/health", b"", 405, "malformed"),
+    ("GET", "/nowhere", b"", 404, "unknown"),
+    ("GET", "/v1/jobs/none", b"", 404, "unknown"),
+    ("GET", "/v1/jobs/none?wait_s=nan", b"", 400, "malformed"),
+    ("GET", "/v1/jobs/none?other=1", b"", 404, "unknown"),
+    ("GET", "/v1/jobs/none/result", b"", 404, "unknown"),
+    ("POST", "/v1/cancellations", b'{"jobs": []}', 400, "malformed"),
+    ("POST", "/v1/cancellations", b'{"jobs": ["none"]}', 404, "unknown"),
+    ("POST", "/v1/services/none/requests", b"x", 404, "unknown_service"),
+    ("POST", REQUESTS, b"x" * 65537, 413, "too_large"),
+    ("GET", "/v1/config", b"", 401, "unauthorised"),
+)
+
+
+@then("each kind of bad input gets its status and a JSON refusal")
+def bad_input(context: Context) -> None:
+    for body, expected, reason in BAD_JOBS:
+        for shape in (body, iter([body])):  # an iterator is sent in chunks, without a length
+            status, _, answer = send(context, "POST", "/v1/jobs", shape)
+            check_refusal(status, expected, answer, reason, body[:80])
+    for method, path, body, expected, reason in BAD_CALLS:
+        status, _, answer = send(context, method, path, body)
+        check_refusal(status, expected, answer, reason, (method, path))
+    for header in ({"Deadline_Ms": "x"}, {"Idempotent": "maybe"}, {"Digest": "sha-256=0"}):
+        status, _, answer = send(context, "POST", REQUESTS, b"x", **header)
+        check_refusal(status, 400, answer, "malformed", header)
+    status, headers, answer = send(context, "POST", "/v1/jobs", job_body(), key="wrong")
+    check_refusal(status, 401, answer, "unauthorised", "wrong key")
+    assert headers["WWW-Authenticate"] == "Bearer"
+    auth = f"Authorization: Bearer {CALLER_KEY}\r\n".encode()
+    for head, expected, reason in (
+        (b"POST /v1/jobs HTTP/1.1\r\nContent-Length: x\r\n", 400, "malformed"),
+        (b"POST /v1/jobs HTTP/1.1\r\nContent-Length: -5\r\n", 400, "malformed"),
+        (b"POST /v1/jobs HTTP/1.1\r\nContent-Length: 9999999\r\n", 413, "too_large"),
+        (b"POST /v1/jobs HTTP/1.1\r\n", 411, "malformed"),
+        (b"GARBAGE\r\n", 400, "malformed"),
+        (b"GET /" + b"x" * 100_000 + b" HTTP/1.1\r\n", 414, "too_large"),
+    ):
+        status, answer = raw(context, head + b"Host: x\r\n" + auth + b"\r\n")
+        check_refusal(status, expected, answer, reason, head[:60])
+
+
+@then("bodies that hypothesis makes up never get an internal error")
+def fuzz(context: Context) -> None:
+    values = strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats()
+        | strategies.text(max_size=20),
+        lambda inner: strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=8), inner, max_size=3),
+        max_leaves=8,
+    )
+    fields = strategies.sampled_from([*JOB, "declared_s", "urgency", "jobs", "base", "text"])
+    changed = strategies.dictionaries(fields, values, min_size=1, max_size=3)
+    bodies = strategies.binary(max_size=200) | changed.map(
+        # A job that is valid by chance would be accepted, so one field is always wrong.
+        lambda change: json.dumps(JOB | change | {"idempotent": 3}).encode()
+    )
+    paths = strategies.sampled_from(["/v1/jobs", "/v1/cancellations", "/v1/config"])
+
+    @settings(max_examples=150, derandomize=True, deadline=None, database=None)
+    @settings(suppress_health_check=list(HealthCheck))
+    @for_all(paths, bodies)
+    def check(path: str, body: bytes) -> None:
+        key = OPERATOR_KEY if path == "/v1/config" else CALLER_KEY
+        status, _, answer = send(context, "POST", path, body, key)
+        assert 400 <= status < 500, (path, body, status, answer)
+        assert json.loads(answer)["execution"] == "not_run", answer
+
+    check()
+
+
+@then("no job was accepted by any of them")
+def nothing_accepted(context: Context) -> None:
+    context.deployment.entries[0].reader.wait_until(lambda _: False, 0.3)
+    assert not context.deployment.entries[0].reader.ledger.state.jobs
+    job = context.caller.submit(**JOB)
+    for path, method in ((f"/v1/jobs/{job['id']}", "GET"), (f"/v1/jobs/{job['id']}", "DELETE")):
+        status, _, answer = send(context, method, path, key=OTHER_KEY)
+        check_refusal(status, 404, answer, "unknown", "another organisation's job")
+    assert context.caller.wait(job["id"], 20.0)["state"] == "finished"
+    assert context.deployment.entries[0].metrics.value('refusals{reason="internal"}') == 0
+
+
+@then("a sender of one byte at a time is cut off and its thread is free")
+def slow_sender(context: Context) -> None:
+    usual, web.RECEIVE_TIMEOUT_S = web.RECEIVE_TIMEOUT_S, 1.0
+    context.stack.callback(setattr, web, "RECEIVE_TIMEOUT_S", usual)
+    host, port = context.address.split(":")
+    head = f"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {CALLER_KEY}\r\n"
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(f"{head}Content-Length: 500\r\n\r\n".encode())
+        started = time.monotonic()
+        with contextlib.suppress(OSError):
+            while time.monotonic() - started < 1.5:
+                sock.sendall(b" ")
+                time.sleep(0.1)
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        check_refusal(answer.status, 408, answer.read(), "slow_sender", "slow body")
+
+
+@then("a resubmission is answered by the same entry and refused as may_have_run by the other")
+def keyed(context: Context) -> None:
+    other = context.deployment.client(CALLER_KEY, 1)
+    runners = [target.runners["permit"] for target in context.deployment.targets]
+    context.calls = lambda: sum(runner.calls for runner in runners)
+    before = context.calls()
+    for _ in range(2):
+        answer = context.caller.request("permit", b"abc", idempotent=False, key="once")
+        assert answer == b"cba"
+    refusal = refusal_of(lambda: other.request("permit", b"abc", idempotent=False, key="once"))
+    assert refusal.execution is Execution.MAY_HAVE_RUN
+    other_body = refusal_of(
+        lambda: context.caller.request("permit", b"xyz", idempotent=False, key="once")
+    )
+    assert other_body.reason is RefusalReason.KEY_CONFLICT
+    assert context.calls() == before + 1, "the request ran more than once"
+
+
+def refusal_of(call):
+    try:
+        call()
+    except RefusedError as exc:
+        return exc.refusal
+    raise AssertionError("the call was not refused")
+
+
+@then("with the log down a keyed request is refused with log_down as not run")
+def log_down(context: Context) -> None:
+    before = context.calls()
+    context.deployment.log.log.down = True
+    until = time.monotonic() + 10.0
+    while context.deployment.entries[0].reader.log_up and time.monotonic() < until:
+        time.sleep(0.05)
+    refusal = refusal_of(
+        lambda: context.caller.request("permit", b"abc", idempotent=False, key="down")
+    )
+    assert refusal.reason is RefusalReason.LOG_DOWN and refusal.retry_after_s > 0
+    assert refusal.execution is Execution.NOT_RUN and context.calls() == before
+    context.deployment.log.log.down = False
+
+
+@then("a deadline is carried to the runner and never exceeds the service's timeout")
+def deadlines(context: Context) -> None:
+    seen = []
+    for target in context.deployment.targets:
+        runner = target.runners["permit"]
+        runner.call = lambda body, timeout_s: seen.append(timeout_s) or body
+    for deadline_ms in (1500, 999_999):
+        context.caller.request("permit", b"x", deadline_ms=deadline_ms)
+    assert 1.0 < seen[0] <= 1.5 and 7.0 < seen[1] <= 8.0, seen
+    assert (
+        refusal_of(lambda: context.caller.request("permit", b"x", deadline_ms=1e-9)).reason
+        is RefusalReason.DEADLINE_PASSED
+    )
+
+
+@when("the entry of a waiting caller stops")
+def stop_waited(context: Context) -> None:
+    settings_ = context.deployment.entry_settings
+    client = Client(settings_[0].http_address, CALLER_KEY, others=[settings_[1].http_address])
+    job = client.submit(**JOB | {"payload": '{"run_s": 3}'})
+    context.views = []
+    waiter = threading.Thread(target=lambda: context.views.append(client.wait(job["id"], 30.0)))
+    waiter.start()
+    time.sleep(0.3)
+    context.deployment.entries[0].stop()
+    waiter.join()
+    context.length = len(client.result(job["id"]))
+
+
+@then("the caller has the result through the other entry")
+def has_result(context: Context) -> None:
+    assert context.views[0]["state"] == "finished", context.views
+    assert context.views[0]["length"] == context.length
+
+
+class Balancer:
+    """Chooses the first entry whose newest health check passed; checks every 0.1 s."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+        self._healthy = list(addresses)
+        self.seen_unhealthy = False
+        self.status_page = ""
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def choose(self) -> str:
+        return self._healthy[0]
+
+    def close(self) -> None:
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        pool = urllib3.PoolManager(retries=False, timeout=1.0)
+        while not self._stopping.wait(0.1):
+            healthy = []
+            for address in self._addresses:
+                with contextlib.suppress(urllib3.exceptions.HTTPError):
+                    status = pool.request("GET", f"http://{address}/health").status
+                    self.seen_unhealthy |= status == 503
+                    healthy += [address] if status == 200 else []
+                    if status == 503:
+                        page = pool.request("GET", f"http://{address}/status")
+                        self.status_page = page.data.decode()
+            self._healthy = healthy or self._healthy
+
+
+def work(context: Context, balancer: Balancer, until: float) -> None:
+    """Send requests through the balancer and note what became of each."""
+    clients = {
+        cfg.http_address: Client(cfg.http_address, CALLER_KEY)
+        for cfg in context.deployment.entry_settings
+    }
+    while time.monotonic() < until:
+        try:
+            clients[balancer.choose()].request("permit", b"abc", idempotent=False)
+            context.outcomes.append("answered")
+        except RefusedError as exc:
+            context.outcomes.append(exc.refusal.reason.value)
+        except UnreachableError:
+            context.outcomes.append("cut")
+
+
+@when("an entry with slow requests is stopped {how} its drain")
+def stop_entry(context: Context, how: str) -> None:
+    entry = context.deployment.entries[0]
+    if how == "without":
+        entry.web.drain = lambda notice_s, grace_s: True
+    entry._cfg = type(entry._cfg)(
+        **{name: getattr(entry._cfg, name) for name in entry._cfg.__struct_fields__}
+        | {"shutdown_notice_s": 0.5}
+    )
+    for target in context.deployment.targets:
+        target.runners["permit"].delay_s = 0.3
+    context.outcomes = []
+    addresses = [cfg.http_address for cfg in context.deployment.entry_settings]
+    context.balancer = Balancer(addresses)
+    context.stack.callback(context.balancer.close)
+    until = time.monotonic() + 3.0
+    threads = [
+        threading.Thread(target=work, args=(context, context.balancer, until)) for _ in range(6)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.7)
+    entry.stop()
+    for thread in threads:
+        thread.join()
+
+
+@then("no request was cut and new work was refused with shutting_down")
+def none_cut(context: Context) -> None:
+    assert set(context.outcomes) <= {"answered", "shutting_down"}, context.outcomes
+    assert context.outcomes.count("answered") > 20 and "shutting_down" in context.outcomes
+
+
+@then("the status page and health check told that it was stopping")
+def told(context: Context) -> None:
+    assert context.balancer.seen_unhealthy
+    page = context.balancer.status_page
+    for text in ("stopping; configuration version 1", "litoral", "target-1", "shutting_down"):
+        assert text in page, page
+
+
+@then("requests were cut")
+def some_cut(context: Context) -> None:
+    assert "cut" in context.outcomes, context.outcomes
