--- a/comfreyshelf/api.py
+++ b/comfreyshelf/api.py
@@ -35,6 +35,7 @@
         if cherrypy.request.method not in ("GET", "HEAD"):
             return self._front.wrong_method("GET")
         ready = self._front.reader.caught_up.is_set() and not self._front.stopping
+        cherrypy.response.headers["Content-Type"] = "text/plain"
         cherrypy.response.status = 200 if ready else 503
         return b"ready\n" if ready else b"not ready\n"
 
