Choose only reachable runners, and do not blame them for callers' short deadlines

Cause: three requests with a deadline of a few milliseconds ejected a healthy runner for all callers, and a target whose pipe was down stayed a candidate for up to 7 s and cost retries. A request now keeps the configuration that it was checked against.

--- a/comfreyshelf/requests_api.py
+++ b/comfreyshelf/requests_api.py
@@ -13,7 +13,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from comfreyshelf.config import Caller, Service
+from comfreyshelf.config import Caller, Config, Service
 from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
 from comfreyshelf.front import APPEND_TIMEOUT_S, Front, log_down
 from comfreyshelf.ids import EntryId, RequestId, ServiceId
@@ -72,13 +72,18 @@
 
 
 class Ask(msgspec.Struct, frozen=True):
-    """A checked request of a caller; `until` is its deadline in monotonic seconds."""
+    """A checked request of a caller; `until` is its deadline in monotonic seconds.
 
+    The whole request uses the `config` that it was checked against.
+    """
+
+    config: Config
     caller: Caller
     service: Service
     body: bytes
     until: float
     idempotent: bool
+    is_short: bool
     key: str
 
 
@@ -124,7 +129,8 @@
         caller = self._front.caller()
         if caller.is_error():
             return Error(caller.error)
-        known = self._front.config.services.get(service)
+        config = self._front.config
+        known = config.services.get(service)
         if known is None:
             return Error(
                 not_run(RefusalReason.UNKNOWN_SERVICE, "no such service", "check the name")
@@ -159,7 +165,8 @@
                     "give 'sha-256=' and the hex digest of the body, and send it again",
                 )
             )
-        return Ok(Ask(caller.ok, known, body.ok, until, idempotent == "yes", key))
+        is_short = allowed.ok < known.timeout_s
+        return Ok(Ask(config, caller.ok, known, body.ok, until, idempotent == "yes", is_short, key))
 
     def _call(self, ask: Ask) -> Answer:
         call = Call(
@@ -169,8 +176,9 @@
             ask.body,
             ask.until,
             ask.idempotent,
+            ask.is_short,
         )
-        return self._front.router.call(self._front.config, call)
+        return self._front.router.call(ask.config, call)
 
     def _once(self, ask: Ask) -> Answer:
         """Run a keyed non-idempotent request, unless any entry has started it before."""
@@ -190,7 +198,7 @@
 
     def _start(self, ask: Ask, forget: Callable[[], None]) -> Answer:
         """Append the record of the key, then run; `forget` is called if the key stays unused."""
-        refusal = self._front.router.check(self._front.config, ask.service.id)
+        refusal = self._front.router.check(ask.config, ask.service.id)
         left_s = ask.until - time.monotonic()
         if refusal is None and left_s <= 0:
             refusal = deadline_passed()
--- a/comfreyshelf/retries.py
+++ b/comfreyshelf/retries.py
@@ -19,7 +19,13 @@
 ROUNDING = 1e-9
 MAX_DEADLINE_MS = 86_400_000
 # Another runner would end the same way.
-FINAL_REASONS = frozenset({RefusalReason.TOO_LARGE, RefusalReason.DEADLINE_PASSED})
+FINAL_REASONS = frozenset(
+    {
+        RefusalReason.TOO_LARGE,
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.DEPENDENCY_DOWN,
+    }
+)
 
 
 class Outcome(msgspec.Struct, frozen=True):
--- a/comfreyshelf/router.py
+++ b/comfreyshelf/router.py
@@ -13,7 +13,7 @@
 from comfreyshelf.config import Config
 from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
 from comfreyshelf.ids import OrganisationId, RequestId, ServiceId, TargetId, ZoneId
-from comfreyshelf.membership import Roster
+from comfreyshelf.membership import Roster, TargetView
 from comfreyshelf.messages import (
     AnyMessage,
     DisproveStart,
@@ -33,12 +33,17 @@
 # An idempotent request does not wait for a pipe to come back; the pipe redials within 1 s.
 PIPE_GRACE_S = 1.0
 _CHECK_INTERVAL_S = 0.25
+# A target process reports a timeout at the deadline, so its report may come slightly before it.
+_DEADLINE_MARGIN_S = 0.1
 
 Reply = RequestAnswer | StartDisproved
 
 
 class Call(msgspec.Struct, frozen=True):
-    """One short request of a caller; `until` is its deadline in monotonic seconds."""
+    """One short request of a caller; `until` is its deadline in monotonic seconds.
+
+    `is_short` tells that the caller allows less time than the service's timeout.
+    """
 
     request: RequestId
     organisation: OrganisationId
@@ -46,6 +51,7 @@
     body: bytes
     until: float
     idempotent: bool = True
+    is_short: bool = False
 
 
 class Attempt(msgspec.Struct, frozen=True):
@@ -96,7 +102,7 @@
     def check(self, config: Config, service: ServiceId) -> Refusal | None:
         """Why a request to `service` would be refused now, or None if a runner is available."""
         with self._lock:
-            chosen = self._routing.choose(config, service, self._roster.views(), time.monotonic())
+            chosen = self._routing.choose(config, service, self._views(), time.monotonic())
         return chosen.error if chosen.is_error() else None
 
     def call(self, config: Config, call: Call) -> Result[bytes, Refusal]:
@@ -134,7 +140,7 @@
         now = time.monotonic()
         if now >= call.until:
             return Error(Outcome(RetryReason.RUNNER_TIMEOUT, True, deadline_passed()))
-        views = self._roster.views()
+        views = self._views()
         with self._lock:
             chosen = self._routing.choose(config, call.service, views, now, tried)
             if chosen.is_error():
@@ -154,6 +160,11 @@
                 self._waiting.pop(attempt.id, None)
                 self._routing.ended(target, call.service)
 
+    def _views(self) -> list[TargetView]:
+        """The targets to which there is a pipe."""
+        reachable = set(self._hub.targets()) if self._hub is not None else set()
+        return [view for view in self._roster.views() if view.worker.target in reachable]
+
     def _exchange(self, config: Config, call: Call, attempt: Attempt) -> Result[bytes, Outcome]:
         digest = hashlib.sha256(call.body).hexdigest()
         message = RunRequest(
@@ -217,8 +228,12 @@
         return Error(Outcome(RetryReason.RUNNER_FAILED, False, refusal))
 
     def _failed(self, call: Call, attempt: Attempt) -> None:
+        now = time.monotonic()
+        if call.is_short and now >= call.until - _DEADLINE_MARGIN_S:
+            # A caller's own short deadline tells nothing about the runner.
+            return
         with self._lock:
-            ejected = self._routing.failed(attempt.target, call.service, time.monotonic())
+            ejected = self._routing.failed(attempt.target, call.service, now)
         if ejected:
             self._metrics.count("runner_ejected")
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -39,6 +39,7 @@
     And an unanswered start is reported as may_have_run
     And a question names the incarnation that the request was sent to
     And a restarted target process disproves nothing
+    And a broken pipe moves an idempotent request, and a short deadline ejects no runner
 
   Scenario: An answer that is damaged or too long is refused as may_have_run
     # Guards against passing on part of an answer.
@@ -57,6 +58,8 @@
     And bodies that hypothesis makes up never get an internal error
     And no job was accepted by any of them
     And a sender of one byte at a time is cut off and its thread is free
+    And a caller above its queue or rate limit gets 429 with Retry-After
+    And a busy entry refuses more work with shed but answers health checks
 
   Scenario: A keyed request runs once through all entries
     # Guards against a second run of a resubmission, and against running without a record.
--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -14,7 +14,7 @@
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as for_all
 
-from comfreyshelf import web
+from comfreyshelf import front, web
 from comfreyshelf.client import Client, RefusedError, UnreachableError
 from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
 from comfreyshelf.errors import Execution
@@ -29,7 +29,7 @@
     )
     .replace("[service permit]", "[service permit]\ntimeout_s = 8")
     + "\n[organisation cooperativa-balseros]\n[caller balseros-desk]\n"
-    + "organisation = cooperativa-balseros\n"
+    + "organisation = cooperativa-balseros\nmax_queued = 2\n"
     + f"key_sha256 = {hashlib.sha256(OTHER_KEY.encode()).hexdigest()}\n"
 )
 JOB = {
@@ -228,6 +228,30 @@
         check_refusal(answer.status, 408, answer.read(), "slow_sender", "slow body")
 
 
+@then("a caller above its queue or rate limit gets 429 with Retry-After")
+def limited(context: Context) -> None:
+    endless = {"shape": {"parts": 100, "accelerators": 8}}
+    answers = [
+        send(context, "POST", "/v1/jobs", job_body(key=f"q{index}", **endless), OTHER_KEY)
+        for index in range(3)
+    ]
+    assert [answer[0] for answer in answers] == [202, 202, 429], answers
+    answers += [send(context, "POST", REQUESTS, b"x", OTHER_KEY) for _ in range(130)]
+    for answer, reason in ((answers[2], "queue_full"), (answers[-1], "rate_limit")):
+        check_refusal(answer[0], 429, answer[2], reason, "limits")
+        assert int(answer[1]["Retry-After"]) > 0
+
+
+@then("a busy entry refuses more work with shed but answers health checks")
+def busy(context: Context) -> None:
+    usual, front.MAX_IN_FLIGHT = front.MAX_IN_FLIGHT, 0
+    context.stack.callback(setattr, front, "MAX_IN_FLIGHT", usual)
+    status, headers, answer = send(context, "POST", REQUESTS, b"x")
+    check_refusal(status, 429, answer, "shed", "busy entry")
+    assert int(headers["Retry-After"]) > 0
+    assert send(context, "GET", "/health")[0] == 200
+
+
 @then("a resubmission is answered by the same entry and refused as may_have_run by the other")
 def keyed(context: Context) -> None:
     other = context.deployment.client(CALLER_KEY, 1)
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -98,6 +98,15 @@
     busy = [view("t-0", "salto", running=64), view("t-2", "colonia", running=64)]
     refused = choose(context, views=[context.survey, *busy])
     assert refused.error.reason is RefusalReason.NO_RUNNER, "64 connections are the bound"
+    send_many(context, 16)
+    assert choose(context).is_error(), "a runner was given more than its 8 slots"
+    context.routing = Routing(ZoneId("salto"), random.Random(7))
+    shared = [context.survey, view("t-0", "salto", running=6), context.views[2]]
+    chosen = []
+    for _ in range(4):
+        chosen.append(choose(context, views=shared).ok)
+        context.routing.sent(chosen[-1], PERMIT)
+    assert chosen == ["t-0", "t-0", "t-2", "t-2"], "6 slots are taken by other entries"
 
 
 @when("every runner fails 5 times")
@@ -204,9 +213,10 @@
     def __init__(self) -> None:
         self.sent: list[tuple[str, object]] = []
         self.on_send = lambda target, message: None
+        self.open = {"t-0", "t-1"}
 
-    def targets(self) -> list[str]:
-        return ["t-0", "t-1"]
+    def targets(self) -> set[str]:
+        return self.open
 
     def send(self, target: str, message: object) -> bool:
         self.sent.append((target, message))
@@ -353,3 +363,21 @@
     verdicts += [limits.admit(organisation, second) for _ in range(3)]
     assert [one is None for one in verdicts] == [True, True, False, True, True, False]
     assert verdicts[2].reason is RefusalReason.QUEUE_FULL and verdicts[2].retry_after_s > 0
+
+
+@then("a broken pipe moves an idempotent request, and a short deadline ejects no runner")
+def broken_pipe(context: Context) -> None:
+    def answer(target: str, message: RunRequest) -> None:
+        if message.request.endswith(".1"):
+            context.hub.open = {"t-0", "t-1"} - {target}
+        else:
+            context.router.receive(good(target, message.request, b"ok"))
+
+    context.hub.on_send = answer
+    assert call(context, "broken", within_s=5.0).ok == b"ok"
+    context.hub.open = {"t-0", "t-1"}
+    context.hub.on_send = lambda target, message: None
+    for _ in range(8):
+        hasty = Call(RequestId("h"), ORGANISATION, PERMIT, b"", time.monotonic() + 0.01, True, True)
+        context.router.call(context.cfg, hasty)
+    assert context.metrics.value("runner_ejected") == 0
