Keep form parsing for servers other than the entry's

The log stand-in takes its faults as parameters, so only the entry leaves all bodies unparsed. An entry that is told to stop twice is recognised by a flag of its own instead of 'stopping'.

--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -28,6 +28,7 @@
     def __init__(self, cfg: EntrySettings, log: LogClient | None = None) -> None:
         self._cfg = cfg
         self._log = log or HttpLog(cfg.log_url)
+        self._is_stopped = False
         self.kernel = Kernel()
         self.metrics = self.kernel.register("metrics", Metrics())
         self.roster = Roster()
@@ -49,7 +50,13 @@
         )
         self.web = self.kernel.register(
             "api",
-            WebServer(cfg.http_address, Root(self.front), cfg.http_threads, self.front.error_page),
+            WebServer(
+                cfg.http_address,
+                Root(self.front),
+                cfg.http_threads,
+                self.front.error_page,
+                parses_forms=False,
+            ),
         )
 
     def start(self) -> None:
@@ -59,8 +66,9 @@
 
     def stop(self) -> None:
         """Finish the requests under way, leave the domains to others, and stop; once."""
-        if self.front.stopping:
+        if self._is_stopped:
             return
+        self._is_stopped = True
         self.front.stopping = True
         if not self.web.drain(self._cfg.shutdown_notice_s, self._cfg.shutdown_grace_s):
             logging.warning("entry %s stops with requests under way", self._cfg.name)
--- a/comfreyshelf/web.py
+++ b/comfreyshelf/web.py
@@ -187,13 +187,22 @@
 
 
 class WebServer(Service):
-    """Serves a cherrypy resource tree at `ip:port`; stopping finishes the requests under way."""
+    """Serves a cherrypy resource tree at `ip:port`; stopping finishes the requests under way.
+
+    Without `parses_forms` every body is left to the resources, whatever its content type.
+    """
 
     def __init__(
-        self, address: str, root: object, threads: int = 16, error_page: ErrorPage = plain_error
+        self,
+        address: str,
+        root: object,
+        threads: int = 16,
+        error_page: ErrorPage = plain_error,
+        parses_forms: bool = True,
     ) -> None:
         host, port = address.rsplit(":", 1)
         self._error_page = error_page
+        self._parses_forms = parses_forms
         application = cherrypy.Application(root, "", {"/": self._config()})
         application.log.screen = False
         application.log.access_log.propagate = False
@@ -236,13 +245,15 @@
             self._thread.join()
 
     def _config(self) -> dict[str, object]:
-        return {
+        config: dict[str, object] = {
             "tools.trailing_slash.on": False,
-            # A form body would otherwise be parsed into parameters and hidden from the resources.
-            "request.body.processors": {},
             "request.show_tracebacks": False,
             "error_page.default": self._render_error,
         }
+        if not self._parses_forms:
+            # curl sends JSON as a form by default, which would be consumed as parameters.
+            config["request.body.processors"] = {}
+        return config
 
     def _render_error(self, status: str, message: str, traceback: str, version: str) -> bytes:
         code = int(status[:3])
