--- a/features/requests.feature
+++ b/features/requests.feature
@@ -45,6 +45,7 @@
     # Guards against passing on part of an answer.
     Given a router with a fake hub of 2 targets
     Then a damaged answer is refused as may_have_run and an answer of 64 KiB + 1 with too_large
+    And the target process refuses a damaged request and keeps back an answer that is too long
 
   Scenario: Rates and queue limits refuse with a time to wait
     # Guards against one caller using up the entry, and against a refusal that invites a retry storm.
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -10,7 +10,7 @@
 from behave.runner import Context
 
 from comfreyshelf.admission import QueueLimits, RateLimits
-from comfreyshelf.agent import Agent, Reply
+from comfreyshelf.agent import Agent, CallRunner, Reply
 from comfreyshelf.config import Caller, Organisation, parse_config
 from comfreyshelf.errors import Execution, may_have_run, not_run
 from comfreyshelf.ids import CallerId, OrganisationId, RequestId, ServiceId, Version, ZoneId
@@ -338,6 +338,21 @@
         assert (refused.reason, refused.execution) == (reason, Execution.MAY_HAVE_RUN)
 
 
+@then("the target process refuses a damaged request and keeps back an answer that is too long")
+def target_checks(context: Context) -> None:
+    agent = Agent(worker("t-0", "salto"), ("permit",))
+
+    def run(name: str, digest: str) -> object:
+        return agent.handle(RunRequest(name, "permit", 1, 1.0, b"x", False, digest), NOW)[0]
+
+    damaged = run("damaged", "0" * 64).message
+    assert (damaged.started, damaged.reason) == (False, RefusalReason.MALFORMED)
+    assert isinstance(run("long", hashlib.sha256(b"x").hexdigest()), CallRunner)
+    answer = agent.request_ended("long", True, b"x" * 65537, NOW)[0].message
+    assert (answer.started, answer.ok, answer.body) == (True, False, b"")
+    assert answer.reason is RefusalReason.TOO_LARGE
+
+
 @then("a caller above its burst is refused until its bucket has a token again")
 def rates(context: Context) -> None:
     organisation = Organisation(ORGANISATION, rate=100.0, burst=7)
