--- a/comfreyshelf/admission.py
+++ b/comfreyshelf/admission.py
@@ -7,12 +7,14 @@
 
 from comfreyshelf.ids import RequestId, TargetId
 from comfreyshelf.messages import (
+    DisproveStart,
     RequestAnswer,
     RunnerLoad,
     RunRequest,
     ServiceSlots,
     StartDisproved,
 )
+from comfreyshelf.model import MAX_RESULT_BYTES
 from comfreyshelf.reasons import RefusalReason
 
 DEFAULT_SLOTS = 8
@@ -58,8 +60,15 @@
     run now (`Admitted`) and the answers to send (`Answer`).
     """
 
-    def __init__(self, target: TargetId, services: tuple[str, ...], counters: Counter[str]) -> None:
+    def __init__(
+        self,
+        target: TargetId,
+        incarnation: int,
+        services: tuple[str, ...],
+        counters: Counter[str],
+    ) -> None:
         self._target = target
+        self._incarnation = incarnation
         self._counters = counters
         self._limits = {
             name: ServiceSlots(name, DEFAULT_SLOTS, DEFAULT_CONNECTIONS) for name in services
@@ -110,14 +119,22 @@
         if item is None:
             self._counters["request_end_ignored"] += 1
             return []
+        reason = None
+        if len(body) > MAX_RESULT_BYTES:
+            ok, body, reason = False, b"", RefusalReason.TOO_LARGE
         digest = hashlib.sha256(body).hexdigest()
-        answer = RequestAnswer(self._target, request, True, ok, body, digest)
+        answer = RequestAnswer(self._target, request, True, ok, body, digest, reason)
         self._bury(answer, now)
         return [Answer(item.link, answer), *self._start_waiting(now)]
 
-    def disprove(self, request: RequestId, now: float) -> RequestAnswer | StartDisproved:
-        """Make sure that a request never starts, or tell that it did."""
-        if request in self._running:
+    def disprove(self, message: DisproveStart, now: float) -> RequestAnswer | StartDisproved:
+        """Make sure that a request never starts, or tell that it did or may have.
+
+        A request that was sent to an earlier incarnation may have started there.
+        """
+        request = message.request
+        is_other = message.incarnation not in (0, self._incarnation)
+        if is_other or request in self._running:
             return StartDisproved(self._target, request, False)
         done = self._answered.get(request)
         if done is not None and done.message.started:
@@ -148,6 +165,8 @@
         limits = self._limits.get(request.service)
         if limits is None:
             return RefusalReason.UNKNOWN_SERVICE
+        if request.digest and hashlib.sha256(request.body).hexdigest() != request.digest:
+            return RefusalReason.MALFORMED
         if leaving:
             return RefusalReason.DRAINING
         if request.timeout_s <= 0:
--- a/comfreyshelf/agent.py
+++ b/comfreyshelf/agent.py
@@ -168,7 +168,7 @@
         self.lease_until = 0.0
         self.entries: tuple[str, ...] = ()
         self.counters: Counter[str] = Counter()
-        self.admission = Admission(worker.target, services, self.counters)
+        self.admission = Admission(worker.target, worker.incarnation, services, self.counters)
         self._draining = False
         self._stopping = False
         self._leaving_since = 0.0
@@ -286,7 +286,7 @@
             case RunRequest():
                 return self._carry(self.admission.offer(message, now, sender, self.leaving), now)
             case DisproveStart():
-                return [Reply(self.admission.disprove(message.request, now))]
+                return [Reply(self.admission.disprove(message, now))]
             case Welcome():
                 return self._on_welcome(message, now)
             case Reserve() | Commit() | Release() | Stop() | Forget() | Probe():
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -30,6 +30,7 @@
     def __init__(self, cfg: EntrySettings, log: LogClient | None = None) -> None:
         self._cfg = cfg
         self._log = log or HttpLog(cfg.log_url)
+        self._is_stopped = False
         self.kernel = Kernel()
         self.metrics = self.kernel.register("metrics", Metrics())
         self.roster = Roster()
@@ -57,7 +58,13 @@
         )
         self.web = self.kernel.register(
             "api",
-            WebServer(cfg.http_address, Root(self.front), cfg.http_threads, cfg.shutdown_grace_s),
+            WebServer(
+                cfg.http_address,
+                Root(self.front),
+                cfg.http_threads,
+                self.front.error_page,
+                parses_forms=False,
+            ),
         )
 
     def start(self) -> None:
@@ -66,12 +73,17 @@
         logging.info("entry %s listens on %s", self._cfg.name, self._cfg.http_address)
 
     def stop(self) -> None:
-        """Leave the domains to others, finish the requests under way, and stop.
+        """Finish the requests under way, leave the domains to others, and stop; once.
 
         `EntryDown` releases the domains at once. The services stop in reverse order: HTTP first,
-        which finishes its requests while the pipes to the targets are still open.
+        while the pipes to the targets are still open.
         """
+        if self._is_stopped:
+            return
+        self._is_stopped = True
         self.front.stopping = True
+        if not self.web.drain(self._cfg.shutdown_notice_s, self._cfg.shutdown_grace_s):
+            logging.warning("entry %s stops with requests under way", self._cfg.name)
         self.owner.leave()
         if self.reader.log_up:
             body = EntryDown(EntryId(self._cfg.name))
--- a/comfreyshelf/settings.py
+++ b/comfreyshelf/settings.py
@@ -17,6 +17,8 @@
 class EntrySettings(msgspec.Struct, frozen=True):
     """Settings of an entry process, section ``[entry]``; addresses are ``ip:port``.
 
+    For `shutdown_notice_s` a stopping entry still answers, with a failing health check, so that the
+    balancer removes it first; it has to be longer than the interval of the balancer's checks.
     `accept_lost_history` lets an entry start from a log whose records expired without a snapshot.
     """
 
@@ -29,7 +31,8 @@
     claim_after_s: float = 3.0
     status_wait_s: float = 2.5
     shutdown_grace_s: float = 30.0
-    http_threads: int = 16
+    shutdown_notice_s: float = 2.0
+    http_threads: int = 96
     log_retention_s: float = 3600.0
     accept_lost_history: bool = False
 
