--- a/features/steps/http_steps.py
+++ b/features/steps/http_steps.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+import msgspec
 import urllib3
 from behave import given, then, when
 from behave.runner import Context
@@ -383,10 +384,7 @@
     entry = context.deployment.entries[0]
     if how == "without":
         entry.web.drain = lambda notice_s, grace_s: True
-    entry._cfg = type(entry._cfg)(
-        **{name: getattr(entry._cfg, name) for name in entry._cfg.__struct_fields__}
-        | {"shutdown_notice_s": 1.0}
-    )
+    entry._cfg = msgspec.structs.replace(entry._cfg, shutdown_notice_s=1.0)
     for target, delay_s in zip(context.deployment.targets, (0.6, 0.05), strict=True):
         target.runners["permit"].delay_s = delay_s
     context.outcomes = []
