--- a/features/fleet.py
+++ b/features/fleet.py
@@ -53,6 +53,7 @@
 from comfreyshelf.topology import find_block
 
 DOMAIN = DomainId("litoral")
+EVENTS_LIMIT = 10_000
 
 
 def make_worker(index: int, accelerators: int = 4, per_rack: int = 2, per_zone: int = 4):
@@ -175,7 +176,10 @@
 
     def feed(self, event: Event) -> None:
         events = deque([event])
+        handled = 0
         while events:
+            handled += 1
+            assert handled < EVENTS_LIMIT, "work is preempted and started again without end"
             for command in self.scheduler.handle(events.popleft(), self.now):
                 self.commands.append(command)
                 events.extend(self.obey(command))
