--- a/features/cells.feature
+++ b/features/cells.feature
@@ -78,3 +78,10 @@
     When a job runs on a worker whose runner is the last one of a needed service
     Then the read-back names the job, its result, the requests, the service and the guarantee
     And scrapping both workers is announced as the loss of the guarantee
+
+  Scenario: A guaranteed job occupies its guarantee again after a takeover
+    # Guards against a new owner that grants the same guarantee twice and preempts its user.
+    Given a domain with 2 workers of which one is guaranteed
+    When a guaranteed preemptible job runs next to a full worker and the owner is replaced
+    And the organisation submits a job of its guaranteed shape
+    Then the running job goes on and the new job waits
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -387,3 +387,20 @@
     fleet.configure([other])
     assert [item.organisation for item in fleet.scheduler.plan.lost_to(context.target)] == ["large"]
     assert not fleet.scheduler.plan.lost(), "asking must not change the plan"
+
+
+@when("a guaranteed preemptible job runs next to a full worker and the owner is replaced")
+def run_and_take_over(context: Context) -> None:
+    whole = Shape(1, 4, Adjacency.WORKER)
+    context.fleet.submit(make_job("user", "large", whole))
+    context.fleet.submit(make_job("full", "none", whole, preemptible=False))
+    assert context.fleet.running() == ["full", "user"]
+    context.fleet.takeover(1)
+
+
+@then("the running job goes on and the new job waits")
+def user_goes_on(context: Context) -> None:
+    context.fleet.wait(START_LIMIT_S)
+    assert not [item for item in context.fleet.commands if isinstance(item, StopParts)]
+    assert context.fleet.running() == ["full", "user"]
+    assert not context.fleet.scheduler.plan.lost()
