--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -16,7 +16,14 @@
 
 from comfreyshelf.commands import ReserveParts
 from comfreyshelf.config import Config, Guarantee, Organisation
-from comfreyshelf.events import ConfigInForce, JobClosed, JobQueued, WorkerSeen
+from comfreyshelf.events import (
+    ConfigInForce,
+    JobClosed,
+    JobQueued,
+    Reserved,
+    StartRecorded,
+    WorkerSeen,
+)
 from comfreyshelf.ids import (
     CallerId,
     DomainId,
@@ -40,6 +47,8 @@
 ORGANISATIONS = 410
 DECISIONS = 1_000
 SEED = 7
+SINGLE = Shape(1, 1, Adjacency.WORKER)
+WORKER_SHAPE = Shape(1, ACCELERATORS, Adjacency.WORKER)
 DOMAIN = DomainId("litoral")
 
 
@@ -111,8 +120,24 @@
     return tried
 
 
+def saturate(scheduler: Scheduler) -> None:
+    """Borrow everything that is left with running single-accelerator jobs."""
+    for index in range(10**6):
+        job = msgspec.structs.replace(
+            make_job(0, random.Random(SEED), True), id=JobId(f"borrower-{index}"), shape=SINGLE
+        )
+        commands = scheduler.handle(JobQueued(job), 0.0)
+        reserved = [command for command in commands if isinstance(command, ReserveParts)]
+        if not reserved:
+            scheduler.handle(JobClosed(job.id), 0.0)
+            return
+        for command in reserved:
+            scheduler.handle(Reserved(job.id, command.attempt, command.target), 0.0)
+            scheduler.handle(StartRecorded(job.id, command.attempt, True), 0.0)
+
+
 def measure(workers: int) -> list[Row]:
-    """Time decisions of ordinary and of guaranteed jobs in a filled domain."""
+    """Time decisions in a filled domain, and in a full one where jobs wait or reclaim."""
     rng = random.Random(SEED)
     tracemalloc.start()
     scheduler = Scheduler(DOMAIN, Epoch(1))
@@ -125,13 +150,18 @@
     memory = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     rows = []
-    for kind in ("preemptible", "firm", "guaranteed"):
+    for kind in ("preemptible", "firm", "guaranteed", "waiting", "reclaiming"):
+        if kind == "waiting":
+            saturate(scheduler)
         times = []
         placed = 0
         for index in range(tried, tried + DECISIONS):
             number = index % len(scheduler.config.organisations)
-            organisation = f"org-{number}" if kind == "guaranteed" else "other"
-            job = make_job(index, rng, kind != "firm", organisation)
+            owed = kind in ("guaranteed", "reclaiming")
+            organisation = f"org-{number}" if owed else "other"
+            job = make_job(index, rng, kind not in ("firm", "waiting"), organisation)
+            if kind == "reclaiming":
+                job = msgspec.structs.replace(job, shape=WORKER_SHAPE)
             start = time.perf_counter()
             commands = scheduler.handle(JobQueued(job), 0.0)
             times.append((time.perf_counter() - start) * 1e6)
