Order jobs by urgency, shares and response ratio, and measure it by replay

The queue was sorted as a whole at every event and knew neither shares nor limits, and no figure showed what a change of the order does.

benchmarks.policy replays a seeded load against the core on a virtual clock, beside first-come first-fit and plain quota counts. FairQueue groups jobs of the same tenant, shape and likely run time. Blocked large gangs get a reservation with EASY backfill; urgent work preempts. Estimates, queue limits, quarantine and retries are called from the core.

Ruled out: a scan of all queued jobs at every event.

--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,61 @@
+"""Baseline orders that the policy benchmark compares with."""
+
+from collections.abc import Iterator
+
+from comfreyshelf.config import Config
+from comfreyshelf.ids import DomainId, OrganisationId
+from comfreyshelf.model import Job, Shape
+from comfreyshelf.queueing import JobQueue
+
+
+class FirstCome(JobQueue):
+    """First come, first fit: every queued job in order of acceptance, urgency ignored."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._full: set[Shape] = set()
+
+    def no_room(self, job: Job) -> None:
+        """Jobs of this shape need not be tried until `room_changed`."""
+        self._full.add(job.shape)
+
+    def room_changed(self) -> None:
+        """Accelerators became free."""
+        self._full.clear()
+
+    def ordered(self, now: float) -> Iterator[Job]:
+        """Jobs in order of acceptance."""
+        for job in sorted(self.jobs(), key=lambda job: (job.accepted_at, job.id)):
+            if job.shape not in self._full:
+                yield job
+
+
+class QuotaCounts(FirstCome):
+    """First come, first fit, with guarantees as plain counts of accelerators.
+
+    A job starts when it fits its organisation's count, or when what is left covers the unused
+    counts of all other organisations.
+    """
+
+    def __init__(self, config: Config, domain: DomainId, accelerators: int) -> None:
+        super().__init__()
+        self._accelerators = accelerators
+        self._promised: dict[OrganisationId, int] = {}
+        for guarantee in config.guarantees(domain):
+            promised = self._promised.get(guarantee.organisation, 0)
+            self._promised[guarantee.organisation] = promised + guarantee.shape.total
+
+    def ordered(self, now: float) -> Iterator[Job]:
+        """Jobs in order of acceptance that the counts allow."""
+        return (job for job in super().ordered(now) if self._allowed(job))
+
+    def _allowed(self, job: Job) -> bool:
+        used = self.used[job.organisation] + job.shape.total
+        if used <= self._promised.get(job.organisation, 0):
+            return True
+        unused = sum(
+            max(0, promised - self.used[name])
+            for name, promised in self._promised.items()
+            if name != job.organisation
+        )
+        return sum(self.used.values()) + job.shape.total + unused <= self._accelerators
--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,189 @@
+"""Figures of one replay: quantiles, fairness, fragmentation and counts of broken promises."""
+
+from collections.abc import Iterable
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.load import KINDS, due_s
+from benchmarks.replay import Outcome, Replay
+from comfreyshelf.ids import OrganisationId
+from comfreyshelf.model import Adjacency, Shape, Urgency
+from comfreyshelf.scheduler import Scheduler
+from comfreyshelf.topology import Topology, Worker, block_size
+
+_SCALE = 1000
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """Completion times and slowdowns of a group of jobs; times in seconds."""
+
+    jobs: int
+    completion_p50_s: float
+    completion_p99_s: float
+    slowdown_p50: float
+    slowdown_p99: float
+    on_time: float
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """All figures of one run; `fragmentation` is a share of the free accelerators."""
+
+    all: Spread
+    by_urgency: dict[str, Spread]
+    by_organisation: dict[str, Spread]
+    fragmentation: float
+    small_over_large: float
+    jain: float
+    urgent_start_p99_s: float
+    urgent_start_max_s: float
+    reclaim_p50_s: float
+    reclaim_p99_s: float
+    empty_s: float
+    unfinished: int
+    doubled: int
+    cut: int
+    lost_work_s: float
+    may_have_run: int
+    refused: dict[str, int]
+
+
+class Fragmentation:
+    """Averages the share of free accelerators that the job mix cannot use."""
+
+    def __init__(self) -> None:
+        self._mix = [
+            (kind.share / len(kind.shapes), shape) for kind in KINDS for shape in kind.shapes
+        ]
+        self._free = 0.0
+        self._unusable = 0.0
+
+    def sample(self, scheduler: Scheduler) -> None:
+        """Add the current state of a scheduler."""
+        topology = scheduler.topology
+        free = sum(worker.free.bit_count() for worker in topology.workers.values())
+        self._free += free
+        for share, shape in self._mix:
+            self._unusable += share * (free - usable(shape, topology))
+
+    @property
+    def share(self) -> float:
+        """Unusable over free accelerators."""
+        return self._unusable / self._free if self._free else 0.0
+
+
+def usable(shape: Shape, topology: Topology) -> int:
+    """Accelerators that whole gangs of one shape could occupy."""
+    total = 0
+    for group in _groups(shape.adjacency, topology):
+        parts = sum(_blocks(worker, shape) for worker in group)
+        total += parts // shape.parts * shape.total
+    return total
+
+
+def _groups(adjacency: Adjacency, topology: Topology) -> Iterable[list[Worker]]:
+    if adjacency is Adjacency.WORKER:
+        return [[worker] for worker in topology.workers.values()]
+    if adjacency is Adjacency.RACK:
+        return [[topology.workers[each] for each in rack] for rack in topology.racks.values()]
+    return [list(topology.in_zone(zone)) for zone in topology.zones]
+
+
+def _blocks(worker: Worker, shape: Shape) -> int:
+    want = (1 << shape.accelerators) - 1
+    step = block_size(shape.accelerators)
+    last = worker.capacity - shape.accelerators + 1
+    found = sum((worker.free >> at) & want == want for at in range(0, last, step))
+    by_cores = worker.cores_free // shape.cores
+    return min(found, by_cores, worker.memory_free_gb // shape.memory_gb)
+
+
+def quantile(values: Iterable[float], percent: float) -> float:
+    """A quantile of positive values, 0 if there are none."""
+    histogram = HdrHistogram(1, 10**11, 3)
+    for value in values:
+        histogram.record_value(max(1, int(value * _SCALE)))
+    if not histogram.get_total_count():
+        return 0.0
+    return float(histogram.get_value_at_percentile(percent)) / _SCALE
+
+
+def jain(values: list[float]) -> float:
+    """Jain's fairness index, 1 when all values are equal."""
+    squares = sum(value * value for value in values)
+    return sum(values) ** 2 / (len(values) * squares) if squares else 1.0
+
+
+def goodput(replay: Replay, without: OrganisationId, start: float, end: float) -> float:
+    """Accelerator-seconds of finished jobs of the other organisations in a window."""
+    return sum(
+        each.work.run_s * each.work.job.shape.total
+        for each in replay.outcomes.values()
+        if each.finishes and start <= each.ended < end
+        if each.work.job.organisation != without
+    )
+
+
+def figures(replay: Replay, fragmentation: Fragmentation) -> Figures:
+    """Summarise a finished replay; jobs of a flood count only as broken promises."""
+    everyone = list(replay.outcomes.values())
+    done = [each for each in everyone if each.finishes and not each.work.flood]
+    urgent = [each for each in done if each.work.job.urgency is Urgency.URGENT]
+    promised = [each for each in done if each.within_guarantee]
+    waits = [each.started - each.work.job.accepted_at for each in urgent]
+    reclaim = [each.started - each.work.job.accepted_at for each in promised]
+    small = quantile([each.slowdown for each in done if not each.work.big_caller], 99)
+    large = quantile([each.slowdown for each in done if each.work.big_caller], 99)
+    names = sorted({each.work.job.organisation for each in done})
+    refused: dict[str, int] = {}
+    for each in everyone:
+        if each.refused is not None:
+            refused[each.refused.value] = refused.get(each.refused.value, 0) + 1
+    return Figures(
+        all=_spread(done),
+        by_urgency={
+            urgency.value: _spread([each for each in done if each.work.job.urgency is urgency])
+            for urgency in Urgency
+        },
+        by_organisation={
+            name: _spread([each for each in done if each.work.job.organisation == name])
+            for name in names
+        },
+        fragmentation=fragmentation.share,
+        small_over_large=small / large if large else 0.0,
+        jain=jain(_caller_slowdowns(done)),
+        urgent_start_p99_s=quantile(waits, 99),
+        urgent_start_max_s=max(waits, default=0.0),
+        reclaim_p50_s=quantile(reclaim, 50),
+        reclaim_p99_s=quantile(reclaim, 99),
+        empty_s=replay.emptied_s,
+        unfinished=sum(each.ended < 0 for each in everyone),
+        doubled=sum(each.finishes > 1 for each in everyone),
+        cut=replay.counts["overlaps"],
+        lost_work_s=sum(each.lost_s for each in everyone if not each.cancelled),
+        may_have_run=sum(each.may_have_run for each in everyone),
+        refused=refused,
+    )
+
+
+def _spread(group: list[Outcome]) -> Spread:
+    completions = [each.ended - each.work.job.accepted_at for each in group]
+    slowdowns = [each.slowdown for each in group]
+    on_time = sum(
+        each.ended - each.work.job.accepted_at <= due_s(each.work.run_s) for each in group
+    )
+    return Spread(
+        len(group),
+        quantile(completions, 50),
+        quantile(completions, 99),
+        quantile(slowdowns, 50),
+        quantile(slowdowns, 99),
+        on_time / len(group) if group else 0.0,
+    )
+
+
+def _caller_slowdowns(done: list[Outcome]) -> list[float]:
+    by_caller: dict[str, list[float]] = {}
+    for each in done:
+        by_caller.setdefault(each.work.job.caller, []).append(each.slowdown)
+    return [sum(values) / len(values) for values in by_caller.values()]
--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,244 @@
+"""Policy benchmark: one seeded load under this policy and two baselines.
+
+python -m benchmarks.policy --deployment camara --seed 1 --load 0.85 --workers 10
+"""
+
+import random
+from collections.abc import Callable
+from functools import partial
+from operator import attrgetter
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from benchmarks.baselines import FirstCome, QuotaCounts
+from benchmarks.figures import Figures, Fragmentation, figures, goodput
+from benchmarks.load import ACCELERATORS, Load, Work, mean_work
+from benchmarks.replay import Replay
+from comfreyshelf.config import Config, parse_config
+from comfreyshelf.ids import DomainId, Epoch, OrganisationId, RackId, TargetId, Version
+from comfreyshelf.model import Urgency, WorkerInfo
+from comfreyshelf.queueing import FairQueue, JobQueue
+from comfreyshelf.scheduler import Scheduler
+
+SAMPLES = Path(__file__).resolve().parent.parent / "samples"
+WORKERS_PER_RACK = 3
+HOST = {"camara": (64, 256), "toowong": (128, 512)}
+FAULTS = (
+    "worker-loss",
+    "bad-workers",
+    "broken-jobs",
+    "cancel-wave",
+    "log-outage",
+    "flood-low",
+    "flood-urgent",
+    "drain",
+)
+FLOODS = {"flood-low": Urgency.LOW, "flood-urgent": Urgency.URGENT}
+# Work that a flood asks for, in multiples of the fleet's capacity.
+FLOOD_FACTOR = 3.0
+FLOOD_S = 7200.0
+BROKEN_SHARE = 0.02
+FIELDS = (
+    "small_over_large",
+    "jain",
+    "urgent_start_p99_s",
+    "urgent_start_max_s",
+    "reclaim_p50_s",
+    "reclaim_p99_s",
+    "empty_s",
+    "unfinished",
+    "doubled",
+    "cut",
+    "lost_work_s",
+    "may_have_run",
+)
+
+
+class Setup(msgspec.Struct, frozen=True):
+    """What one run of the benchmark replays; times in seconds."""
+
+    config: Config
+    domain: DomainId
+    seed: int
+    load: float
+    duration_s: float
+    workers: list[WorkerInfo]
+    faults: tuple[str, ...]
+
+    @property
+    def accelerators(self) -> int:
+        """Accelerators of the fleet."""
+        return len(self.workers) * ACCELERATORS
+
+    @property
+    def flood_window(self) -> tuple[float, float]:
+        """Start and end of a flood."""
+        return 0.4 * self.duration_s, 0.4 * self.duration_s + FLOOD_S
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Figures of one policy, and the goodput others kept in each flood (share of none)."""
+
+    policy: str
+    figures: Figures
+    goodput_kept: dict[str, float]
+
+
+QueueFactory = Callable[[Setup], JobQueue]
+POLICIES: dict[str, QueueFactory] = {
+    "comfreyshelf": lambda setup: FairQueue(),
+    "first-come": lambda setup: FirstCome(),
+    "quota-counts": lambda setup: QuotaCounts(setup.config, setup.domain, setup.accelerators),
+}
+
+
+def prepare(
+    deployment: str, seed: int, load: float, workers: int, faults: tuple[str, ...], hours: float
+) -> Setup:
+    """Read the sample text and build the fleet of its largest domain."""
+    text = (SAMPLES / f"{deployment}.ini").read_text(encoding="utf-8")
+    config = parse_config(text, Version(1)).default_value(None)
+    if config is None:
+        raise ValueError(f"the sample text of {deployment} is not valid")
+    domain = max(config.domains, key=lambda name: len(config.guarantees(name)))
+    zones = [zone.id for zone in config.zones.values() if zone.domain == domain]
+    cores, memory_gb = HOST[deployment]
+    fleet = []
+    for index in range(workers):
+        zone = zones[index % len(zones)]
+        rack = RackId(f"{zone}-{index // len(zones) // WORKERS_PER_RACK}")
+        target = TargetId(f"target-{index:05d}")
+        fleet.append(WorkerInfo(target, zone, rack, ACCELERATORS, cores, memory_gb, 1))
+    return Setup(config, domain, seed, load, hours * 3600, fleet, faults)
+
+
+def replay(setup: Setup, make_queue: QueueFactory, faults: tuple[str, ...]) -> tuple[Replay, Row]:
+    """Replay the load of a setup with some faults."""
+    scheduler = Scheduler(setup.domain, Epoch(1), queue=make_queue(setup))
+    run = Replay(scheduler, setup.config, setup.workers, setup.seed)
+    run.submit(arrivals(setup, faults))
+    add_faults(setup, run, faults)
+    fragmentation = Fragmentation()
+    run.run(setup.duration_s * 20, fragmentation.sample)
+    return run, Row("", figures(run, fragmentation), {})
+
+
+def arrivals(setup: Setup, faults: tuple[str, ...]) -> list[Work]:
+    """The arrivals of a setup; a flood adds to the same steady load."""
+    load = Load(setup.config, setup.domain, setup.seed)
+    works = load.steady(setup.accelerators, setup.load, setup.duration_s)
+    if "broken-jobs" in faults:
+        works = load.spoil(works, BROKEN_SHARE)
+    if "cancel-wave" in faults:
+        works = load.cancel(works, setup.duration_s / 2, setup.duration_s / 10)
+    for name, urgency in FLOODS.items():
+        if name in faults:
+            start, end = setup.flood_window
+            rate = FLOOD_FACTOR * setup.accelerators / mean_work()
+            works += load.flood(flooder(setup), urgency, start, end, rate)
+    return works
+
+
+def flooder(setup: Setup) -> OrganisationId:
+    """The organisation that floods: the one with the largest weight."""
+    return max(setup.config.organisations.values(), key=lambda each: each.weight).id
+
+
+def add_faults(setup: Setup, run: Replay, faults: tuple[str, ...]) -> None:
+    """Plan the faults of workers, log and operators."""
+    rng = random.Random(setup.seed)
+    targets = [info.target for info in setup.workers]
+    if "worker-loss" in faults:
+        for _ in range(max(4, len(targets) // 4)):
+            target = rng.choice(targets)
+            when = rng.uniform(0.1, 0.9) * setup.duration_s
+            run.at(when, partial(run.lose_worker, target, 120.0))
+    if "bad-workers" in faults:
+        for target in rng.sample(targets, max(1, len(targets) // 10)):
+            when = rng.uniform(0.1, 0.5) * setup.duration_s
+            run.at(when, partial(run.break_worker, target, 3600.0))
+    if "log-outage" in faults:
+        run.at(0.5 * setup.duration_s, lambda: run.log_outage(300.0))
+    if "drain" in faults:
+        run.at(0.5 * setup.duration_s, lambda: run.scrap(targets[0]))
+
+
+def measure(setup: Setup, name: str) -> Row:
+    """Run one policy; each flood is compared with the same run without any flood."""
+    base_faults = tuple(fault for fault in setup.faults if fault not in FLOODS)
+    base, row = replay(setup, POLICIES[name], base_faults)
+    kept = {}
+    start, end = setup.flood_window
+    for fault in setup.faults:
+        if fault in FLOODS:
+            flooded, row = replay(setup, POLICIES[name], (*base_faults, fault))
+            before = goodput(base, flooder(setup), start, end)
+            during = goodput(flooded, flooder(setup), start, end)
+            kept[fault] = during / before if before else 1.0
+    return Row(name, row.figures, kept)
+
+
+def table(rows: list[Row]) -> str:
+    """The figures of all policies, one column each."""
+    lines = [f"{'':32}" + "".join(f"{row.policy:>15}" for row in rows)]
+
+    def line(label: str, pick: Callable[[Row], float]) -> None:
+        lines.append(f"{label:32}" + "".join(f"{pick(row):15.3f}" for row in rows))
+
+    line("jobs", lambda row: row.figures.all.jobs)
+    line("completion p50 s", lambda row: row.figures.all.completion_p50_s)
+    line("completion p99 s", lambda row: row.figures.all.completion_p99_s)
+    line("slowdown p50", lambda row: row.figures.all.slowdown_p50)
+    line("slowdown p99", lambda row: row.figures.all.slowdown_p99)
+    line("on time", lambda row: row.figures.all.on_time)
+    for name in (urgency.value for urgency in Urgency):
+        pick = attrgetter("slowdown_p99")
+        line(f"slowdown p99 {name}", _of(lambda row: row.figures.by_urgency, name, pick))
+        pick = attrgetter("on_time")
+        line(f"on time {name}", _of(lambda row: row.figures.by_urgency, name, pick))
+    for name in rows[0].figures.by_organisation:
+        pick = attrgetter("slowdown_p99")
+        label = f"slowdown p99 {name}"[:32]
+        line(label, _of(lambda row: row.figures.by_organisation, name, pick))
+    line("fragmentation", lambda row: row.figures.fragmentation)
+    for name in rows[0].goodput_kept:
+        line(f"goodput kept {name}", _of(lambda row: row.goodput_kept, name, float))
+    for name in FIELDS:
+        line(name, attrgetter(f"figures.{name}"))
+    for row in rows:
+        lines.append(f"refused by {row.policy}: {row.figures.refused or 'none'}")
+    return "\n".join(lines)
+
+
+def _of(
+    groups: Callable[[Row], dict[str, Any]], name: str, pick: Callable[[Any], float]
+) -> Callable[[Row], float]:
+    return lambda row: pick(groups(row)[name])
+
+
+def main(
+    deployment: Annotated[str, typer.Option(help="camara or toowong")] = "camara",
+    seed: int = 1,
+    load: float = 0.85,
+    workers: int = 10,
+    faults: Annotated[str, typer.Option(help=f"comma-separated: {', '.join(FAULTS)}")] = "",
+    hours: Annotated[float, typer.Option(help="virtual hours of arrivals")] = 24.0,
+    json: Annotated[str, typer.Option(help="file for the figures")] = "",
+) -> None:
+    """Replay one load under every policy and print their figures."""
+    chosen = tuple(name for name in faults.split(",") if name)
+    unknown = [name for name in chosen if name not in FAULTS]
+    if unknown or deployment not in HOST:
+        raise typer.BadParameter(f"unknown {', '.join(unknown) or deployment}")
+    setup = prepare(deployment, seed, load, workers, chosen, hours)
+    rows = [measure(setup, name) for name in POLICIES]
+    print(table(rows))
+    if json:
+        Path(json).write_bytes(msgspec.json.format(msgspec.json.encode(rows)) + b"\n")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/comfreyshelf/limits.py
@@ -0,0 +1,134 @@
+"""Queue limits with shedding, token buckets, and delays of retries."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+
+from comfreyshelf.config import Caller, Config, Organisation
+from comfreyshelf.ids import CallerId, JobId, OrganisationId
+from comfreyshelf.model import Job
+
+RETRY_BASE_S = 2.0
+RETRY_LONGEST_S = 300.0
+RETRY_BURST = 10
+
+
+class TokenBucket:
+    """`rate` tokens a second, at most `burst` at once.
+
+    bucket = TokenBucket(rate=2.0, burst=1)
+    bucket.take(0.0), bucket.take(0.1), bucket.take(0.6)  # True, False, True
+    """
+
+    __slots__ = ("_at", "_burst", "_rate", "_tokens")
+
+    def __init__(self, rate: float, burst: int) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = float(burst)
+        self._at: float | None = None
+
+    def take(self, now: float) -> bool:
+        """Take one token at time `now` in seconds, or return False if there is none."""
+        if self._at is not None and now > self._at:
+            self._tokens = min(self._burst, self._tokens + (now - self._at) * self._rate)
+        self._at = now if self._at is None else max(now, self._at)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def add(self, tokens: float) -> None:
+        """Add tokens up to the burst."""
+        self._tokens = min(self._burst, self._tokens + tokens)
+
+
+class QueueLimits:
+    """Counts queued jobs and chooses what to shed above `max_queued`."""
+
+    def __init__(self) -> None:
+        self._by_organisation: Counter[OrganisationId] = Counter()
+        self._by_caller: Counter[CallerId] = Counter()
+
+    def added(self, job: Job) -> None:
+        """Count a queued job."""
+        self._by_organisation[job.organisation] += 1
+        self._by_caller[job.caller] += 1
+
+    def removed(self, job: Job) -> None:
+        """Discount a job that left the queue."""
+        _discount(self._by_organisation, job.organisation)
+        _discount(self._by_caller, job.caller)
+
+    def exceeded(self, job: Job, config: Config) -> bool:
+        """Whether the organisation or the caller of a job has too many queued."""
+        return self._caller_exceeded(job, config) or self._organisation_exceeded(job, config)
+
+    def choose_victim(self, job: Job, queued: Iterable[Job], config: Config) -> Job | None:
+        """The least urgent, newest job of the caller or organisation that is over its limit.
+
+        `queued` holds the jobs that never started an attempt: only they can be refused as "not
+        run".
+        """
+        by_caller = self._caller_exceeded(job, config)
+        mine = (
+            each
+            for each in queued
+            if each.organisation == job.organisation
+            and (not by_caller or each.caller == job.caller)
+        )
+        return max(mine, key=lambda each: (each.urgency.rank, each.accepted_at), default=None)
+
+    def _caller_exceeded(self, job: Job, config: Config) -> bool:
+        caller = config.callers.get(job.caller)
+        limit = caller.max_queued if caller is not None else _DEFAULT_CALLER_LIMIT
+        return self._by_caller[job.caller] > limit
+
+    def _organisation_exceeded(self, job: Job, config: Config) -> bool:
+        known = config.organisations.get(job.organisation)
+        limit = known.max_queued if known is not None else _DEFAULT_ORGANISATION_LIMIT
+        return self._by_organisation[job.organisation] > limit
+
+
+class Retries:
+    """When failed attempts are tried again: exponential delay, jitter, budget per organisation."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._failures: Counter[JobId] = Counter()
+        self._budgets: dict[OrganisationId, TokenBucket] = {}
+
+    def delay_s(self, job: Job, now: float) -> float:
+        """Delay of the next attempt; the longest one when the budget is used up.
+
+        An accepted job is never dropped for lack of budget, it only waits longer.
+        """
+        self._failures[job.id] += 1
+        if not self._budget(job.organisation).take(now):
+            return RETRY_LONGEST_S * self._rng.uniform(0.5, 1.0)
+        delay = RETRY_BASE_S * 2.0 ** min(10, self._failures[job.id] - 1)
+        return min(RETRY_LONGEST_S, delay) * self._rng.uniform(0.5, 1.0)
+
+    def started(self, job: Job, config: Config) -> None:
+        """Each start earns the organisation its share of a retry."""
+        known = config.organisations.get(job.organisation)
+        ratio = known.retry_ratio if known is not None else _DEFAULT_RETRY_RATIO
+        self._budget(job.organisation).add(ratio)
+
+    def forget(self, job: JobId) -> None:
+        """Drop what is known of a closed job."""
+        self._failures.pop(job, None)
+
+    def _budget(self, organisation: OrganisationId) -> TokenBucket:
+        return self._budgets.setdefault(organisation, TokenBucket(0.0, RETRY_BURST))
+
+
+_DEFAULT_CALLER_LIMIT = Caller(CallerId(""), OrganisationId(""), "").max_queued
+_DEFAULT_ORGANISATION_LIMIT = Organisation(OrganisationId("")).max_queued
+_DEFAULT_RETRY_RATIO = Organisation(OrganisationId("")).retry_ratio
+
+
+def _discount(counts: Counter, name: str) -> None:
+    counts[name] -= 1
+    if counts[name] <= 0:
+        del counts[name]
--- /dev/null
+++ b/comfreyshelf/ordering.py
@@ -0,0 +1,247 @@
+"""What the scheduler core asks about order: one object around queue, limits and quarantine."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+from comfreyshelf.backfill import Backfill, Place, preemptible
+from comfreyshelf.config import EMPTY_CONFIG, Config
+from comfreyshelf.gangs import Gang, Phase
+from comfreyshelf.ids import DomainId, JobId, OrganisationId, RackId, TargetId
+from comfreyshelf.limits import QueueLimits, Retries
+from comfreyshelf.model import AttemptOutcome, Job, PartState, Shape, Urgency, WorkerInfo
+from comfreyshelf.placement import FirstFit
+from comfreyshelf.quarantine import Quarantine
+from comfreyshelf.queueing import JobQueue
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.topology import Topology
+
+# The fleet counts as known when no rack has grown for this long.
+FLEET_SETTLED_S = 600.0
+# A lost worker counts as known capacity for this long, because VMs restart.
+LOST_REMEMBERED_S = 86_400.0
+# A job that fits only on workers where it failed is tried again after this time.
+AVOIDING_DELAY_S = 15.0
+# Order changes with time only, so holds and full shapes are looked at again this often.
+REVIEW_S = 5.0
+
+
+class Fleet:
+    """Known capacity of a domain, including workers that are away."""
+
+    def __init__(self) -> None:
+        self._known: dict[TargetId, WorkerInfo] = {}
+        self._lost_at: dict[TargetId, float] = {}
+        self._rack_now: Counter[RackId] = Counter()
+        self._rack_most: dict[RackId, int] = {}
+        self._grown_at: float | None = None
+        self._fits: dict[Shape, bool] = {}
+
+    def seen(self, info: WorkerInfo, now: float) -> None:
+        """A worker joined. A replacement for a lost one is no growth, a larger rack is."""
+        self._known[info.target] = info
+        self._lost_at.pop(info.target, None)
+        self._rack_now[info.rack] += info.accelerators
+        if self._rack_now[info.rack] > self._rack_most.get(info.rack, 0):
+            self._rack_most[info.rack] = self._rack_now[info.rack]
+            self._grown_at = now
+            self._fits.clear()
+
+    def lost(self, target: TargetId, now: float) -> None:
+        """A worker left."""
+        info = self._known.get(target)
+        if info is None or target in self._lost_at:
+            return
+        self._lost_at[target] = now
+        self._rack_now[info.rack] -= info.accelerators
+        for old, at in list(self._lost_at.items()):
+            if now - at > LOST_REMEMBERED_S:
+                del self._lost_at[old], self._known[old]
+
+    def never_fits(self, shape: Shape, now: float) -> bool:
+        """Whether a shape does not fit an empty fleet, and the fleet is known well enough."""
+        if self._grown_at is None or now - self._grown_at < FLEET_SETTLED_S:
+            return False
+        if shape not in self._fits:
+            empty = Topology()
+            for info in self._known.values():
+                empty.add(info)
+            self._fits[shape] = bool(FirstFit().place(shape, empty, frozenset()))
+        return not self._fits[shape]
+
+
+class Ordering:
+    """Queue, estimates, limits, quarantine, retries and holds of one domain."""
+
+    def __init__(self, domain: DomainId, queue: JobQueue, seed: int) -> None:
+        rng = random.Random(seed)
+        self.queue = queue
+        self.quarantine = Quarantine(rng)
+        self.fleet = Fleet()
+        self._domain = domain
+        self._config: Config = EMPTY_CONFIG
+        self._limits = QueueLimits()
+        self._retries = Retries(rng)
+        self._backfill = Backfill(queue.estimates)
+        self._promised: Counter[OrganisationId] = Counter()
+        self._fresh: dict[JobId, Job] = {}
+        self._refused: set[JobId] = set()
+        self._ran_before: set[JobId] = set()
+        self._reviewed_at = 0.0
+        self._workers = 0
+
+    # Configuration and workers
+
+    def configure(self, config: Config) -> None:
+        """A newer configuration is in force."""
+        self._config = config
+        self.queue.config = config
+        self._promised = Counter()
+        for guarantee in config.guarantees(self._domain):
+            self._promised[guarantee.organisation] += guarantee.shape.total
+        self.queue.room_changed()
+
+    def worker_added(self, info: WorkerInfo, now: float) -> None:
+        """A worker joined."""
+        self.fleet.seen(info, now)
+        self._count_capacity(info, 1)
+        self.queue.room_changed()
+
+    def worker_lost(self, info: WorkerInfo, now: float) -> None:
+        """A worker left."""
+        self.fleet.lost(info.target, now)
+        self.quarantine.forget_worker(info.target)
+        self._count_capacity(info, -1)
+
+    def _count_capacity(self, info: WorkerInfo, sign: int) -> None:
+        self._workers += sign
+        capacity = self.queue.capacity
+        capacity.accelerators += sign * info.accelerators
+        capacity.cores += sign * info.cores
+        capacity.memory_gb += sign * info.memory_gb
+
+    # Jobs
+
+    def knows(self, job: JobId) -> bool:
+        """Whether a job is queued, or its refusal is on its way to the log."""
+        return job in self.queue or job in self._refused
+
+    def queued(self, job: Job, fresh: bool) -> Job | None:
+        """Queue a job; returns the job to shed if this exceeds a limit.
+
+        `fresh` jobs never had an attempt, so only they can be refused as "not run".
+        """
+        self.queue.push(job)
+        self._limits.added(job)
+        if fresh:
+            self._fresh[job.id] = job
+        if not self._limits.exceeded(job, self._config):
+            return None
+        return self._limits.choose_victim(job, self._fresh.values(), self._config)
+
+    def refused(self, job: Job) -> None:
+        """A refusal of a queued job was sent to the log."""
+        self._left(job)
+        self._refused.add(job.id)
+
+    def closed(self, job: JobId) -> None:
+        """The log shows that a job ended."""
+        known = self.queue.remove(job)
+        if known is not None:
+            self._left(known)
+        self._refused.discard(job)
+        self._ran_before.discard(job)
+        self._retries.forget(job)
+        self.quarantine.forget_job(job)
+
+    def started(self, job: Job) -> None:
+        """An attempt took its accelerators."""
+        self._left(job)
+        self._retries.started(job, self._config)
+        self.queue.started(job)
+
+    def resumed(self, job: Job) -> None:
+        """After a takeover: an attempt of an earlier owner holds its accelerators."""
+        self._ran_before.add(job.id)
+        self.queue.started(job)
+
+    def _left(self, job: Job) -> None:
+        self.queue.remove(job.id)
+        self._limits.removed(job)
+        self._fresh.pop(job.id, None)
+        self._backfill.drop(job.id)
+
+    # Attempts
+
+    def ended(self, gang: Gang) -> None:
+        """An attempt gave its accelerators back."""
+        self.queue.ended(gang.job)
+        self.queue.room_changed()
+
+    def part_ended(self, gang: Gang, target: TargetId, state: PartState, now: float) -> bool:
+        """Learn from a part; returns whether its worker enters quarantine."""
+        if state is not PartState.FAILED:
+            return False
+        return self.quarantine.failed(gang.job.id, target, self._workers, now)
+
+    def finished(self, gang: Gang, run_s: float) -> None:
+        """Learn from a gang that finished whole; run times of resumed jobs are not whole."""
+        self.quarantine.finished(gang.job.id, gang.targets)
+        if gang.job.id not in self._ran_before and run_s > 0:
+            self.queue.estimates.finished(gang.job, run_s)
+
+    def usage_seen(self, gang: Gang, busy: float, now: float) -> None:
+        """Learn from a running part that is still busy."""
+        if gang.phase is Phase.RUNNING and busy > 0 and gang.job.id not in self._ran_before:
+            self.queue.estimates.still_running(gang.job, now - gang.since)
+
+    def requeue(self, gang: Gang, outcome: AttemptOutcome, now: float) -> RefusalReason | None:
+        """Queue a job again after an attempt, or return why it is refused instead."""
+        job = gang.job
+        if outcome is not AttemptOutcome.NEVER_STARTED:
+            self._ran_before.add(job.id)
+        self._limits.added(job)
+        if outcome is not AttemptOutcome.FAILED:
+            self.queue.push(job)
+            return None
+        if self.quarantine.fails_everywhere(job.id, self._workers):
+            return RefusalReason.FAILS_EVERYWHERE
+        self.queue.push(job, now + self._retries.delay_s(job, now))
+        return None
+
+    # Placement
+
+    def tick(self, now: float) -> list[TargetId]:
+        """Time passed; returns the workers to probe."""
+        self.queue.release(now)
+        self._backfill.expire(now)
+        if now - self._reviewed_at >= REVIEW_S:
+            self._reviewed_at = now
+            self.queue.room_changed()
+        return self.quarantine.due_probes(now)
+
+    @contextmanager
+    def holding(self, job: Job, topology: Topology, now: float) -> Iterator[None]:
+        """Within the context, accelerators that are held against a job are not free."""
+        with self._backfill.holding(job, topology, now):
+            yield
+
+    def blocked(
+        self, job: Job, topology: Topology, gangs: Iterable[Gang], place: Place, now: float
+    ) -> list[Gang]:
+        """A job found no room; returns the gangs to preempt for it."""
+        if self.quarantine.avoided(job.id, now):
+            self.queue.remove(job.id)
+            self.queue.push(job, now + AVOIDING_DELAY_S)
+            return []
+        self.queue.no_room(job)
+        if not self.queue.reserves:
+            return []
+        if job.urgency is not Urgency.URGENT or self.queue.over_share(job):
+            self._backfill.reserve(job, topology, gangs, place, now)
+            return []
+        candidates = preemptible(
+            gangs, job, self.queue.used, self._promised, self.queue.organisation_share
+        )
+        return self._backfill.make_room(job, topology, candidates, place, now)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -1,33 +1,310 @@
-"""Order of queued jobs."""
+"""Order of queued jobs: urgency, deadline slack, weighted dominant shares, response ratio."""
 
-from collections.abc import Iterator
+import heapq
+import math
+from abc import ABC, abstractmethod
+from collections import Counter
+from collections.abc import Iterable, Iterator
 
-from comfreyshelf.ids import JobId
-from comfreyshelf.model import Job
+import msgspec
 
+from comfreyshelf.config import EMPTY_CONFIG, Config
+from comfreyshelf.estimates import Estimates
+from comfreyshelf.ids import CallerId, JobId, OrganisationId
+from comfreyshelf.model import Job, Shape, Urgency
 
-class Queue:
-    """Queued jobs in the order in which they should start."""
+# One step of urgency is worth this many doublings of a job's response ratio.
+URGENCY_STEP = 3.0
+# One doubling of an organisation's or caller's share over its fair share, in the same unit.
+ORGANISATION_STEP = 2.0
+CALLER_STEP = 1.0
+# A job gains one unit for every AGEING_S seconds of waiting, so no job waits for ever.
+AGEING_S = 1800.0
+# A job whose deadline leaves less slack than its run time moves up one step of urgency.
+DEADLINE_STEP = URGENCY_STEP
+SHORTEST_RUN_S = 5.0
+# Urgent work of an organisation above this multiple of its fair share is ordered as normal work,
+# so that a flood of urgent work cannot starve other organisations.
+URGENT_SHARE_LIMIT = 1.0
 
-    def __init__(self) -> None:
+
+class Resources(msgspec.Struct):
+    """Amounts of the three resources that shares are computed over."""
+
+    accelerators: float = 0.0
+    cores: float = 0.0
+    memory_gb: float = 0.0
+
+    def add(self, shape: Shape, sign: int) -> None:
+        """Add or subtract what all parts of a shape use."""
+        self.accelerators += sign * shape.total
+        self.cores += sign * shape.parts * shape.cores
+        self.memory_gb += sign * shape.parts * shape.memory_gb
+
+    def dominant_share(self, capacity: "Resources") -> float:
+        """The largest of the three shares of `capacity`, from 0 to 1."""
+        return max(
+            self.accelerators / max(1.0, capacity.accelerators),
+            self.cores / max(1.0, capacity.cores),
+            self.memory_gb / max(1.0, capacity.memory_gb),
+        )
+
+
+class JobQueue(ABC):
+    """Queued jobs in the order in which they should start; policies differ in `ordered`.
+
+    `reserves` tells whether blocked large gangs get a reservation and urgent work may preempt.
+    """
+
+    reserves = False
+
+    def __init__(self, estimates: Estimates | None = None) -> None:
+        self.estimates = Estimates() if estimates is None else estimates
+        self.config: Config = EMPTY_CONFIG
+        self.capacity = Resources()
+        self.used: Counter[OrganisationId] = Counter()
         self._jobs: dict[JobId, Job] = {}
+        self._delayed: dict[JobId, Job] = {}
+        self._delays: list[tuple[float, JobId]] = []
 
     def __contains__(self, job: JobId) -> bool:
-        return job in self._jobs
+        return job in self._jobs or job in self._delayed
 
     def __len__(self) -> int:
-        return len(self._jobs)
+        return len(self._jobs) + len(self._delayed)
+
+    def jobs(self) -> Iterable[Job]:
+        """Queued jobs that may start, in no particular order."""
+        return self._jobs.values()
+
+    def push(self, job: Job, not_before: float = 0.0) -> None:
+        """Add a job that may start from `not_before` on, in seconds."""
+        if not_before:
+            self._delayed[job.id] = job
+            heapq.heappush(self._delays, (not_before, job.id))
+        else:
+            self._add(job)
+
+    def release(self, now: float) -> None:
+        """Let delayed jobs start whose time has come."""
+        while self._delays and self._delays[0][0] <= now:
+            job = self._delayed.pop(heapq.heappop(self._delays)[1], None)
+            if job is not None:
+                self._add(job)
 
-    def push(self, job: Job) -> None:
-        """Add a job; a job that is already queued stays."""
+    def remove(self, job: JobId) -> Job | None:
+        """Remove a job, or return None if it is not queued."""
+        return self._jobs.pop(job, None) or self._delayed.pop(job, None)
+
+    def _add(self, job: Job) -> None:
         self._jobs[job.id] = job
 
+    def over_share(self, job: Job) -> bool:
+        """Whether the organisation of a job uses more than its fair share."""
+        return self.organisation_share(job.organisation) > URGENT_SHARE_LIMIT
+
+    def organisation_share(self, organisation: OrganisationId) -> float:
+        """Dominant share over the fair share; 0 in orders that know no shares."""
+        return 0.0
+
+    def started(self, job: Job) -> None:
+        """An attempt of a job took its accelerators."""
+        self.used[job.organisation] += job.shape.total
+
+    def ended(self, job: Job) -> None:
+        """An attempt of a job gave its accelerators back."""
+        self.used[job.organisation] -= job.shape.total
+
+    @abstractmethod
+    def no_room(self, job: Job) -> None:
+        """A job found no accelerators; equal ones need not be tried until `room_changed`."""
+
+    @abstractmethod
+    def room_changed(self) -> None:
+        """Accelerators became free, or what may be used of them changed."""
+
+    @abstractmethod
+    def ordered(self, now: float) -> Iterator[Job]:
+        """Jobs, first to start first, at time `now` in seconds.
+
+        The caller removes the jobs that it starts, or calls `no_room`, before it takes the next.
+        """
+
+
+class _Group:
+    """Queued jobs that differ only in age: same tenant, urgency, shape and likely run time."""
+
+    __slots__ = ("heap", "room_key")
+
+    def __init__(self, job: Job, run_class: int) -> None:
+        self.heap: list[tuple[float, JobId]] = []
+        urgent = job.urgency is Urgency.URGENT
+        self.room_key = (job.organisation, job.shape, job.preemptible, urgent, run_class)
+
+
+_GroupKey = tuple[Urgency, CallerId, OrganisationId, str, Shape, bool, int, bool]
+_RoomKey = tuple[OrganisationId, Shape, bool, bool, int]
+
+
+class FairQueue(JobQueue):
+    """The default order.
+
+    Jobs are kept in groups, so an event costs time in the number of groups that may start, not in
+    the number of queued jobs. Weights of organisations and callers are those of the operators'
+    text.
+    """
+
+    reserves = True
+
+    def __init__(self, estimates: Estimates | None = None) -> None:
+        super().__init__(estimates)
+        self._groups: dict[_GroupKey, _Group] = {}
+        self._full: set[_RoomKey] = set()
+        self._offered: _Group | None = None
+        self._by_organisation: dict[OrganisationId, Resources] = {}
+        self._by_caller: dict[CallerId, Resources] = {}
+        self._queued: Counter[OrganisationId] = Counter()
+        self._total_weight = 1.0
+
+    def _add(self, job: Job) -> None:
+        if job.id in self._jobs:
+            return
+        super()._add(job)
+        self._queued[job.organisation] += 1
+        key = self._group_key(job)
+        group = self._groups.get(key)
+        if group is None:
+            group = self._groups[key] = _Group(job, self._run_class(job))
+        heapq.heappush(group.heap, (job.accepted_at, job.id))
+
     def remove(self, job: JobId) -> Job | None:
         """Remove a job, or return None if it is not queued."""
-        return self._jobs.pop(job, None)
+        found = self._jobs.get(job)
+        if found is not None:
+            self._queued[found.organisation] -= 1
+        return super().remove(job)
+
+    def started(self, job: Job) -> None:
+        """An attempt of a job took its accelerators."""
+        super().started(job)
+        self._by_organisation.setdefault(job.organisation, Resources()).add(job.shape, 1)
+        self._by_caller.setdefault(job.caller, Resources()).add(job.shape, 1)
+
+    def ended(self, job: Job) -> None:
+        """An attempt of a job gave its accelerators back."""
+        super().ended(job)
+        self._by_organisation[job.organisation].add(job.shape, -1)
+        caller = self._by_caller[job.caller]
+        caller.add(job.shape, -1)
+        if caller.accelerators <= 0:
+            del self._by_caller[job.caller]
+
+    def no_room(self, job: Job) -> None:
+        """A job found no accelerators; equal ones are skipped until `room_changed`."""
+        if self._offered is not None:
+            self._full.add(self._offered.room_key)
+
+    def room_changed(self) -> None:
+        """Accelerators became free, or what may be used of them changed."""
+        self._full.clear()
 
     def ordered(self, now: float) -> Iterator[Job]:
-        """Jobs, first to start first, at time `now` in seconds."""
-        yield from sorted(
-            self._jobs.values(), key=lambda job: (job.urgency.rank, job.accepted_at, job.id)
+        """Jobs, first to start first; shares are read again whenever a job has started."""
+        self._weigh()
+        heap = []
+        for number, (key, group) in enumerate(list(self._groups.items())):
+            head = self._head(group)
+            if head is None:
+                del self._groups[key]
+            elif group.room_key not in self._full:
+                heap.append((self.score(head, now), number, group))
+        heapq.heapify(heap)
+        while heap:
+            known, number, group = heapq.heappop(heap)
+            head = self._head(group)
+            if head is None or group.room_key in self._full or not self._allowed(head):
+                continue
+            score = self.score(head, now)
+            if score > known and heap and score > heap[0][0]:
+                heapq.heappush(heap, (score, number, group))
+                continue
+            self._offered = group
+            yield head
+            self._offered = None
+            if head.id not in self._jobs:
+                heapq.heappush(heap, (score, number, group))
+
+    def score(self, job: Job, now: float) -> tuple[int, float]:
+        """Sort key of a job, least first: tier 0 is urgent work within its fair share."""
+        share = self.organisation_share(job.organisation)
+        run_s = max(SHORTEST_RUN_S, self.estimates.expected_s(job))
+        wait_s = max(0.0, now - job.accepted_at)
+        urgent = job.urgency is Urgency.URGENT
+        if urgent and share <= URGENT_SHARE_LIMIT:
+            return 0, share - wait_s
+        rank = Urgency.NORMAL.rank if urgent else job.urgency.rank
+        value = URGENCY_STEP * rank
+        value -= math.log2(1.0 + wait_s / run_s) + wait_s / AGEING_S
+        value += ORGANISATION_STEP * math.log2(1.0 + share)
+        value += CALLER_STEP * math.log2(1.0 + self._caller_share(job.caller))
+        if job.deadline and job.deadline - now - run_s < run_s:
+            value -= DEADLINE_STEP
+        return 1, value
+
+    def organisation_share(self, organisation: OrganisationId) -> float:
+        """Dominant share over the fair share by weight; 1 is exactly the fair share."""
+        resources = self._by_organisation.get(organisation)
+        if resources is None:
+            return 0.0
+        share = resources.dominant_share(self.capacity)
+        return share * self._total_weight / self._weight(organisation)
+
+    def _caller_share(self, caller: CallerId) -> float:
+        resources = self._by_caller.get(caller)
+        if resources is None:
+            return 0.0
+        known = self.config.callers.get(caller)
+        weight = known.weight if known is not None else 1.0
+        # Callers compare with each other only, so the share of the whole domain is scaled to a
+        # typical caller's.
+        return resources.dominant_share(self.capacity) * max(1, len(self._by_caller)) / weight
+
+    def _weigh(self) -> None:
+        """Fair shares are split by weight over the organisations that use or want something."""
+        active = {name for name, count in self._queued.items() if count > 0}
+        active.update(name for name, used in self.used.items() if used > 0)
+        self._total_weight = sum(self._weight(name) for name in active) or 1.0
+
+    def _weight(self, organisation: OrganisationId) -> float:
+        known = self.config.organisations.get(organisation)
+        return known.weight if known is not None else 1.0
+
+    def _allowed(self, job: Job) -> bool:
+        known = self.config.organisations.get(job.organisation)
+        if known is None or not known.max_accelerators:
+            return True
+        return self.used[job.organisation] + job.shape.total <= known.max_accelerators
+
+    def _head(self, group: _Group) -> Job | None:
+        while group.heap:
+            job = self._jobs.get(group.heap[0][1])
+            if job is not None:
+                return job
+            heapq.heappop(group.heap)
+        return None
+
+    def _group_key(self, job: Job) -> _GroupKey:
+        return (
+            job.urgency,
+            job.caller,
+            job.organisation,
+            job.kind,
+            job.shape,
+            job.preemptible,
+            self._run_class(job),
+            bool(job.deadline),
         )
+
+    def _run_class(self, job: Job) -> int:
+        """Jobs whose likely run times differ by less than a factor of two."""
+        return int(math.log2(max(SHORTEST_RUN_S, self.estimates.expected_s(job))))
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -9,6 +9,7 @@
     CommitParts,
     CountRetry,
     ForgetParts,
+    ProbeWorker,
     ReleaseParts,
     ReserveParts,
     StopParts,
@@ -22,20 +23,23 @@
     JobResumed,
     LogState,
     PartEnded,
+    ProbeEnded,
     Reserved,
     ReserveRefused,
     StartRecorded,
     Tick,
+    UsageSeen,
     WorkerLost,
     WorkerSeen,
 )
 from comfreyshelf.gangs import Gang, Part, Phase
 from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, TargetId
-from comfreyshelf.model import AttemptOutcome, HeldPart, Job, PartState, WorkerInfo
+from comfreyshelf.model import AttemptOutcome, HeldPart, Job, PartState, Placement, WorkerInfo
+from comfreyshelf.ordering import Ordering
 from comfreyshelf.placement import FirstFit, Placer
-from comfreyshelf.queueing import Queue
-from comfreyshelf.reasons import RetryReason
-from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished
+from comfreyshelf.queueing import FairQueue, JobQueue
+from comfreyshelf.reasons import RefusalReason, RetryReason
+from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished, JobRefused
 from comfreyshelf.topology import Topology
 
 RESERVE_TIMEOUT_S = 3.0
@@ -61,12 +65,19 @@
     drive the same code.
     """
 
-    def __init__(self, domain: DomainId, epoch: Epoch, placer: Placer | None = None) -> None:
+    def __init__(
+        self,
+        domain: DomainId,
+        epoch: Epoch,
+        placer: Placer | None = None,
+        queue: JobQueue | None = None,
+    ) -> None:
         self.domain = domain
         self.epoch = epoch
         self.config: Config = EMPTY_CONFIG
         self.topology = Topology()
-        self.queue = Queue()
+        self.queue: JobQueue = FairQueue() if queue is None else queue
+        self.order = Ordering(domain, self.queue, seed=int(epoch))
         self.gangs: dict[JobId, Gang] = {}
         self.counters: Counter[str] = Counter()
         self._placer = placer or FirstFit()
@@ -109,10 +120,19 @@
                 self._on_start_recorded(event, now)
             case PartEnded():
                 self._on_part_ended(event, now)
-            case LogState():
-                self._on_log_state(event.up, now)
             case Tick():
                 self._on_tick(now)
+            case _:
+                self._observe(event, now)
+
+    def _observe(self, event: Event, now: float) -> None:
+        match event:
+            case UsageSeen():
+                self._on_usage_seen(event, now)
+            case ProbeEnded():
+                self._on_probe_ended(event)
+            case LogState():
+                self._on_log_state(event.up, now)
 
     def _emit(self, command: Command) -> None:
         self._commands.append(command)
@@ -127,6 +147,7 @@
         if event.config.version < self.config.version:
             return
         self.config = event.config
+        self.order.configure(event.config)
         self._dirty = True
 
     def _on_worker_seen(self, event: WorkerSeen, now: float) -> None:
@@ -137,6 +158,7 @@
             known = None
         if known is None:
             self._add_worker(info)
+            self.order.worker_added(info, now)
         self._reconcile(info.target, event.parts, now)
 
     def _add_worker(self, info: WorkerInfo) -> None:
@@ -184,6 +206,7 @@
                 self._end_part(gang, part, PartState.STOPPED)
             self._stop_gang(gang, AttemptOutcome.TARGET_LOST, now)
         if target in self.topology.workers:
+            self.order.worker_lost(self.topology.workers[target].info, now)
             self.topology.remove(target)
         self._dirty = True
 
@@ -191,23 +214,30 @@
 
     def _on_job_queued(self, event: JobQueued) -> None:
         job = event.job
-        if job.id in self.gangs or job.id in self.queue:
+        if job.id in self.gangs or self.order.knows(job.id):
             return
         self._attempts[job.id] = max(self._attempts.get(job.id, Attempt(0)), event.attempt)
-        self.queue.push(job)
+        shed = self.order.queued(job, fresh=event.attempt == 0)
+        if shed is not None:
+            self._refuse(shed, RefusalReason.SHED)
         self._dirty = True
 
+    def _refuse(self, job: Job, reason: RefusalReason) -> None:
+        self.order.refused(job)
+        self._emit(AppendRecord(JobRefused(job.id, self.domain, self.epoch, reason)))
+
     def _on_job_resumed(self, event: JobResumed, now: float) -> None:
         parts = [Part(placement) for placement in event.placements]
         gang = Gang(event.job, event.attempt, parts, now, Phase.RUNNING, recorded=True)
         self.gangs[event.job.id] = gang
+        self.order.resumed(event.job)
         self._attempts[event.job.id] = event.attempt
         for part in parts:
             if part.placement.target in self.topology.workers:
                 self._take(gang.job, part)
 
     def _on_job_closed(self, job: JobId, now: float) -> None:
-        self.queue.remove(job)
+        self.order.closed(job)
         self._dirty = True
         gang = self.gangs.get(job)
         if gang is None:
@@ -220,17 +250,43 @@
 
     def _schedule(self, now: float) -> None:
         excluded = self._excluded(now)
-        for job in list(self.queue.ordered(now)):
-            placements = self._placer.place(job.shape, self.topology, excluded)
+        for job in self.queue.ordered(now):
+            with self.order.holding(job, self.topology, now):
+                placements = self._find(job, self.topology, excluded, now)
             if placements:
                 self._start(job, [Part(placement) for placement in placements], now)
+            else:
+                self._on_no_room(job, excluded, now)
+
+    def _find(
+        self, job: Job, topology: Topology, excluded: frozenset[TargetId], now: float
+    ) -> tuple[Placement, ...]:
+        """Place a job off the workers where it failed, and on suspect workers last."""
+        excluded |= self.order.quarantine.avoided(job.id, now)
+        suspects = self.order.quarantine.suspects
+        if suspects:
+            placements = self._placer.place(job.shape, topology, excluded | suspects)
+            if placements:
+                return placements
+        return self._placer.place(job.shape, topology, excluded)
+
+    def _on_no_room(self, job: Job, excluded: frozenset[TargetId], now: float) -> None:
+        if self.order.fleet.never_fits(job.shape, now):
+            self._refuse(job, RefusalReason.NEVER_FITS)
+            return
+
+        def place(job: Job, topology: Topology) -> tuple[Placement, ...]:
+            return self._find(job, topology, excluded, now)
+
+        for gang in self.order.blocked(job, self.topology, self.gangs.values(), place, now):
+            self._stop_gang(gang, AttemptOutcome.PREEMPTED, now)
 
     def _excluded(self, now: float) -> frozenset[TargetId]:
         self._avoided = {target: until for target, until in self._avoided.items() if until > now}
-        return self.config.scrapped | self._avoided.keys()
+        return self.config.scrapped | self._avoided.keys() | self.order.quarantine.held
 
     def _start(self, job: Job, parts: list[Part], now: float) -> None:
-        self.queue.remove(job.id)
+        self.order.started(job)
         attempt = Attempt(self._attempts.get(job.id, 0) + 1)
         self._attempts[job.id] = attempt
         gang = Gang(job, attempt, parts, now)
@@ -311,7 +367,9 @@
         part.started = event.started
         part.checkpointed = event.checkpointed
         self._end_part(gang, part, event.state)
+        self.order.part_ended(gang, event.target, event.state, now)
         if gang.whole and gang.phase is Phase.RUNNING:
+            self.order.finished(gang, event.run_s)
             self._record_finish(gang)
         elif event.state is not PartState.FINISHED or gang.phase is Phase.STOPPING:
             self._stop_gang(gang, AttemptOutcome.FAILED, now)
@@ -341,6 +399,7 @@
 
     def _close_gang(self, gang: Gang, now: float) -> None:
         del self.gangs[gang.job.id]
+        self.order.ended(gang)
         self._dirty = True
         for target in gang.targets:
             self._emit(ForgetParts(target, gang.job.id, gang.attempt))
@@ -354,7 +413,19 @@
             self._emit(AppendRecord(body))
         if outcome is not AttemptOutcome.MAY_HAVE_RUN:
             self._emit(CountRetry(_RETRY_OF_OUTCOME[outcome]))
-            self.queue.push(gang.job)
+            reason = self.order.requeue(gang, outcome, now)
+            if reason is not None:
+                self._refuse(gang.job, reason)
+
+    def _on_usage_seen(self, event: UsageSeen, now: float) -> None:
+        gang = self.gangs.get(event.job)
+        if gang is not None:
+            self.order.usage_seen(gang, event.busy, now)
+
+    def _on_probe_ended(self, event: ProbeEnded) -> None:
+        if self.order.quarantine.probe_ended(event.target, event.passed):
+            self.queue.room_changed()
+            self._dirty = True
 
     def _on_log_state(self, up: bool, now: float) -> None:
         self._log_up = up
@@ -365,6 +436,8 @@
                 self._commit(gang, now)
 
     def _on_tick(self, now: float) -> None:
+        for target in self.order.tick(now):
+            self._emit(ProbeWorker(target))
         self._dirty = bool(len(self.queue))
         for gang in list(self.gangs.values()):
             if gang.phase is Phase.RESERVING and now - gang.since > RESERVE_TIMEOUT_S:
@@ -383,4 +456,5 @@
         self.topology.give_back(
             part.placement.target, part.placement.mask, shape.cores, shape.memory_gb
         )
+        self.queue.room_changed()
         self._dirty = True
