Let late short work preempt longer work, and reserve for gangs after patience

Every blocked gang of 8 accelerators got a reservation at once, which idled accelerators, and urgent work did not preempt while its organisation used more than its fair share for other work.

A reservation now waits for 4 expected run times. The limit on urgent work counts only urgent work that runs. A job that waited 2 of its expected run times may preempt gangs expected to run twice as long, beyond their organisation's guarantee.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -14,12 +14,21 @@
 
 # Gangs of at least this many accelerators get a reservation when they do not fit.
 LARGE_ACCELERATORS = 8
+# A gang gets its reservation after it waited this many of its expected run times, because every
+# reservation idles accelerators that shorter work could use.
+PATIENCE_RUNS = 4.0
 # Smaller jobs get one after they waited this long.
 SMALL_WAIT_S = 900.0
 REFRESH_S = 15.0
 # Longest time from a request to preempt until the urgent job has its accelerators: a checkpoint
 # of a few seconds and the messages around it.
 PREEMPT_WAIT_S = 12.0
+# A job is late when it waited this many of its expected run times. A late job may preempt gangs
+# that are expected to run at least LATE_FACTOR times longer than it.
+LATE_RUNS = 2.0
+LATE_FACTOR = 2.0
+# A gang is preempted for late jobs at most this often, so that long jobs end.
+LATE_PREEMPTIONS = 2
 # Running gangs that a forecast looks at, earliest end first.
 FORECAST_GANGS = 1024
 
@@ -29,23 +38,26 @@
 class Hold(msgspec.Struct, frozen=True):
     """Accelerators kept for a queued job until `at`, in seconds.
 
-    Others may use them only if they end before `at`; nobody may if the hold is `strict`.
+    Others may use them if they end before `at`, but not while gangs are stopped to make room.
     """
 
     job: Job
     placements: tuple[Placement, ...]
     at: float
     made_at: float
-    strict: bool = False
 
 
 class Backfill:
-    """The holds of one domain: one for a large gang, and one per urgent job being made room for."""
+    """The holds of one domain: one for a large gang, and one per job that others are preempted for.
+
+    Urgent jobs respect the holds of other urgent jobs only.
+    """
 
     def __init__(self, estimates: Estimates) -> None:
         self._estimates = estimates
         self._large: Hold | None = None
-        self._urgent: dict[JobId, Hold] = {}
+        self._making: dict[JobId, Hold] = {}
+        self._preempted: Counter[JobId] = Counter()
 
     @contextmanager
     def holding(self, job: Job, topology: Topology, now: float) -> Iterator[None]:
@@ -66,15 +78,38 @@
 
     def drop(self, job: JobId) -> None:
         """The job started or left the queue."""
-        self._urgent.pop(job, None)
+        self._making.pop(job, None)
         if self._large is not None and self._large.job.id == job:
             self._large = None
 
+    def forget(self, job: JobId) -> None:
+        """The job ended."""
+        self.drop(job)
+        self._preempted.pop(job, None)
+
+    def late(self, job: Job, now: float) -> bool:
+        """Whether a job waited so long that longer work should make room for it."""
+        return now - job.accepted_at > LATE_RUNS * self._estimates.expected_s(job)
+
+    def longer(self, job: Job, gangs: list[Gang], now: float) -> list[Gang]:
+        """The gangs that may be preempted for a late job, those with the most work left first."""
+        least_s = LATE_FACTOR * self._estimates.expected_s(job)
+        left = [(self._left_s(gang, now), gang) for gang in gangs]
+        left = [
+            (left_s, gang)
+            for left_s, gang in left
+            if left_s >= least_s
+            and self._preempted[gang.job.id] < LATE_PREEMPTIONS
+            and not self.late(gang.job, now)
+        ]
+        left.sort(key=lambda pair: -pair[0])
+        return [gang for _, gang in left]
+
     def expire(self, now: float) -> None:
-        """Drop holds for urgent jobs whose room did not become free in time."""
-        for job, hold in list(self._urgent.items()):
+        """Drop holds of jobs whose room did not become free in time."""
+        for job, hold in list(self._making.items()):
             if hold.at <= now:
-                del self._urgent[job]
+                del self._making[job]
 
     def reserve(
         self, job: Job, topology: Topology, gangs: Iterable[Gang], place: Place, now: float
@@ -85,7 +120,10 @@
         if self._large is not None and now - self._large.made_at < REFRESH_S:
             return
         waited_s = now - job.accepted_at
-        if job.shape.total < LARGE_ACCELERATORS and waited_s < SMALL_WAIT_S:
+        patience_s = PATIENCE_RUNS * self._estimates.expected_s(job)
+        if job.shape.total < LARGE_ACCELERATORS:
+            patience_s = max(patience_s, SMALL_WAIT_S)
+        if waited_s < patience_s:
             return
         ends = sorted(
             ((now + self._left_s(gang, now), gang) for gang in gangs), key=lambda pair: pair[0]
@@ -103,30 +141,44 @@
         place: Place,
         now: float,
     ) -> list[Gang]:
-        """Gangs to preempt for an urgent job, none if it would not help or is under way."""
-        if job.id in self._urgent:
+        """Gangs to preempt for a job, none if it would not help or is under way."""
+        if job.id in self._making:
             return []
-        count, placements = _fewest(job, topology, candidates, place)
-        if not placements:
+        against = [placement for hold in self._against(job, now) for placement in hold.placements]
+
+        def place_beside(job: Job, free: Topology) -> tuple[Placement, ...]:
+            for placement in against:
+                worker = free.workers.get(placement.target)
+                if worker is not None:
+                    free.take(placement.target, worker.free & placement.mask, 0, 0)
+            return place(job, free)
+
+        count, placements = _fewest(job, topology, candidates, place_beside)
+        # Without a gang to stop the job waits for messages or another job's hold; a hold of its
+        # own would only idle what is free.
+        if not placements or not count:
             return []
         wanted = {placement.target: 0 for placement in placements}
         for placement in placements:
             wanted[placement.target] |= placement.mask
-        self._urgent[job.id] = Hold(job, placements, now + PREEMPT_WAIT_S, now, strict=True)
-        return [
+        self._making[job.id] = Hold(job, placements, now + PREEMPT_WAIT_S, now)
+        victims = [
             gang
             for gang in candidates[:count]
             if any(
                 wanted.get(part.placement.target, 0) & part.placement.mask for part in gang.parts
             )
         ]
+        self._preempted.update(gang.job.id for gang in victims)
+        return victims
 
     def _against(self, job: Job, now: float) -> Iterator[Hold]:
-        for hold in self._urgent.values():
-            if hold.job.id != job.id:
+        urgent = job.urgency is Urgency.URGENT
+        for hold in self._making.values():
+            if hold.job.id != job.id and (not urgent or hold.job.urgency is Urgency.URGENT):
                 yield hold
         large = self._large
-        if large is None or large.job.id == job.id or job.urgency is Urgency.URGENT:
+        if large is None or large.job.id == job.id or urgent:
             return
         if now + self._estimates.cautious_s(job) > large.at:
             yield large
@@ -139,24 +191,22 @@
 
 def preemptible(
     gangs: Iterable[Gang],
-    job: Job,
     used: Counter[OrganisationId],
     promised: dict[OrganisationId, int],
     share: Callable[[OrganisationId], float],
+    least_rank: int,
 ) -> list[Gang]:
-    """Gangs that an urgent job may preempt, the best ones to preempt first.
+    """Gangs that a job may preempt, the best ones to preempt first.
 
-    Only less urgent, preemptible work qualifies, and only what its organisation runs beyond its
-    guaranteed accelerators.
+    Only preemptible work of at least `least_rank` qualifies, and only what its organisation runs
+    beyond its guaranteed accelerators.
     """
     left = Counter(used)
     chosen = []
     running = [
         gang
         for gang in gangs
-        if gang.phase is Phase.RUNNING
-        and gang.job.preemptible
-        and gang.job.urgency.rank > job.urgency.rank
+        if gang.phase is Phase.RUNNING and _resumable(gang) and gang.job.urgency.rank >= least_rank
     ]
     running.sort(
         key=lambda gang: (-gang.job.urgency.rank, -share(gang.job.organisation), -gang.since)
@@ -169,6 +219,15 @@
     return chosen
 
 
+def _resumable(gang: Gang) -> bool:
+    """Whether a gang can stop and go on without running any part of a job twice.
+
+    In a non-idempotent gang of several parts one part can finish while another is stopped, and a
+    second attempt would run the finished part again.
+    """
+    return gang.job.preemptible and (gang.job.idempotent or len(gang.parts) == 1)
+
+
 def _fewest(
     job: Job, topology: Topology, gangs: list[Gang], place: Place
 ) -> tuple[int, tuple[Placement, ...]]:
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -26,6 +26,8 @@
 # Order changes with time only, so holds and full shapes are looked at again this often.
 REVIEW_S = 5.0
 
+_NORMAL_RANK = Urgency.NORMAL.rank
+
 
 class Fleet:
     """Known capacity of a domain, including workers that are away."""
@@ -151,6 +153,7 @@
         if known is not None:
             self._left(known)
         self._refused.discard(job)
+        self._backfill.forget(job)
         self._ran_before.discard(job)
         self._retries.forget(job)
         self.quarantine.forget_job(job)
@@ -238,10 +241,15 @@
         self.queue.no_room(job)
         if not self.queue.reserves:
             return []
-        if job.urgency is not Urgency.URGENT or self.queue.over_share(job):
+        urgent = self.queue.counts_as_urgent(job)
+        if not urgent:
             self._backfill.reserve(job, topology, gangs, place, now)
-            return []
+            if not self._backfill.late(job, now):
+                return []
+        least_rank = job.urgency.rank + 1 if urgent else min(job.urgency.rank, _NORMAL_RANK)
         candidates = preemptible(
-            gangs, job, self.queue.used, self._promised, self.queue.organisation_share
+            gangs, self.queue.used, self._promised, self.queue.organisation_share, least_rank
         )
+        if not urgent:
+            candidates = self._backfill.longer(job, candidates, now)
         return self._backfill.make_room(job, topology, candidates, place, now)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -16,15 +16,15 @@
 # One step of urgency is worth this many doublings of a job's response ratio.
 URGENCY_STEP = 3.0
 # One doubling of an organisation's or caller's share over its fair share, in the same unit.
-ORGANISATION_STEP = 2.0
+ORGANISATION_STEP = 1.0
 CALLER_STEP = 1.0
 # A job gains one unit for every AGEING_S seconds of waiting, so no job waits for ever.
 AGEING_S = 1800.0
 # A job whose deadline leaves less slack than its run time moves up one step of urgency.
 DEADLINE_STEP = URGENCY_STEP
 SHORTEST_RUN_S = 5.0
-# Urgent work of an organisation above this multiple of its fair share is ordered as normal work,
-# so that a flood of urgent work cannot starve other organisations.
+# Urgent work of an organisation whose running urgent work exceeds this multiple of its fair share
+# is ordered as work of high urgency, so that a flood of urgent work starves no other organisation.
 URGENT_SHARE_LIMIT = 1.0
 
 
@@ -99,9 +99,9 @@
     def _add(self, job: Job) -> None:
         self._jobs[job.id] = job
 
-    def over_share(self, job: Job) -> bool:
-        """Whether the organisation of a job uses more than its fair share."""
-        return self.organisation_share(job.organisation) > URGENT_SHARE_LIMIT
+    def counts_as_urgent(self, job: Job) -> bool:
+        """Whether a job is ordered as urgent and may preempt."""
+        return job.urgency is Urgency.URGENT
 
     def organisation_share(self, organisation: OrganisationId) -> float:
         """Dominant share over the fair share; 0 in orders that know no shares."""
@@ -163,6 +163,7 @@
         self._offered: _Group | None = None
         self._by_organisation: dict[OrganisationId, Resources] = {}
         self._by_caller: dict[CallerId, Resources] = {}
+        self._urgent: dict[OrganisationId, Resources] = {}
         self._queued: Counter[OrganisationId] = Counter()
         self._total_weight = 1.0
 
@@ -189,11 +190,15 @@
         super().started(job)
         self._by_organisation.setdefault(job.organisation, Resources()).add(job.shape, 1)
         self._by_caller.setdefault(job.caller, Resources()).add(job.shape, 1)
+        if job.urgency is Urgency.URGENT:
+            self._urgent.setdefault(job.organisation, Resources()).add(job.shape, 1)
 
     def ended(self, job: Job) -> None:
         """An attempt of a job gave its accelerators back."""
         super().ended(job)
         self._by_organisation[job.organisation].add(job.shape, -1)
+        if job.urgency is Urgency.URGENT:
+            self._urgent[job.organisation].add(job.shape, -1)
         caller = self._by_caller[job.caller]
         caller.add(job.shape, -1)
         if caller.accelerators <= 0:
@@ -239,10 +244,9 @@
         share = self.organisation_share(job.organisation)
         run_s = max(SHORTEST_RUN_S, self.estimates.expected_s(job))
         wait_s = max(0.0, now - job.accepted_at)
-        urgent = job.urgency is Urgency.URGENT
-        if urgent and share <= URGENT_SHARE_LIMIT:
-            return 0, share - wait_s
-        rank = Urgency.NORMAL.rank if urgent else job.urgency.rank
+        if self.counts_as_urgent(job):
+            return 0, -wait_s
+        rank = max(job.urgency.rank, Urgency.HIGH.rank)
         value = URGENCY_STEP * rank
         value -= math.log2(1.0 + wait_s / run_s) + wait_s / AGEING_S
         value += ORGANISATION_STEP * math.log2(1.0 + share)
@@ -253,7 +257,22 @@
 
     def organisation_share(self, organisation: OrganisationId) -> float:
         """Dominant share over the fair share by weight; 1 is exactly the fair share."""
-        resources = self._by_organisation.get(organisation)
+        return self._fair_multiple(self._by_organisation, organisation)
+
+    def counts_as_urgent(self, job: Job) -> bool:
+        """Whether a job is ordered as urgent and may preempt.
+
+        Only the urgent work that already runs is counted, so urgent work of an organisation that
+        borrows much for other work still starts at once.
+        """
+        if job.urgency is not Urgency.URGENT:
+            return False
+        return self._fair_multiple(self._urgent, job.organisation) <= URGENT_SHARE_LIMIT
+
+    def _fair_multiple(
+        self, used: dict[OrganisationId, Resources], organisation: OrganisationId
+    ) -> float:
+        resources = used.get(organisation)
         if resources is None:
             return 0.0
         share = resources.dominant_share(self.capacity)
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -368,12 +368,19 @@
         part.checkpointed = event.checkpointed
         self._end_part(gang, part, event.state)
         self.order.part_ended(gang, event.target, event.state, now)
-        if gang.whole and gang.phase is Phase.RUNNING:
+        if gang.whole and self._may_finish(gang):
             self.order.finished(gang, event.run_s)
             self._record_finish(gang)
         elif event.state is not PartState.FINISHED or gang.phase is Phase.STOPPING:
             self._stop_gang(gang, AttemptOutcome.FAILED, now)
 
+    def _may_finish(self, gang: Gang) -> bool:
+        """Whether a whole result counts; it may arrive while a planned stop is on its way."""
+        if gang.phase is Phase.STOPPING:
+            planned = gang.outcome in (AttemptOutcome.PREEMPTED, AttemptOutcome.DRAINED)
+            return planned and gang.job.id not in self._closed
+        return gang.phase is Phase.RUNNING
+
     def _record_finish(self, gang: Gang) -> None:
         gang.finish_sent = True
         result = gang.result
