Let urgent work preempt its own organisation's work within its guarantee

An urgent job of a small organisation waited 27 s: all preemptible work lay inside guarantees, also its own organisation's. A guarantee protects an organisation from others, not from itself. Room for late jobs is looked for every 5 s and a pass ends after 32 groups without room, because with 100 late jobs queued the forecasts took most of the time.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -191,6 +191,7 @@
 
 def preemptible(
     gangs: Iterable[Gang],
+    own: OrganisationId,
     used: Counter[OrganisationId],
     promised: dict[OrganisationId, int],
     share: Callable[[OrganisationId], float],
@@ -198,8 +199,8 @@
 ) -> list[Gang]:
     """Gangs that a job may preempt, the best ones to preempt first.
 
-    Only preemptible work of at least `least_rank` qualifies, and only what its organisation runs
-    beyond its guaranteed accelerators.
+    Only preemptible work of at least `least_rank` qualifies. Of organisations other than `own`,
+    only what they run beyond their guaranteed accelerators does.
     """
     left = Counter(used)
     chosen = []
@@ -213,7 +214,8 @@
     )
     for gang in running:
         organisation = gang.job.organisation
-        if left[organisation] - gang.job.shape.total >= promised.get(organisation, 0):
+        kept = 0 if organisation == own else promised.get(organisation, 0)
+        if left[organisation] - gang.job.shape.total >= kept:
             left[organisation] -= gang.job.shape.total
             chosen.append(gang)
     return chosen
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -25,6 +25,8 @@
 AVOIDING_DELAY_S = 15.0
 # Order changes with time only, so holds and full shapes are looked at again this often.
 REVIEW_S = 5.0
+# A forecast copies the topology several times, so room for late jobs is looked for this often.
+LATE_INTERVAL_S = 5.0
 
 _NORMAL_RANK = Urgency.NORMAL.rank
 
@@ -91,6 +93,7 @@
         self._refused: set[JobId] = set()
         self._ran_before: set[JobId] = set()
         self._reviewed_at = 0.0
+        self._late_from = 0.0
         self._workers = 0
 
     # Configuration and workers
@@ -244,11 +247,17 @@
         urgent = self.queue.counts_as_urgent(job)
         if not urgent:
             self._backfill.reserve(job, topology, gangs, place, now)
-            if not self._backfill.late(job, now):
+            if now < self._late_from or not self._backfill.late(job, now):
                 return []
+            self._late_from = now + LATE_INTERVAL_S
         least_rank = job.urgency.rank + 1 if urgent else min(job.urgency.rank, _NORMAL_RANK)
         candidates = preemptible(
-            gangs, self.queue.used, self._promised, self.queue.organisation_share, least_rank
+            gangs,
+            job.organisation,
+            self.queue.used,
+            self._promised,
+            self.queue.organisation_share,
+            least_rank,
         )
         if not urgent:
             candidates = self._backfill.longer(job, candidates, now)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -23,6 +23,8 @@
 # A job whose deadline leaves less slack than its run time moves up one step of urgency.
 DEADLINE_STEP = URGENCY_STEP
 SHORTEST_RUN_S = 5.0
+# A pass ends after this many groups found no room; the next event goes on with the others.
+MOST_MISSES = 32
 # Urgent work of an organisation whose running urgent work exceeds this multiple of its fair share
 # is ordered as work of high urgency, so that a flood of urgent work starves no other organisation.
 URGENT_SHARE_LIMIT = 1.0
@@ -224,7 +226,8 @@
             elif group.room_key not in self._full:
                 heap.append((self.score(head, now), number, group))
         heapq.heapify(heap)
-        while heap:
+        misses = len(self._full)
+        while heap and len(self._full) - misses < MOST_MISSES:
             known, number, group = heapq.heappop(heap)
             head = self._head(group)
             if head is None or group.room_key in self._full or not self._allowed(head):
