Order floods behind other organisations and take back what they borrow

In a flood the waiting time of thousands of flood jobs outweighed their organisation's share, so they overtook new jobs of others, and wide gangs of others waited four run times for a reservation. An organisation that queues 3 times its fair share counts as flooding: above its fair share its work comes after all other work, and its preemptible work beyond its share is preempted for others after 5 s.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -112,7 +112,13 @@
                 del self._making[job]
 
     def reserve(
-        self, job: Job, topology: Topology, gangs: Iterable[Gang], place: Place, now: float
+        self,
+        job: Job,
+        topology: Topology,
+        gangs: Iterable[Gang],
+        place: Place,
+        now: float,
+        patient: bool = True,
     ) -> None:
         """Hold the place that becomes free first for a blocked job, if no other gang holds one."""
         if self._large is not None and self._large.job.id != job.id:
@@ -123,7 +129,7 @@
         patience_s = PATIENCE_RUNS * self._estimates.expected_s(job)
         if job.shape.total < LARGE_ACCELERATORS:
             patience_s = max(patience_s, SMALL_WAIT_S)
-        if waited_s < patience_s:
+        if waited_s < patience_s and (patient or job.shape.total < LARGE_ACCELERATORS):
             return
         ends = sorted(
             ((now + self._left_s(gang, now), gang) for gang in gangs), key=lambda pair: pair[0]
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -27,7 +27,12 @@
 REVIEW_S = 5.0
 # A forecast copies the topology several times, so room for late jobs is looked for this often.
 LATE_INTERVAL_S = 5.0
+# Other organisations wait this long before work of a flood is preempted for them, one job at a
+# time, so that what becomes free by itself is used first.
+FLOOD_WAIT_S = 5.0
+FLOOD_INTERVAL_S = 1.0
 
+_HIGH_RANK = Urgency.HIGH.rank
 _NORMAL_RANK = Urgency.NORMAL.rank
 
 
@@ -94,6 +99,7 @@
         self._ran_before: set[JobId] = set()
         self._reviewed_at = 0.0
         self._late_from = 0.0
+        self._flood_from = 0.0
         self._workers = 0
 
     # Configuration and workers
@@ -244,21 +250,48 @@
         self.queue.no_room(job)
         if not self.queue.reserves:
             return []
-        urgent = self.queue.counts_as_urgent(job)
-        if not urgent:
-            self._backfill.reserve(job, topology, gangs, place, now)
-            if now < self._late_from or not self._backfill.late(job, now):
-                return []
-            self._late_from = now + LATE_INTERVAL_S
-        least_rank = job.urgency.rank + 1 if urgent else min(job.urgency.rank, _NORMAL_RANK)
-        candidates = preemptible(
-            gangs,
-            job.organisation,
-            self.queue.used,
-            self._promised,
-            self.queue.organisation_share,
-            least_rank,
-        )
-        if not urgent:
-            candidates = self._backfill.longer(job, candidates, now)
-        return self._backfill.make_room(job, topology, candidates, place, now)
+        gangs = list(gangs)
+        if self.queue.counts_as_urgent(job):
+            victims = self._below(job, gangs, job.urgency.rank + 1)
+        else:
+            victims = self._victims(job, topology, gangs, place, now)
+        if not victims:
+            return []
+        return self._backfill.make_room(job, topology, victims, place, now)
+
+    def _victims(
+        self, job: Job, topology: Topology, gangs: list[Gang], place: Place, now: float
+    ) -> list[Gang]:
+        """What a job that is not urgent may preempt: a flood's work or, if late, longer work."""
+        fair = self.queue.organisation_share(job.organisation) <= 1.0
+        if fair and not self.queue.flooding(job.organisation):
+            flood = [gang for gang in gangs if self.queue.flooding(gang.job.organisation)]
+            if flood:
+                self._backfill.reserve(job, topology, gangs, place, now, patient=False)
+                return self._flooded(job, flood, now)
+        self._backfill.reserve(job, topology, gangs, place, now)
+        if now < self._late_from or not self._backfill.late(job, now):
+            return []
+        self._late_from = now + LATE_INTERVAL_S
+        candidates = self._below(job, gangs, min(job.urgency.rank, _NORMAL_RANK))
+        return self._backfill.longer(job, candidates, now)
+
+    def _below(self, job: Job, gangs: list[Gang], least_rank: int) -> list[Gang]:
+        """Preemptible work; a flood preempts only work of organisations above their share."""
+        share = self.queue.organisation_share
+        if self.queue.flooding(job.organisation):
+            gangs = [gang for gang in gangs if share(gang.job.organisation) > 1.0]
+        used = self.queue.used
+        return preemptible(gangs, job.organisation, used, self._promised, share, least_rank)
+
+    def _flooded(self, job: Job, flood: list[Gang], now: float) -> list[Gang]:
+        """Work that a flooding organisation runs beyond its fair share and its guarantees."""
+        if now < self._flood_from or now - job.accepted_at < FLOOD_WAIT_S:
+            return []
+        self._flood_from = now + FLOOD_INTERVAL_S
+        kept = {
+            name: max(self._promised[name], int(self.queue.fair_accelerators(name)))
+            for name in {gang.job.organisation for gang in flood}
+        }
+        share = self.queue.organisation_share
+        return preemptible(flood, job.organisation, self.queue.used, kept, share, _HIGH_RANK)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -23,6 +23,9 @@
 # A job whose deadline leaves less slack than its run time moves up one step of urgency.
 DEADLINE_STEP = URGENCY_STEP
 SHORTEST_RUN_S = 5.0
+# An organisation floods when it queues more accelerators than this multiple of its fair share.
+# Steady load reaches this only in bursts, and a strict order by share would slow short work down.
+FLOOD_BACKLOG = 3.0
 # A pass ends after this many groups found no room; the next event goes on with the others.
 MOST_MISSES = 32
 # Urgent work of an organisation whose running urgent work exceeds this multiple of its fair share
@@ -101,6 +104,14 @@
     def _add(self, job: Job) -> None:
         self._jobs[job.id] = job
 
+    def flooding(self, organisation: OrganisationId) -> bool:
+        """Whether an organisation floods the queue; False in orders that know no shares."""
+        return False
+
+    def fair_accelerators(self, organisation: OrganisationId) -> float:
+        """Accelerators that are the fair share of an organisation; 0 if shares are not known."""
+        return 0.0
+
     def counts_as_urgent(self, job: Job) -> bool:
         """Whether a job is ordered as urgent and may preempt."""
         return job.urgency is Urgency.URGENT
@@ -167,6 +178,7 @@
         self._by_caller: dict[CallerId, Resources] = {}
         self._urgent: dict[OrganisationId, Resources] = {}
         self._queued: Counter[OrganisationId] = Counter()
+        self._backlog: Counter[OrganisationId] = Counter()
         self._total_weight = 1.0
 
     def _add(self, job: Job) -> None:
@@ -174,6 +186,7 @@
             return
         super()._add(job)
         self._queued[job.organisation] += 1
+        self._backlog[job.organisation] += job.shape.total
         key = self._group_key(job)
         group = self._groups.get(key)
         if group is None:
@@ -185,6 +198,7 @@
         found = self._jobs.get(job)
         if found is not None:
             self._queued[found.organisation] -= 1
+            self._backlog[found.organisation] -= found.shape.total
         return super().remove(job)
 
     def started(self, job: Job) -> None:
@@ -243,7 +257,11 @@
                 heapq.heappush(heap, (score, number, group))
 
     def score(self, job: Job, now: float) -> tuple[int, float]:
-        """Sort key of a job, least first: tier 0 is urgent work within its fair share."""
+        """Sort key of a job, least first.
+
+        Tier 0 is urgent work within its organisation's fair share, tier 2 is the work of an
+        organisation that floods the queue, and tier 1 is all other work.
+        """
         share = self.organisation_share(job.organisation)
         run_s = max(SHORTEST_RUN_S, self.estimates.expected_s(job))
         wait_s = max(0.0, now - job.accepted_at)
@@ -256,7 +274,15 @@
         value += CALLER_STEP * math.log2(1.0 + self._caller_share(job.caller))
         if job.deadline and job.deadline - now - run_s < run_s:
             value -= DEADLINE_STEP
-        return 1, value
+        return (2 if share > 1.0 and self.flooding(job.organisation) else 1), value
+
+    def flooding(self, organisation: OrganisationId) -> bool:
+        """Whether an organisation queues much more work than its fair share could run at once."""
+        return self._backlog[organisation] > FLOOD_BACKLOG * self.fair_accelerators(organisation)
+
+    def fair_accelerators(self, organisation: OrganisationId) -> float:
+        """Accelerators that are the fair share of an organisation."""
+        return self._weight(organisation) / self._total_weight * self.capacity.accelerators
 
     def organisation_share(self, organisation: OrganisationId) -> float:
         """Dominant share over the fair share by weight; 1 is exactly the fair share."""
