Free whole workers for wide gangs in a flood

What other organisations lost in floods was one shape: three whole workers in a zone. Only work beyond the flooder's fair share was preempted, and it was spread over both zones.

All preemptible work beyond the guarantees of an organisation above its share may now be preempted in a flood, and an urgent backlog of half the fair share counts as a flood.

Ruled out: urgent work of a flood respects holds.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -53,7 +53,8 @@
     Urgent jobs respect the holds of other urgent jobs only.
     """
 
-    def __init__(self, estimates: Estimates) -> None:
+    def __init__(self, estimates: Estimates, overrides_holds: Callable[[Job], bool]) -> None:
+        self._overrides_holds = overrides_holds
         self._estimates = estimates
         self._large: Hold | None = None
         self._making: dict[JobId, Hold] = {}
@@ -179,7 +180,7 @@
         return victims
 
     def _against(self, job: Job, now: float) -> Iterator[Hold]:
-        urgent = job.urgency is Urgency.URGENT
+        urgent = self._overrides_holds(job)
         for hold in self._making.values():
             if hold.job.id != job.id and (not urgent or hold.job.urgency is Urgency.URGENT):
                 yield hold
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -32,7 +32,6 @@
 FLOOD_WAIT_S = 5.0
 FLOOD_INTERVAL_S = 1.0
 
-_HIGH_RANK = Urgency.HIGH.rank
 _NORMAL_RANK = Urgency.NORMAL.rank
 
 
@@ -92,7 +91,7 @@
         self._config: Config = EMPTY_CONFIG
         self._limits = QueueLimits()
         self._retries = Retries(rng)
-        self._backfill = Backfill(queue.estimates)
+        self._backfill = Backfill(queue.estimates, queue.counts_as_urgent)
         self._promised: Counter[OrganisationId] = Counter()
         self._fresh: dict[JobId, Job] = {}
         self._refused: set[JobId] = set()
@@ -285,13 +284,15 @@
         return preemptible(gangs, job.organisation, used, self._promised, share, least_rank)
 
     def _flooded(self, job: Job, flood: list[Gang], now: float) -> list[Gang]:
-        """Work that a flooding organisation runs beyond its fair share and its guarantees."""
+        """Work that an organisation above its fair share runs beyond its guarantees.
+
+        In a flood of urgent work this includes urgent gangs. It may fall below its fair share for
+        a moment: a wide gang needs whole workers, and what is stopped there starts again on the
+        accelerators that the gang could not use.
+        """
         if now < self._flood_from or now - job.accepted_at < FLOOD_WAIT_S:
             return []
         self._flood_from = now + FLOOD_INTERVAL_S
-        kept = {
-            name: max(self._promised[name], int(self.queue.fair_accelerators(name)))
-            for name in {gang.job.organisation for gang in flood}
-        }
         share = self.queue.organisation_share
-        return preemptible(flood, job.organisation, self.queue.used, kept, share, _HIGH_RANK)
+        over = [gang for gang in flood if share(gang.job.organisation) > 1.0]
+        return preemptible(over, job.organisation, self.queue.used, self._promised, share, 0)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -26,6 +26,8 @@
 # An organisation floods when it queues more accelerators than this multiple of its fair share.
 # Steady load reaches this only in bursts, and a strict order by share would slow short work down.
 FLOOD_BACKLOG = 3.0
+# The same for urgent work alone, of which steady load queues next to nothing.
+URGENT_FLOOD_BACKLOG = 0.5
 # A pass ends after this many groups found no room; the next event goes on with the others.
 MOST_MISSES = 32
 # Urgent work of an organisation whose running urgent work exceeds this multiple of its fair share
@@ -179,6 +181,7 @@
         self._urgent: dict[OrganisationId, Resources] = {}
         self._queued: Counter[OrganisationId] = Counter()
         self._backlog: Counter[OrganisationId] = Counter()
+        self._urgent_backlog: Counter[OrganisationId] = Counter()
         self._total_weight = 1.0
 
     def _add(self, job: Job) -> None:
@@ -187,6 +190,8 @@
         super()._add(job)
         self._queued[job.organisation] += 1
         self._backlog[job.organisation] += job.shape.total
+        if job.urgency is Urgency.URGENT:
+            self._urgent_backlog[job.organisation] += job.shape.total
         key = self._group_key(job)
         group = self._groups.get(key)
         if group is None:
@@ -199,6 +204,8 @@
         if found is not None:
             self._queued[found.organisation] -= 1
             self._backlog[found.organisation] -= found.shape.total
+            if found.urgency is Urgency.URGENT:
+                self._urgent_backlog[found.organisation] -= found.shape.total
         return super().remove(job)
 
     def started(self, job: Job) -> None:
@@ -278,7 +285,10 @@
 
     def flooding(self, organisation: OrganisationId) -> bool:
         """Whether an organisation queues much more work than its fair share could run at once."""
-        return self._backlog[organisation] > FLOOD_BACKLOG * self.fair_accelerators(organisation)
+        fair = self.fair_accelerators(organisation)
+        if self._urgent_backlog[organisation] > URGENT_FLOOD_BACKLOG * fair:
+            return True
+        return self._backlog[organisation] > FLOOD_BACKLOG * fair
 
     def fair_accelerators(self, organisation: OrganisationId) -> float:
         """Accelerators that are the fair share of an organisation."""
@@ -296,6 +306,8 @@
         """
         if job.urgency is not Urgency.URGENT:
             return False
+        if self.organisation_share(job.organisation) > 1.0 and self.flooding(job.organisation):
+            return False
         return self._fair_multiple(self._urgent, job.organisation) <= URGENT_SHARE_LIMIT
 
     def _fair_multiple(
