--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,455 @@
+"""Steps for order, limits, estimates and quarantine."""
+
+import random
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as hypothesis_given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from benchmarks import policy
+from comfreyshelf.commands import AppendRecord, CommitParts, ReserveParts, StopParts
+from comfreyshelf.config import Config, Organisation
+from comfreyshelf.estimates import MAX_KINDS, Estimates
+from comfreyshelf.events import (
+    ConfigInForce,
+    JobQueued,
+    PartEnded,
+    Reserved,
+    StartRecorded,
+    Tick,
+    WorkerSeen,
+)
+from comfreyshelf.ids import (
+    Attempt,
+    CallerId,
+    DomainId,
+    Epoch,
+    JobId,
+    OrganisationId,
+    RackId,
+    ServiceId,
+    TargetId,
+    Version,
+    ZoneId,
+)
+from comfreyshelf.limits import RETRY_LONGEST_S, Retries, TokenBucket
+from comfreyshelf.model import Job, PartState, Shape, Urgency, WorkerInfo
+from comfreyshelf.quarantine import Quarantine
+from comfreyshelf.queueing import FairQueue, Resources
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import AttemptStarted, JobFinished, JobRefused
+from comfreyshelf.scheduler import Scheduler
+
+PATIENCE_OVER_S = 10_000.0
+
+
+def make_job(name: str, **changes) -> Job:
+    changes.setdefault("shape", Shape(1, 8))
+    organisation = OrganisationId(changes.pop("organisation", "a"))
+    caller = CallerId(f"{organisation}-desk")
+    base = Job(JobId(name), organisation, caller, name, ServiceId("s"), "k", Shape(1, 1), 100.0)
+    return msgspec.structs.replace(base, **changes)
+
+
+class Core:
+    """A scheduler whose targets answer at once; parts end only when a step says so."""
+
+    def __init__(self, workers: int) -> None:
+        self.scheduler = Scheduler(DomainId("d"), Epoch(1))
+        self.now = 0.0
+        self.started: list[str] = []
+        self.stopped: list[StopParts] = []
+        self.refused: list[JobRefused] = []
+        self.finished: list[str] = []
+        self.limits: dict[str, int] = {}
+        self.configure()
+        for index in range(workers):
+            target = TargetId(f"w-{index}")
+            info = WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1)
+            self.feed(WorkerSeen(info))
+
+    def configure(self) -> None:
+        organisations = {
+            OrganisationId(name): Organisation(
+                OrganisationId(name), max_queued=self.limits.get(name, 1000)
+            )
+            for name in ("a", "b")
+        }
+        version = Version(len(self.limits) + 1)
+        self.feed(ConfigInForce(Config(version, organisations=organisations)))
+
+    def feed(self, event) -> None:
+        for command in self.scheduler.handle(event, self.now):
+            match command:
+                case ReserveParts():
+                    self.feed(Reserved(command.job.id, command.attempt, command.target))
+                case AppendRecord(body=AttemptStarted() as body):
+                    self.feed(StartRecorded(body.job, body.attempt, True))
+                case AppendRecord(body=JobRefused() as body):
+                    self.refused.append(body)
+                case AppendRecord(body=JobFinished() as body):
+                    self.finished.append(body.job)
+                case CommitParts():
+                    self.started.append(command.job)
+                case StopParts():
+                    self.stopped.append(command)
+
+    def queue(self, job: Job, attempt: int = 0) -> None:
+        self.feed(JobQueued(job, Attempt(attempt)))
+
+    def end(self, job: str, state: PartState, checkpointed: bool = False) -> None:
+        gang = self.scheduler.gangs[JobId(job)]
+        for number, part in enumerate(gang.parts):
+            self.feed(
+                PartEnded(
+                    gang.job.id,
+                    gang.attempt,
+                    number,
+                    part.placement.target,
+                    state,
+                    checkpointed=checkpointed,
+                )
+            )
+
+
+@given("a core with {workers:d} workers")
+def given_core(context: Context, workers: int) -> None:
+    context.core = Core(workers)
+
+
+@given("a running job of 8 accelerators that ends at 1000 s")
+def given_running(context: Context) -> None:
+    context.core.queue(make_job("running", declared_s=1000.0, preemptible=False))
+
+
+@given("a blocked gang of 2 parts of 8 accelerators that waited past its patience")
+def given_blocked(context: Context) -> None:
+    waited = make_job("gang", shape=Shape(2, 8), accepted_at=-PATIENCE_OVER_S)
+    context.core.queue(waited)
+    assert context.core.started == ["running"]
+
+
+@when("small long jobs arrive")
+def small_long(context: Context) -> None:
+    for number in range(5):
+        job = make_job(f"small-{number}", organisation="b", shape=Shape(1, 1), declared_s=90_000.0)
+        context.core.queue(job)
+
+
+@then("no small job starts before the gang")
+def gang_first(context: Context) -> None:
+    assert context.core.started == ["running"], context.core.started
+
+
+@then("the gang starts when the running job ends")
+def gang_starts(context: Context) -> None:
+    context.core.now = 1000.0
+    context.core.end("running", PartState.FINISHED)
+    context.core.feed(Tick())
+    assert "gang" in context.core.started, context.core.started
+
+
+@when("a short job arrives")
+def short_job(context: Context) -> None:
+    context.core.queue(make_job("short", shape=Shape(1, 1), declared_s=20.0))
+
+
+@then("the short job starts")
+def short_starts(context: Context) -> None:
+    assert "short" in context.core.started
+
+
+@given("a running preemptible job of 8 accelerators of organisation b")
+def given_preemptible(context: Context) -> None:
+    context.core.queue(make_job("running", organisation="b", declared_s=1000.0))
+
+
+@given("a running job of 8 accelerators that cannot be preempted")
+def given_fixed(context: Context) -> None:
+    job = make_job("running", organisation="b", declared_s=1000.0, preemptible=False)
+    context.core.queue(job)
+
+
+@when("an urgent job of organisation a arrives")
+def urgent_arrives(context: Context) -> None:
+    context.core.queue(make_job("urgent", shape=Shape(1, 2), urgency=Urgency.URGENT))
+
+
+@then("the running job is stopped after a checkpoint")
+def stopped_with_checkpoint(context: Context) -> None:
+    assert [(stop.job, stop.checkpoint) for stop in context.core.stopped] == [("running", True)]
+
+
+@then("the urgent job starts when the stop is reported")
+def urgent_starts(context: Context) -> None:
+    context.core.now += 4.0
+    context.core.end("running", PartState.STOPPED, checkpointed=True)
+    context.core.feed(Tick())
+    assert context.core.started[:2] == ["running", "urgent"], context.core.started
+
+
+@then("nothing is stopped")
+def nothing_stopped(context: Context) -> None:
+    context.core.feed(Tick())
+    assert not context.core.stopped
+
+
+@when("the running job finishes before it is stopped")
+def finishes_first(context: Context) -> None:
+    context.core.end("running", PartState.FINISHED)
+
+
+@then("the result of the running job is recorded")
+def result_recorded(context: Context) -> None:
+    assert context.core.finished == ["running"]
+
+
+@given("organisation a may queue {count:d} jobs")
+def given_limit(context: Context, count: int) -> None:
+    context.core.limits["a"] = count
+    context.core.configure()
+
+
+def queue_many(context: Context, organisation: str, count: int, urgency: str) -> None:
+    for number in range(count):
+        name = f"{organisation}-{urgency}-{number}"
+        context.core.queue(
+            make_job(name, organisation=organisation, urgency=Urgency(urgency), accepted_at=number)
+        )
+
+
+@given("organisation {organisation} queues {count:d} {urgency} job")
+@when("organisation {organisation} queues {count:d} {urgency} job")
+def queue_some(context: Context, organisation: str, count: int, urgency: str) -> None:
+    queue_many(context, organisation, count, urgency)
+
+
+@when("a mix of 3 high jobs and 1 low job of organisation a arrives")
+def queue_mix(context: Context) -> None:
+    queue_many(context, "a", 3, "high")
+    queue_many(context, "a", 1, "low")
+
+
+@then("exactly the low and the normal job of organisation a are refused as shed")
+def shed(context: Context) -> None:
+    refused = [(body.job, body.reason) for body in context.core.refused]
+    assert refused == [
+        ("a-low-0", RefusalReason.SHED),
+        ("a-normal-0", RefusalReason.SHED),
+    ], refused
+
+
+@when("a job of organisation a arrives that had an attempt")
+def queue_ran_before(context: Context) -> None:
+    context.core.queue(make_job("ran", urgency=Urgency.LOW), attempt=1)
+
+
+@then("the job that had an attempt stays queued")
+def stays(context: Context) -> None:
+    assert [body.job for body in context.core.refused] == ["a-high-0"]
+    assert "ran" in context.core.scheduler.queue
+
+
+@when("a gang of 2 parts of 8 accelerators arrives {after:d} s after the last worker joined")
+def too_large(context: Context, after: int) -> None:
+    context.core.now = float(after)
+    context.core.queue(make_job("large", shape=Shape(2, 8), accepted_at=context.core.now))
+
+
+@then("it stays queued")
+def still_queued(context: Context) -> None:
+    assert "large" in context.core.scheduler.queue and not context.core.refused
+
+
+@then("it is refused as never fitting {after:d} s after the last worker joined")
+def never_fits(context: Context, after: int) -> None:
+    context.core.now = float(after)
+    context.core.feed(Tick())
+    assert [body.reason for body in context.core.refused] == [RefusalReason.NEVER_FITS]
+
+
+@given("a quarantine for a fleet of {fleet:d} workers")
+def given_quarantine(context: Context, fleet: int) -> None:
+    context.quarantine = Quarantine(random.Random(1))
+    context.fleet = fleet
+
+
+def fail(context: Context, job: str, worker: str) -> None:
+    context.quarantine.failed(JobId(job), TargetId(worker), context.fleet, 0.0)
+
+
+@when("3 different jobs fail on worker w-0")
+def three_fail(context: Context) -> None:
+    for number in range(3):
+        assert not context.quarantine.held
+        fail(context, f"job-{number}", "w-0")
+
+
+@then("w-0 is in quarantine")
+def quarantined(context: Context) -> None:
+    assert context.quarantine.held == {"w-0"}
+
+
+@then("a failed probe keeps w-0 in quarantine and a passed probe releases it")
+def probes(context: Context) -> None:
+    quarantine = context.quarantine
+    assert quarantine.due_probes(0.0) == []
+    assert quarantine.due_probes(10.0) == ["w-0"]
+    assert not quarantine.probe_ended(TargetId("w-0"), False)
+    assert quarantine.held
+    assert quarantine.due_probes(12.0) == [], "the second delay is longer"
+    assert quarantine.due_probes(31.0) == ["w-0"]
+    assert quarantine.probe_ended(TargetId("w-0"), True)
+    assert not quarantine.held
+
+
+@when("3 jobs fail on each of w-0, w-1 and w-2")
+def bad_jobs(context: Context) -> None:
+    # Interleaved by worker within each job, as retries on other workers arrive.
+    for job in ("bad-0", "bad-1", "bad-2"):
+        for worker in ("w-0", "w-1", "w-2"):
+            fail(context, job, worker)
+
+
+@then("no worker is in quarantine")
+def none_held(context: Context) -> None:
+    assert not context.quarantine.held
+    assert not context.quarantine.suspects
+
+
+@then("each of these jobs fails everywhere")
+def all_bad(context: Context) -> None:
+    for job in ("bad-0", "bad-1", "bad-2"):
+        assert context.quarantine.fails_everywhere(JobId(job), context.fleet)
+
+
+@when("workers w-0, w-1 and w-2 each fail 3 jobs of their own")
+def bad_workers(context: Context) -> None:
+    fail_own(context, 3)
+
+
+@when("each of 5 workers fails 3 jobs of its own")
+def five_bad(context: Context) -> None:
+    fail_own(context, 5)
+
+
+def fail_own(context: Context, workers: int) -> None:
+    for worker in range(workers):
+        for number in range(3):
+            fail(context, f"own-{worker}-{number}", f"w-{worker}")
+
+
+@when("job victim fails on w-0, w-1 and w-2")
+def victim_fails(context: Context) -> None:
+    for worker in range(3):
+        fail(context, "victim", f"w-{worker}")
+
+
+@then("job victim does not fail everywhere")
+def victim_is_good(context: Context) -> None:
+    assert not context.quarantine.fails_everywhere(JobId("victim"), context.fleet)
+
+
+@then("2 workers are in quarantine and 3 are suspects")
+def bounded(context: Context) -> None:
+    assert (len(context.quarantine.held), len(context.quarantine.suspects)) == (2, 3)
+
+
+@given("estimates that saw 50 runs of 100 s declared as 1000 s")
+def given_estimates(context: Context) -> None:
+    context.estimates = Estimates()
+    for number in range(50):
+        context.estimates.finished(make_job(str(number), declared_s=1000.0), 100.0)
+
+
+@then("a job declared as 1000 s is expected to run 90 to 115 s")
+def corrected(context: Context) -> None:
+    expected = context.estimates.expected_s(make_job("next", declared_s=1000.0))
+    assert 90.0 <= expected <= 115.0, expected
+
+
+@then("estimates of 10000 kinds keep at most 4096")
+def bounded_kinds(context: Context) -> None:
+    for number in range(10_000):
+        context.estimates.finished(make_job("x", kind=f"kind-{number}"), 100.0)
+    assert len(context.estimates) <= MAX_KINDS == 4096
+
+
+@given("any times of requests")
+def any_times(context: Context) -> None:
+    context.gaps = st.lists(st.floats(0.0, 3.0), max_size=200)
+
+
+@then("a token bucket of 5 a second and burst 10 grants at most burst plus rate times time")
+def bucket_bound(context: Context) -> None:
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @hypothesis_given(context.gaps)
+    def check(gaps: list[float]) -> None:
+        bucket = TokenBucket(5.0, 10)
+        now = 0.0
+        granted = 0
+        for gap in gaps:
+            now += gap
+            granted += bucket.take(now)
+            assert granted <= 10 + 5.0 * now + 1e-6
+
+    check()
+
+
+@given("a queue where organisation a floods with urgent work above its fair share")
+def given_flooded(context: Context) -> None:
+    context.queue = FairQueue()
+    context.queue.capacity = Resources(80.0, 640.0, 2560.0)
+    context.queue.started(make_job("b-running", organisation="b", shape=Shape(1, 1)))
+    for number in range(60):
+        context.queue.started(make_job(f"r-{number}", shape=Shape(1, 1), urgency=Urgency.URGENT))
+    for number in range(60):
+        context.queue.push(make_job(f"q-{number}", shape=Shape(1, 2), urgency=Urgency.URGENT))
+
+
+@when("organisation b queues a normal job")
+def b_queues(context: Context) -> None:
+    context.queue.push(make_job("b-job", organisation="b", accepted_at=100.0))
+
+
+@then("the job of organisation b comes first")
+def b_first(context: Context) -> None:
+    assert next(context.queue.ordered(100.0)).id == "b-job"
+
+
+@given("a job that fails again and again")
+def given_failing(context: Context) -> None:
+    def delays(seed: int) -> list[float]:
+        retries = Retries(random.Random(seed))
+        return [retries.delay_s(make_job("x"), 0.0) for _ in range(30)]
+
+    context.delays = delays(1), delays(2)
+
+
+@then("the delays grow, differ between seeds and stay under 300 s")
+def delays_grow(context: Context) -> None:
+    first, second = context.delays
+    assert first != second
+    assert first[0] < 2.0 < first[3] < first[6]
+    # The budget of 10 retries is used up, so the rest wait for the longest delay.
+    assert all(delay >= RETRY_LONGEST_S / 2 for delay in first[10:])
+    assert max(first + second) <= RETRY_LONGEST_S
+
+
+@given("a replay of {hours:d} h with {faults}")
+def given_replay(context: Context, hours: int, faults: str) -> None:
+    names = tuple(name.strip() for name in faults.split(","))
+    setup = policy.prepare("camara", 7, 0.85, 10, names, hours)
+    context.replay, context.row = policy.replay(setup, policy.POLICIES["comfreyshelf"], names)
+
+
+@then("every job ends once and no accelerators overlap")
+def promises_kept(context: Context) -> None:
+    found = context.row.figures
+    assert (found.unfinished, found.doubled, found.cut) == (0, 0, 0), found
+    assert not found.refused, found.refused
+    for outcome in context.replay.outcomes.values():
+        assert outcome.finishes or outcome.cancelled or not outcome.work.job.idempotent
