--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -91,7 +91,7 @@
         self._config: Config = EMPTY_CONFIG
         self._limits = QueueLimits()
         self._retries = Retries(rng)
-        self._backfill = Backfill(queue.estimates, queue.counts_as_urgent)
+        self._backfill = Backfill(queue.estimates, self._overrides_holds)
         self._promised: Counter[OrganisationId] = Counter()
         self._fresh: dict[JobId, Job] = {}
         self._refused: set[JobId] = set()
@@ -101,6 +101,10 @@
         self._flood_from = 0.0
         self._workers = 0
 
+    def _overrides_holds(self, job: Job) -> bool:
+        """Urgent work takes held accelerators, but not in a flood: it would take all of them."""
+        return self.queue.counts_as_urgent(job) and not self.queue.flooding(job.organisation)
+
     # Configuration and workers
 
     def configure(self, config: Config) -> None:
