Give reservations back from a flood, and tell floods of urgent work apart

A wide gang of the flooding organisation kept the one reservation, so wide gangs of others got none. Urgent work of an organisation with a burst of other work was treated as a flood; one job waited 95.7 s. Only its urgent backlog counts for urgent work now.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -60,6 +60,11 @@
         self._making: dict[JobId, Hold] = {}
         self._preempted: Counter[JobId] = Counter()
 
+    @property
+    def reserved_for(self) -> Job | None:
+        """The job that holds the reservation."""
+        return self._large.job if self._large is not None else None
+
     @contextmanager
     def holding(self, job: Job, topology: Topology, now: float) -> Iterator[None]:
         """Within the context, accelerators that are held against `job` are not free."""
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -103,7 +103,7 @@
 
     def _overrides_holds(self, job: Job) -> bool:
         """Urgent work takes held accelerators, but not in a flood: it would take all of them."""
-        return self.queue.counts_as_urgent(job) and not self.queue.flooding(job.organisation)
+        return self.queue.counts_as_urgent(job) and not self.queue.floods_urgent(job.organisation)
 
     # Configuration and workers
 
@@ -270,6 +270,9 @@
         if fair and not self.queue.flooding(job.organisation):
             flood = [gang for gang in gangs if self.queue.flooding(gang.job.organisation)]
             if flood:
+                holder = self._backfill.reserved_for
+                if holder is not None and self.queue.flooding(holder.organisation):
+                    self._backfill.drop(holder.id)
                 self._backfill.reserve(job, topology, gangs, place, now, patient=False)
                 return self._flooded(job, flood, now)
         self._backfill.reserve(job, topology, gangs, place, now)
@@ -282,7 +285,9 @@
     def _below(self, job: Job, gangs: list[Gang], least_rank: int) -> list[Gang]:
         """Preemptible work; a flood preempts only work of organisations above their share."""
         share = self.queue.organisation_share
-        if self.queue.flooding(job.organisation):
+        urgent = job.urgency is Urgency.URGENT
+        floods = self.queue.floods_urgent if urgent else self.queue.flooding
+        if floods(job.organisation):
             gangs = [gang for gang in gangs if share(gang.job.organisation) > 1.0]
         used = self.queue.used
         return preemptible(gangs, job.organisation, used, self._promised, share, least_rank)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -25,7 +25,7 @@
 SHORTEST_RUN_S = 5.0
 # An organisation floods when it queues more accelerators than this multiple of its fair share.
 # Steady load reaches this only in bursts, and a strict order by share would slow short work down.
-FLOOD_BACKLOG = 3.0
+FLOOD_BACKLOG = 4.0
 # The same for urgent work alone, of which steady load queues next to nothing.
 URGENT_FLOOD_BACKLOG = 0.5
 # A pass ends after this many groups found no room; the next event goes on with the others.
@@ -110,6 +110,10 @@
         """Whether an organisation floods the queue; False in orders that know no shares."""
         return False
 
+    def floods_urgent(self, organisation: OrganisationId) -> bool:
+        """Whether an organisation floods the queue with urgent work."""
+        return False
+
     def fair_accelerators(self, organisation: OrganisationId) -> float:
         """Accelerators that are the fair share of an organisation; 0 if shares are not known."""
         return 0.0
@@ -286,9 +290,14 @@
     def flooding(self, organisation: OrganisationId) -> bool:
         """Whether an organisation queues much more work than its fair share could run at once."""
         fair = self.fair_accelerators(organisation)
-        if self._urgent_backlog[organisation] > URGENT_FLOOD_BACKLOG * fair:
-            return True
-        return self._backlog[organisation] > FLOOD_BACKLOG * fair
+        return self.floods_urgent(organisation) or self._backlog[organisation] > (
+            FLOOD_BACKLOG * fair
+        )
+
+    def floods_urgent(self, organisation: OrganisationId) -> bool:
+        """Whether an organisation queues much more urgent work than steady load does."""
+        fair = self.fair_accelerators(organisation)
+        return self._urgent_backlog[organisation] > URGENT_FLOOD_BACKLOG * fair
 
     def fair_accelerators(self, organisation: OrganisationId) -> float:
         """Accelerators that are the fair share of an organisation."""
@@ -306,7 +315,8 @@
         """
         if job.urgency is not Urgency.URGENT:
             return False
-        if self.organisation_share(job.organisation) > 1.0 and self.flooding(job.organisation):
+        share = self.organisation_share(job.organisation)
+        if share > 1.0 and self.floods_urgent(job.organisation):
             return False
         return self._fair_multiple(self._urgent, job.organisation) <= URGENT_SHARE_LIMIT
 
