--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -1,7 +1,7 @@
 """Planned cells for unused guaranteed shapes, reclaim of borrowed ones, and lost capacity."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
 
 import msgspec
@@ -10,7 +10,7 @@
 from comfreyshelf.gangs import Gang, GangTable
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 from comfreyshelf.model import Adjacency, CellUse, Job, Placement, Shape
-from comfreyshelf.placement import Placements, Placer, candidates, pack
+from comfreyshelf.placement import Placements, candidates, pack
 from comfreyshelf.topology import Topology, View, count_blocks
 
 # Bounds of the searches, so that one decision stays short whatever the fleet holds.
@@ -18,6 +18,7 @@
 DISPLACEMENTS_TRIED = 4
 
 CellKey = tuple[OrganisationId, int]
+Place = Callable[[Job, View], Placements]
 
 _WIDTHS = list(Adjacency)
 
@@ -213,7 +214,7 @@
 
     # Decisions
 
-    def decide(self, job: Job, placer: Placer, gangs: GangTable) -> Decision:
+    def decide(self, job: Job, place: Place, gangs: GangTable) -> Decision:
         """Decide where a queued job starts.
 
         A job that fits an unused guarantee of its organisation uses that guarantee's cell and
@@ -223,19 +224,23 @@
         self.refresh()
         cell = self._cell_for(job)
         if cell is not None:
-            return self._decide_in_cell(job, cell, placer, gangs)
-        placements = self._find_outside(job, placer)
-        if not placements and not job.preemptible:
+            return self._decide_in_cell(job, cell, place, gangs)
+        placements = self._find_outside(job, place)
+        if not placements and not job.may_borrow:
             placements = self._displace(job)
         return Decision(placements)
 
-    def _find_outside(self, job: Job, placer: Placer) -> Placements:
+    def _find_outside(self, job: Job, place: Place) -> Placements:
         """Free room outside the cells, or for preemptible work also inside unused ones."""
-        placements = placer.place(job.shape, self._topology, View.OPEN)
-        if not placements and job.preemptible:
-            placements = placer.place(job.shape, self._topology, View.BORROW)
+        placements = place(job, View.OPEN)
+        if not placements and job.may_borrow:
+            placements = place(job, View.BORROW)
         return placements
 
+    def covers(self, job: Job) -> bool:
+        """Whether an unused guarantee of its organisation covers a job, or is reclaimed for it."""
+        return self._cell_for(job) is not None
+
     def start(self, job: JobId, key: CellKey, placements: Placements) -> None:
         """The job starts at `placements` inside the cell."""
         cell = self.cells[key]
@@ -348,7 +353,7 @@
                 return cell
         return None
 
-    def _decide_in_cell(self, job: Job, cell: Cell, placer: Placer, gangs: GangTable) -> Decision:
+    def _decide_in_cell(self, job: Job, cell: Cell, place: Place, gangs: GangTable) -> Decision:
         placements = self._free_placements(job, cell.placements)
         if placements:
             return Decision(placements, cell.key)
@@ -362,7 +367,7 @@
         victims = self._victims(job, best, gangs)
         # Stopping the organisation's own work gains nothing while there is room elsewhere.
         if not cell.reclaiming and any(_is_own(gang, job) for gang in victims):
-            placements = self._find_outside(job, placer)
+            placements = self._find_outside(job, place)
             if placements:
                 return Decision(placements)
         if self._is_excluded(best):
--- a/comfreyshelf/model.py
+++ b/comfreyshelf/model.py
@@ -130,6 +130,14 @@
     payload: bytes = b""
     accepted_at: float = 0.0
 
+    @property
+    def may_borrow(self) -> bool:
+        """Whether the job may run on accelerators that are promised to others.
+
+        A reclaim cuts a checkpoint that takes too long, so the job has to be able to run again.
+        """
+        return self.preemptible and self.idempotent
+
 
 class WorkerInfo(msgspec.Struct, frozen=True):
     """A worker as its target process announces it.
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -9,6 +9,7 @@
     CommitParts,
     CountRetry,
     ForgetParts,
+    ProbeWorker,
     ReleaseParts,
     ReserveParts,
     StopParts,
@@ -23,10 +24,12 @@
     JobResumed,
     LogState,
     PartEnded,
+    ProbeEnded,
     Reserved,
     ReserveRefused,
     StartRecorded,
     Tick,
+    UsageSeen,
     WorkerLost,
     WorkerSeen,
 )
@@ -34,10 +37,11 @@
 from comfreyshelf.guarantees import CellPlan, Decision
 from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, TargetId
 from comfreyshelf.model import AttemptOutcome, CellUse, HeldPart, Job, PartState, WorkerInfo
-from comfreyshelf.placement import Cells, Placer
-from comfreyshelf.queueing import Queue
-from comfreyshelf.reasons import RetryReason
-from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished
+from comfreyshelf.ordering import Ordering
+from comfreyshelf.placement import Cells, Placements, Placer
+from comfreyshelf.queueing import FairQueue, JobQueue
+from comfreyshelf.reasons import RefusalReason, RetryReason
+from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished, JobRefused
 from comfreyshelf.topology import Topology, View
 
 RESERVE_TIMEOUT_S = 3.0
@@ -71,12 +75,19 @@
     drive the same code.
     """
 
-    def __init__(self, domain: DomainId, epoch: Epoch, placer: Placer | None = None) -> None:
+    def __init__(
+        self,
+        domain: DomainId,
+        epoch: Epoch,
+        placer: Placer | None = None,
+        queue: JobQueue | None = None,
+    ) -> None:
         self.domain = domain
         self.epoch = epoch
         self.config: Config = EMPTY_CONFIG
         self.topology = Topology()
-        self.queue = Queue()
+        self.queue: JobQueue = FairQueue() if queue is None else queue
+        self.order = Ordering(domain, self.queue, seed=int(epoch))
         self.gangs = GangTable()
         self.counters: Counter[str] = Counter()
         self.plan = CellPlan(self.topology, self.counters)
@@ -126,10 +137,19 @@
                 self._on_start_recorded(event, now)
             case PartEnded():
                 self._on_part_ended(event, now)
-            case LogState():
-                self._on_log_state(event.up, now)
             case Tick():
                 self._on_tick(now)
+            case _:
+                self._observe(event, now)
+
+    def _observe(self, event: Event, now: float) -> None:
+        match event:
+            case UsageSeen():
+                self._on_usage_seen(event, now)
+            case ProbeEnded():
+                self._on_probe_ended(event)
+            case LogState():
+                self._on_log_state(event.up, now)
 
     def _emit(self, command: Command) -> None:
         self._commands.append(command)
@@ -145,6 +165,7 @@
             return
         self.config = event.config
         self.plan.set_guarantees(self.config.guarantees(self.domain))
+        self.order.configure(event.config)
         self._dirty = True
 
     def _on_worker_seen(self, event: WorkerSeen, now: float) -> None:
@@ -155,6 +176,7 @@
             known = None
         if known is None:
             self._add_worker(info)
+            self.order.worker_added(info, now)
         self._reconcile(info.target, event.parts, now)
 
     def _add_worker(self, info: WorkerInfo) -> None:
@@ -207,6 +229,7 @@
                 self._end_part(gang, part, PartState.STOPPED)
             self._stop_gang(gang, AttemptOutcome.TARGET_LOST, now)
         if target in self.topology.workers:
+            self.order.worker_lost(self.topology.workers[target].info, now)
             self.topology.remove(target)
         self._dirty = True
 
@@ -214,17 +237,24 @@
 
     def _on_job_queued(self, event: JobQueued) -> None:
         job = event.job
-        if job.id in self.gangs or job.id in self.queue:
+        if job.id in self.gangs or self.order.knows(job.id):
             return
         self._attempts[job.id] = max(self._attempts.get(job.id, Attempt(0)), event.attempt)
-        self.queue.push(job)
+        shed = self.order.queued(job, fresh=event.attempt == 0)
+        if shed is not None:
+            self._refuse(shed, RefusalReason.SHED)
         self._dirty = True
 
+    def _refuse(self, job: Job, reason: RefusalReason) -> None:
+        self.order.refused(job)
+        self._emit(AppendRecord(JobRefused(job.id, self.domain, self.epoch, reason)))
+
     def _on_job_resumed(self, event: JobResumed, now: float) -> None:
         parts = [Part(placement) for placement in event.placements]
         gang = Gang(event.job, event.attempt, parts, now, Phase.RUNNING, recorded=True)
-        gang.firm = not event.job.preemptible
+        gang.firm = not event.job.may_borrow
         self.gangs[event.job.id] = gang
+        self.order.resumed(event.job)
         self._attempts[event.job.id] = event.attempt
         if event.cell is not None:
             self._resumed[event.job.id] = event.cell
@@ -261,13 +291,13 @@
         """Let others reclaim preemptible jobs whose guarantee has changed or moved."""
         for job in self.plan.detached:
             gang = self.gangs.get(job)
-            if gang is not None and gang.job.preemptible:
+            if gang is not None and gang.job.may_borrow:
                 self._set_firm(gang, False)
                 self.plan.capacity_gained()
         self.plan.detached.clear()
 
     def _on_job_closed(self, job: JobId, now: float) -> None:
-        self.queue.remove(job)
+        self.order.closed(job)
         self._dirty = True
         gang = self.gangs.get(job)
         if gang is None:
@@ -283,20 +313,60 @@
     def _schedule(self, now: float) -> None:
         self._exclude(now)
         self._loosen_detached()
-        for job in list(self.queue.ordered(now)):
-            decision = self._decide(job)
-            if decision.placements:
-                self._start(job, decision, now)
+        for job in self.queue.ordered(now):
+            decision = self._decide(job, now)
             for victim in decision.victims:
                 self._stop_gang(self.gangs[victim], AttemptOutcome.PREEMPTED, now)
+            if decision.placements:
+                self._start(job, decision, now)
+            elif decision.cell is not None:
+                self.queue.no_room(job)
+            else:
+                self._on_no_room(job, now)
 
-    def _decide(self, job: Job) -> Decision:
+    def _decide(self, job: Job, now: float) -> Decision:
         room = self.drain.take_room(job)
         if room:
             return Decision(room)
-        if self._placer.keeps_guarantees:
-            return self.plan.decide(job, self._placer, self.gangs)
-        return Decision(self._placer.place(job.shape, self.topology, View.BORROW))
+        if self._placer.keeps_guarantees and self.plan.covers(job):
+            # What is held for other jobs must not keep an organisation from its guarantee.
+            return self.plan.decide(job, self._place, self.gangs)
+        # Targets that are excluded for this job only must not count as lost for guarantees.
+        self.plan.refresh()
+        with (
+            self.order.holding(job, self.topology, now),
+            self.topology.excluding(self.order.quarantine.avoided(job.id, now)),
+        ):
+            if self._placer.keeps_guarantees:
+                return self.plan.decide(job, self._place, self.gangs)
+            return Decision(self._place(job, View.BORROW))
+
+    def _place(self, job: Job, view: View) -> Placements:
+        """Place a job, on workers under suspicion last."""
+        suspects = frozenset(self.order.quarantine.suspects)
+        if suspects:
+            with self.topology.excluding(suspects):
+                placements = self._placer.place(job.shape, self.topology, view)
+            if placements:
+                return placements
+        return self._placer.place(job.shape, self.topology, view)
+
+    def _place_anywhere(self, job: Job) -> Placements:
+        """Where a job would start if nothing had to be reclaimed for it."""
+        if not self._placer.keeps_guarantees:
+            return self._place(job, View.BORROW)
+        placements = self._place(job, View.OPEN)
+        if not placements and job.may_borrow:
+            placements = self._place(job, View.BORROW)
+        return placements
+
+    def _on_no_room(self, job: Job, now: float) -> None:
+        if self.order.fleet.never_fits(job.shape, now):
+            self._refuse(job, RefusalReason.NEVER_FITS)
+            return
+        gangs = self.gangs.values()
+        for gang in self.order.blocked(job, self.topology, gangs, self._place_anywhere, now):
+            self._stop_gang(gang, AttemptOutcome.PREEMPTED, now)
 
     def _exclude(self, now: float) -> None:
         """Keep work off targets that are withdrawn or that refused a reservation lately."""
@@ -307,15 +377,15 @@
 
     def _withdrawn(self) -> frozenset[TargetId]:
         """Targets that keep no planned cell and get no new work."""
-        return self.config.scrapped
+        return self.config.scrapped | self.order.quarantine.held
 
     def _start(self, job: Job, decision: Decision, now: float) -> None:
-        self.queue.remove(job.id)
+        self.order.started(job)
         attempt = Attempt(self._attempts.get(job.id, 0) + 1)
         self._attempts[job.id] = attempt
         parts = [Part(placement) for placement in decision.placements]
         gang = Gang(job, attempt, parts, now)
-        gang.firm = not job.preemptible or decision.cell is not None
+        gang.firm = not job.may_borrow or decision.cell is not None
         self.gangs[job.id] = gang
         self._timed[job.id] = None
         if decision.cell is not None:
@@ -397,10 +467,12 @@
         part.started = event.started
         part.checkpointed = event.checkpointed
         self._end_part(gang, part, event.state)
+        self.order.part_ended(gang, event.target, event.state, now)
         started = gang.phase in (Phase.RUNNING, Phase.STOPPING)
         if gang.whole and started and gang.job.id not in self._closed:
             # The last part may finish before a preemption reaches it; the result counts.
             gang.phase = Phase.RUNNING
+            self.order.finished(gang, event.run_s)
             self._record_finish(gang)
         elif event.state is not PartState.FINISHED or gang.phase is Phase.STOPPING:
             # A target that shuts down checkpoints its parts, so the others are checkpointed too.
@@ -436,6 +508,7 @@
         del self.gangs[gang.job.id]
         self._resumed.pop(gang.job.id, None)
         self.plan.end_use(gang.job.id)
+        self.order.ended(gang)
         self._dirty = True
         for target in gang.targets:
             self._emit(ForgetParts(target, gang.job.id, gang.attempt))
@@ -451,7 +524,19 @@
             self._emit(AppendRecord(body))
         if outcome is not AttemptOutcome.MAY_HAVE_RUN:
             self._emit(CountRetry(_RETRY_OF_OUTCOME[outcome]))
-            self.queue.push(gang.job)
+            reason = self.order.requeue(gang, outcome, now)
+            if reason is not None:
+                self._refuse(gang.job, reason)
+
+    def _on_usage_seen(self, event: UsageSeen, now: float) -> None:
+        gang = self.gangs.get(event.job)
+        if gang is not None:
+            self.order.usage_seen(gang, event.busy, now)
+
+    def _on_probe_ended(self, event: ProbeEnded) -> None:
+        if self.order.quarantine.probe_ended(event.target, event.passed):
+            self.queue.room_changed()
+            self._dirty = True
 
     def _on_log_state(self, up: bool, now: float) -> None:
         self._log_up = up
@@ -462,7 +547,9 @@
                 self._commit(gang, now)
 
     def _on_tick(self, now: float) -> None:
-        self._dirty = True
+        for target in self.order.tick(now):
+            self._emit(ProbeWorker(target))
+        self._dirty = bool(len(self.queue))
         for job in list(self._timed):
             gang = self.gangs.get(job)
             if gang is None or gang.phase not in (Phase.RESERVING, Phase.STOPPING):
@@ -503,4 +590,5 @@
         place = part.placement
         self.topology.give_back(place.target, place.mask, shape.cores, shape.memory_gb, gang.firm)
         self.plan.capacity_gained()
+        self.queue.room_changed()
         self._dirty = True
--- a/comfreyshelf/topology.py
+++ b/comfreyshelf/topology.py
@@ -1,6 +1,7 @@
 """Workers of one domain as accelerator bit masks, with indexes by free block."""
 
 from collections.abc import Iterator
+from contextlib import contextmanager
 from enum import Enum
 from functools import lru_cache
 from typing import TypeVar
@@ -224,6 +225,16 @@
                 worker.excluded = target in targets
                 self._reindex(worker, before)
 
+    @contextmanager
+    def excluding(self, targets: frozenset[TargetId]) -> Iterator[None]:
+        """Within the context, give no new work to these targets either."""
+        before = self.excluded
+        self.exclude(before | targets)
+        try:
+            yield
+        finally:
+            self.exclude(before)
+
     def take(
         self, target: TargetId, mask: int, cores: int, memory_gb: int, firm: bool = False
     ) -> None:
