Read back through any entry what holds leaving targets and which guarantees lack capacity

Cause: only the owner knows what holds a target, and an entry called a target empty by its own statuses, also before the target knew that it was leaving. The domain of a job was still chosen by the number of accelerators.

Ruled out: asking the owner over HTTP for each read-back, which fails while it is replaced. The owner appends a report when it changes, at most once a second, so every entry has it by the fold.

Before: `drain` listed job ids and could say "empty" too early; `show` did not know entries.

Conclusion: "empty" is said only after every owner reported the version in force.

--- a/comfreyshelf/api.py
+++ b/comfreyshelf/api.py
@@ -4,7 +4,7 @@
 
 from comfreyshelf.front import Front
 from comfreyshelf.jobs_api import Cancellations, Jobs
-from comfreyshelf.operators_api import Configuration, Targets
+from comfreyshelf.operators_api import Configuration, Drains, Targets
 from comfreyshelf.requests_api import Services
 from comfreyshelf.status_page import render_status
 
@@ -20,6 +20,7 @@
         self.services = Services(front)
         self.config = Configuration(front)
         self.targets = Targets(front)
+        self.drains = Drains(front)
 
 
 class Root:
--- a/comfreyshelf/client.py
+++ b/comfreyshelf/client.py
@@ -125,6 +125,10 @@
         """All targets and what holds them."""
         return self._json("GET", "/v1/targets")
 
+    def drains(self) -> list[dict[str, Any]]:
+        """The leaving targets and what still holds them."""
+        return self._json("GET", "/v1/drains")
+
     def metrics(self) -> str:
         """The entry's metrics."""
         return self._send("GET", "/metrics", b"", {}).data.decode()
--- a/comfreyshelf/demo.py
+++ b/comfreyshelf/demo.py
@@ -120,7 +120,7 @@
     """Wait until a leaving target is empty; returns the seconds that it took."""
     started = time.monotonic()
     while time.monotonic() - started < READY_TIMEOUT_S:
-        if any(view["target"] == target and view["empty"] for view in client.targets()):
+        if any(view["target"] == target and view["state"] == "empty" for view in client.drains()):
             return time.monotonic() - started
         time.sleep(0.1)
     raise TimeoutError(f"target {target} is not empty")
--- a/comfreyshelf/drain.py
+++ b/comfreyshelf/drain.py
@@ -3,14 +3,21 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-import msgspec
-
 from comfreyshelf.config import Config
 from comfreyshelf.gangs import Gang, GangTable, Phase
 from comfreyshelf.guarantees import CellPlan
-from comfreyshelf.ids import JobId, OrganisationId, ServiceId, TargetId
+from comfreyshelf.holders import (
+    AnyHolder,
+    DrainView,
+    HeldByGuarantee,
+    HeldByJob,
+    HeldByRequests,
+    HeldByResult,
+    HeldByService,
+)
+from comfreyshelf.ids import JobId, ServiceId, TargetId
 from comfreyshelf.messages import RunnerLoad
-from comfreyshelf.model import HeldPart, Job, PartState, Shape
+from comfreyshelf.model import HeldPart, Job, PartState
 from comfreyshelf.placement import Placements, Placer
 from comfreyshelf.topology import Topology, View
 
@@ -81,63 +88,6 @@
         return True
 
 
-class Holder(msgspec.Struct, frozen=True, tag=True):
-    """Base of what keeps a target in service."""
-
-
-class HeldByJob(Holder, frozen=True, tag=True):
-    """A job with `parts` parts on the target; a job that is not preemptible finishes there."""
-
-    job: JobId
-    organisation: OrganisationId
-    parts: int
-    preemptible: bool
-    stopping: bool
-
-
-class HeldByResult(Holder, frozen=True, tag=True):
-    """The target keeps results of a job until the log has them."""
-
-    job: JobId
-    parts: int
-
-
-class HeldByRequests(Holder, frozen=True, tag=True):
-    """Requests that the target's runner of a service has not answered yet."""
-
-    service: ServiceId
-    running: int
-    waiting: int
-
-
-class HeldByGuarantee(Holder, frozen=True, tag=True):
-    """A guaranteed shape that does not fit into the domain without the target."""
-
-    organisation: OrganisationId
-    shape: Shape
-
-
-class HeldByService(Holder, frozen=True, tag=True):
-    """The target has the last healthy runner of a service that others depend on."""
-
-    service: ServiceId
-    dependents: tuple[ServiceId, ...]
-
-
-class DrainView(msgspec.Struct, frozen=True):
-    """What holds a target. Of a target in service it tells what scrapping it would affect."""
-
-    target: TargetId
-    leaving: bool
-    holders: tuple[Holder, ...]
-
-    @property
-    def empty(self) -> bool:
-        """Whether nothing on the target itself is left; a lost guarantee does not stop it."""
-        kept = (HeldByJob, HeldByResult, HeldByRequests)
-        return not any(isinstance(holder, kept) for holder in self.holders)
-
-
 def explain(
     target: TargetId,
     config: Config,
@@ -150,7 +100,7 @@
 
     `parts` are those of the target's newest status; `runners` are the loads of all targets.
     """
-    holders: list[Holder] = []
+    holders: list[AnyHolder] = []
     holders += _jobs(target, gangs)
     holders += _results(parts)
     holders += _requests(runners.get(target, ()))
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -54,7 +54,13 @@
         self.owner.attach(self.hub)
         self.router.attach(self.hub)
         self.front = Front(
-            cfg.name, self.reader, self.appender, self.roster, self.router, self.metrics
+            cfg.name,
+            ZoneId(cfg.zone),
+            self.reader,
+            self.appender,
+            self.roster,
+            self.router,
+            self.metrics,
         )
         self.web = self.kernel.register(
             "api",
--- a/comfreyshelf/front.py
+++ b/comfreyshelf/front.py
@@ -15,6 +15,7 @@
 from comfreyshelf.config import Caller, Config, Operator
 from comfreyshelf.entry_limits import QueueLimits, RateLimits
 from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
+from comfreyshelf.ids import ZoneId
 from comfreyshelf.journal import Appender, AppendResult, LedgerReader
 from comfreyshelf.membership import Roster
 from comfreyshelf.metrics import Metrics
@@ -78,6 +79,7 @@
     def __init__(
         self,
         name: str,
+        zone: ZoneId,
         reader: LedgerReader,
         appender: Appender,
         roster: Roster,
@@ -85,6 +87,7 @@
         metrics: Metrics,
     ) -> None:
         self.name = name
+        self.zone = zone
         self.reader = reader
         self.appender = appender
         self.roster = roster
--- a/comfreyshelf/jobs_api.py
+++ b/comfreyshelf/jobs_api.py
@@ -10,9 +10,10 @@
 from msgspec import Meta
 
 from comfreyshelf.config import Caller
+from comfreyshelf.domains import candidates, choose_domain, guaranteed_domains
 from comfreyshelf.errors import Refusal, not_run
 from comfreyshelf.front import MAX_WAIT_S, Front, seconds
-from comfreyshelf.ids import DomainId, JobId, ServiceId
+from comfreyshelf.ids import DomainId, JobId, RegionId, ServiceId
 from comfreyshelf.ledger import JobEntry
 from comfreyshelf.model import (
     MAX_PARTS,
@@ -38,6 +39,7 @@
 Delay = Annotated[float, Meta(ge=0, le=MAX_SECONDS)]
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
 Size = Annotated[int, Meta(ge=0, le=1_000_000)]
+RETRY_WITHOUT_ZONES_S = 10
 
 
 class ShapeRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -235,7 +237,17 @@
         full = self._front.limit_queue(caller)
         if full is not None:
             return Error(full)
-        outcome = self._front.append(JobAccepted(job, self._choose_domain(job)))
+        domain = self._choose_domain(job)
+        if domain is None:
+            return Error(
+                not_run(
+                    RefusalReason.NO_RUNNER,
+                    "the configuration names no availability zone",
+                    "submit again once an operator has published one",
+                    RETRY_WITHOUT_ZONES_S,
+                )
+            )
+        outcome = self._front.append(JobAccepted(job, domain))
         if outcome.is_error():
             return Error(outcome.error)
         self._front.metrics.count("jobs_accepted")
@@ -263,14 +275,16 @@
             )
         return Ok(view_of(entry))
 
-    def _choose_domain(self, job: Job) -> DomainId:
-        domains = self._front.config.domains
-        free: dict[DomainId, int] = dict.fromkeys(domains, 0)
-        for view in self._front.roster.views():
-            zone = self._front.config.zones.get(view.worker.zone)
-            if zone is not None:
-                free[zone.domain] += view.worker.accelerators
-        return max(domains, key=lambda domain: free[domain])
+    def _choose_domain(self, job: Job) -> DomainId | None:
+        config = self._front.config
+        with self._front.reader.lock:
+            domains = self._front.reader.ledger.state.domains
+            summaries = {name: entry.summary for name, entry in domains.items()}
+        guaranteed = guaranteed_domains(config, job.organisation, job.shape)
+        known = candidates(config, summaries)
+        home = config.zones.get(self._front.zone)
+        region = home.region if home is not None else RegionId("")
+        return choose_domain(job.shape, guaranteed, region, known)
 
     def _find(self, job: JobId, key: str) -> Result[JobEntry, Refusal]:
         caller = self._front.caller()
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -34,6 +34,7 @@
     ConfigPublished,
     DomainClaimed,
     DomainRenewed,
+    DomainReported,
     EntryDown,
     EntryUp,
     JobAccepted,
@@ -54,6 +55,8 @@
 FINAL_JOB_RETENTION_S = 3600.0
 REQUEST_KEY_RETENTION_S = 3600.0
 ENTRY_RETENTION_S = 3600.0
+# Entries announce themselves every 10 s.
+ENTRY_EXPIRES_S = 35.0
 SWEEP_INTERVAL_S = 60.0
 
 REPEATED = "repeated"
@@ -85,6 +88,7 @@
     owner: EntryId = EntryId("")
     renewed_at: float = 0.0
     summary: DomainSummary | None = None
+    report: DomainReported | None = None
 
 
 class EntryInfo(msgspec.Struct):
@@ -194,6 +198,12 @@
         """The job that a caller's client key names."""
         return self._keys.get((organisation, caller, key))
 
+    def live_entries(self) -> list[EntryInfo]:
+        """The entries that renewed their announcement lately, in order of name."""
+        horizon = self.time - ENTRY_EXPIRES_S
+        entries = self.state.entries.items()
+        return [info for _, info in sorted(entries) if info.renewed_at >= horizon]
+
     def restore(self, state: LedgerState, covers: Offset) -> None:
         """Replace everything by a snapshot that covers the offsets below `covers`."""
         self.state = state
@@ -274,6 +284,8 @@
                 return self._claim(record, body)
             case DomainRenewed():
                 return self._renew(record, body)
+            case DomainReported():
+                return self._report(body)
             case JobAccepted():
                 return self._accept(body)
             case JobRouted():
@@ -336,6 +348,12 @@
         domain.summary = body.summary or domain.summary
         return ACCEPTED
 
+    def _report(self, body: DomainReported) -> Verdict:
+        if not self._is_owner(body.domain, body.epoch):
+            return Verdict(False, "old epoch")
+        self.state.domains[body.domain].report = body
+        return ACCEPTED
+
     def _is_owner(self, domain: DomainId, epoch: Epoch) -> bool:
         entry = self.state.domains.get(domain)
         return entry is not None and entry.epoch == epoch
--- a/comfreyshelf/operators_api.py
+++ b/comfreyshelf/operators_api.py
@@ -1,5 +1,6 @@
 """Operators' resources over HTTP: the configuration and the targets."""
 
+from enum import Enum
 from typing import Annotated
 
 import cherrypy
@@ -11,9 +12,10 @@
 from comfreyshelf.config import parse_config
 from comfreyshelf.errors import Refusal, not_run
 from comfreyshelf.front import Front
-from comfreyshelf.ids import Version
+from comfreyshelf.holders import AnyHolder, DrainView, LostGuarantee
+from comfreyshelf.ids import DomainId, EntryId, OperatorId, TargetId, Version
 from comfreyshelf.reasons import RefusalReason
-from comfreyshelf.records import ConfigPublished
+from comfreyshelf.records import ConfigPublished, DomainReported
 
 MAX_TEXT_BYTES = 512 * 1024
 MAX_VERSION = 2**53
@@ -26,6 +28,31 @@
     text: str
 
 
+class DomainView(msgspec.Struct, frozen=True):
+    """Where a domain stands: `behind` are targets that have not confirmed `version` yet."""
+
+    version: Version
+    targets: int
+    behind: tuple[TargetId, ...]
+    lost: tuple[LostGuarantee, ...]
+
+    @classmethod
+    def of(cls, report: DomainReported) -> "DomainView":
+        """The public part of a report."""
+        return cls(report.version, report.targets, report.behind, report.lost)
+
+
+class ConfigView(msgspec.Struct, frozen=True):
+    """The text in force at `entry`, and the version that each entry and domain has in force."""
+
+    version: Version
+    operator: OperatorId
+    entry: str
+    entries: dict[EntryId, Version]
+    domains: dict[DomainId, DomainView]
+    text: str
+
+
 class Configuration:
     """`/v1/config`: read what is in force and publish; `/v1/config/history`."""
 
@@ -59,16 +86,22 @@
         operator = self._front.operator()
         if operator.is_error():
             return Error(operator.error)
-        state = self._front.reader.ledger.state
-        targets = {view.worker.target: view.version for view in self._front.roster.views()}
-        return Ok(
-            {
-                "version": self._front.config.version,
-                "text": state.config.text if state.config else "",
-                "operator": state.config.operator if state.config else "",
-                "entry": self._front.name,
-                "targets": targets,
+        with self._front.reader.lock:
+            ledger = self._front.reader.ledger
+            state = ledger.state
+            entries = {info.entry: info.version for info in ledger.live_entries()}
+            reports = {
+                name: domain.report for name, domain in state.domains.items() if domain.report
             }
+        return Ok(
+            ConfigView(
+                self._front.config.version,
+                state.config.operator if state.config else OperatorId(""),
+                self._front.name,
+                entries,
+                {name: DomainView.of(report) for name, report in reports.items()},
+                state.config.text if state.config else "",
+            )
         )
 
     def _publish(self) -> Result[object, Refusal]:
@@ -106,6 +139,65 @@
         return Ok({"version": version})
 
 
+class Drains:
+    """`/v1/drains`: the leaving targets of all domains and what still holds each of them."""
+
+    def __init__(self, front: Front) -> None:
+        self._front = front
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """List the leaving targets."""
+        if cherrypy.request.method not in ("GET", "HEAD"):
+            return self._front.wrong_method("GET")
+        return self._front.answer(self._list)
+
+    def _list(self) -> Result[object, Refusal]:
+        operator = self._front.operator()
+        if operator.is_error():
+            return Error(operator.error)
+        scrapped = self._front.config.scrapped
+        with self._front.reader.lock:
+            domains = self._front.reader.ledger.state.domains.values()
+            reports = [domain.report for domain in domains if domain.report]
+        known = {view.target: view for report in reports for view in report.leaving}
+        # A report of an older version does not know yet which targets are leaving.
+        current = bool(reports) and all(
+            report.version >= self._front.config.version for report in reports
+        )
+        return Ok([_leaving(target, known.get(target), current) for target in sorted(scrapped)])
+
+
+def _leaving(target: TargetId, view: DrainView | None, current: bool) -> "LeavingTarget":
+    if not current:
+        return LeavingTarget(target, DrainState.WAITING, view.holders if view else ())
+    if view is None:
+        return LeavingTarget(target, DrainState.GONE, ())
+    state = DrainState.EMPTY if view.empty else DrainState.LEAVING
+    return LeavingTarget(target, state, view.holders)
+
+
+class DrainState(Enum):
+    """State of a leaving target.
+
+    WAITING: not every owner has reported since the text was accepted. GONE: no owner knows the
+    target, since it never announced itself or its lease lapsed.
+    """
+
+    WAITING = "waiting"
+    LEAVING = "leaving"
+    EMPTY = "empty"
+    GONE = "gone"
+
+
+class LeavingTarget(msgspec.Struct, frozen=True):
+    """A target that is marked for scrapping and what still holds it."""
+
+    target: TargetId
+    state: DrainState
+    holders: tuple[AnyHolder, ...]
+
+
 class Targets:
     """`/v1/targets`: targets and what still holds those that are leaving."""
 
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -70,6 +70,7 @@
     JobsCancelled,
     Record,
 )
+from comfreyshelf.reports import report_domain
 from comfreyshelf.scheduler import Scheduler
 from comfreyshelf.settings import EntrySettings
 
@@ -80,6 +81,7 @@
 ENTRY_EXPIRES_S = 35.0
 SUMMARY_INTERVAL_S = 5.0
 MAX_MOVES_AT_ONCE = 50
+REPORT_INTERVAL_S = 1.0
 
 
 class Folded(msgspec.Struct, frozen=True):
@@ -163,6 +165,8 @@
     renewed_at: float = 0.0
     summarised_at: float = 0.0
     queued_since: dict[JobId, float] = {}
+    reported_at: float = 0.0
+    statuses: dict[TargetId, Status] = {}
     seen: dict[TargetId, float] = {}
     expected: dict[TargetId, float] = {}
 
@@ -233,6 +237,17 @@
             if not owned.ready and now >= owned.ready_at:
                 self._make_ready(name, owned, now)
             self._feed(owned, Tick(), now)
+            self._report(name, owned, now)
+
+    def _report(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
+        """Append what operators read back, when it has changed."""
+        if not self._log_up or not owned.ready or now - owned.reported_at < REPORT_INTERVAL_S:
+            return
+        body = report_domain(owned.scheduler, owned.statuses)
+        entry = self._ledger.state.domains.get(name)
+        if entry is None or entry.report != body:
+            owned.reported_at = now
+            self._emit(Append(body, REPORT_INTERVAL_S))
 
     def _on_log(self, up: bool, now: float) -> None:
         self._log_up = up
@@ -454,6 +469,7 @@
         owned = self._domain_of(target)
         if owned is not None:
             owned.seen[target] = now
+            owned.statuses[target] = status
             owned.expected.pop(target, None)
             self._feed(owned, WorkerSeen(status.worker, status.parts), now)
         self._welcome(target, status.worker.zone, status.sent_at)
@@ -504,6 +520,7 @@
             lost = [target for target, seen in table.items() if now - seen > LOST_AFTER_S]
             for target in lost:
                 del table[target]
+                owned.statuses.pop(target, None)
                 line = f"target {target} is lost: its lease lapsed"
                 self._emit(Noted("targets_lost", line))
                 self._feed(owned, WorkerLost(target), now)
--- a/comfreyshelf/records.py
+++ b/comfreyshelf/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from comfreyshelf.errors import RecordError
+from comfreyshelf.holders import DrainView, LostGuarantee
 from comfreyshelf.ids import (
     Attempt,
     CallerId,
@@ -14,6 +15,7 @@
     OperatorId,
     OrganisationId,
     RecordId,
+    TargetId,
     Version,
     ZoneId,
 )
@@ -70,6 +72,22 @@
     summary: DomainSummary | None = None
 
 
+class DomainReported(Body, frozen=True, tag=True):
+    """What operators read back of a domain, appended by its owner when it changes.
+
+    `leaving` are the targets marked for scrapping, `lost` the guarantees without capacity, and
+    `behind` the targets that have not confirmed `version` yet, out of `targets`.
+    """
+
+    domain: DomainId
+    epoch: Epoch
+    version: Version
+    targets: int
+    leaving: tuple[DrainView, ...] = ()
+    lost: tuple[LostGuarantee, ...] = ()
+    behind: tuple[TargetId, ...] = ()
+
+
 class JobAccepted(Body, frozen=True, tag=True):
     """A job enters `domain`; the first record of a caller's client key wins."""
 
@@ -160,6 +178,7 @@
     | EntryDown
     | DomainClaimed
     | DomainRenewed
+    | DomainReported
     | JobAccepted
     | JobRouted
     | AttemptStarted
--- a/comfreyshelf/ui/operators.py
+++ b/comfreyshelf/ui/operators.py
@@ -2,7 +2,7 @@
 
 import difflib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
@@ -95,12 +95,30 @@
         return
     if not text_only:
         print(f"# version {answer['version']} by {answer['operator']}, read at {answer['entry']}")
-        for name, version in answer["targets"].items():
-            behind = "" if version == answer["version"] else " (behind)"
-            print(f"# {name} has version {version}{behind}")
+        for name, version in answer["entries"].items():
+            print(f"# entry {name} has version {version}")
+        for name, domain in answer["domains"].items():
+            _print_domain(name, domain)
     print(answer["text"], end="")
 
 
+def _print_domain(name: str, domain: dict[str, Any]) -> None:
+    behind = domain["behind"]
+    confirmed = domain["targets"] - len(behind)
+    print(
+        f"# domain {name}: {confirmed} of {domain['targets']} targets have version "
+        f"{domain['version']}"
+    )
+    if behind:
+        print(f"#   not yet: {', '.join(behind)}")
+    for lost in domain["lost"]:
+        shape = lost["shape"]
+        print(
+            f"#   no capacity for the guarantee of {lost['organisation']}: "
+            f"{shape['parts']} x {shape['accelerators']} @ {shape['adjacency']}"
+        )
+
+
 def history(
     entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None, as_json: JsonOption = False
 ) -> None:
@@ -151,26 +169,38 @@
     entry: EntryOption = DEFAULT_ENTRY, key_file: KeyFileOption = None, as_json: JsonOption = False
 ) -> None:
     """Show the targets that leave and what still holds them; exits with 1 until all are empty."""
-    views = [view for view in connect(entry, key_file).targets() if view["scrap"]]
+    views = connect(entry, key_file).drains()
     if as_json:
         print_json(views)
     else:
-        rows = [(view["target"], _state(view), _holders(view)) for view in views]
+        rows = [
+            (view["target"], view["state"], "; ".join(map(_holder, view["holders"])) or "-")
+            for view in views
+        ]
         print_table(("TARGET", "STATE", "HELD BY"), rows)
-    if not all(view["empty"] for view in views):
+    if any(view["state"] not in ("empty", "gone") for view in views):
         raise typer.Exit(ExitCode.FAILED)
 
 
+def _holder(holder: dict[str, Any]) -> str:
+    match holder["type"]:
+        case "HeldByJob":
+            how = "moving" if holder["stopping"] else "running"
+            kind = "" if holder["preemptible"] else ", finishes here"
+            return f"job {holder['job']} ({how}{kind})"
+        case "HeldByResult":
+            return f"result of job {holder['job']} not yet recorded"
+        case "HeldByRequests":
+            return f"{holder['running'] + holder['waiting']} requests of {holder['service']}"
+        case "HeldByGuarantee":
+            return f"guarantee of {holder['organisation']} without capacity elsewhere"
+        case "HeldByService":
+            dependents = ", ".join(holder["dependents"])
+            return f"last runner of {holder['service']}, needed by {dependents}"
+    return f"has not confirmed that it leaves (version {holder['version']})"
+
+
 def _state(view: dict[str, object]) -> str:
     if view["empty"]:
         return "empty"
     return "leaving" if view["scrap"] else "in service"
-
-
-def _holders(view: dict[str, object]) -> str:
-    held_by = view["held_by"]
-    assert isinstance(held_by, list)
-    holders = [f"job {job}" for job in held_by]
-    if view["requests"]:
-        holders.append(f"{view['requests']} requests")
-    return ", ".join(holders) or "-"
--- a/features/command_line.feature
+++ b/features/command_line.feature
@@ -44,6 +44,26 @@
     When the operator runs "diff TEXT"
     Then it exits with 0 and prints ""
 
+  Scenario: An operator scraps a target and reads back when it is empty
+    Guards against calling a target empty before it knows that it is leaving.
+
+    Given a running deployment in this process
+    And the operator runs "publish TEXT --base 0"
+    And all targets have version 1 in force
+    And the text scraps target-0
+    When the operator runs "publish TEXT --base 1"
+    Then the operator's "drain" exits with 0 in the end and prints "target-0  empty"
+    And the operator's "show" exits with 0 in the end and prints "1 of 1 targets have version 2"
+
+  Scenario: A target that holds work or does not know that it leaves is not empty
+    Guards against switching off a target under its work.
+
+    Given an owner's core with a target that runs a job
+    When the target is scrapped
+    Then the report names the job and the version that the target has not confirmed
+    When the target confirms the version and the job ends
+    Then the report calls the target empty
+
   Scenario: A caller submits, waits, reads the result, and is told what went wrong
     Guards against wrong exit codes in callers' scripts.
 
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -6,15 +6,46 @@
 import os
 import shlex
 import tempfile
+import time
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
+from comfreyshelf.config import parse_config
 from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
+from comfreyshelf.events import (
+    ConfigInForce,
+    JobClosed,
+    JobQueued,
+    PartEnded,
+    Reserved,
+    StartRecorded,
+    WorkerSeen,
+)
+from comfreyshelf.holders import DrainView, HeldByJob, HeldByVersion
+from comfreyshelf.ids import (
+    CallerId,
+    DomainId,
+    Epoch,
+    JobId,
+    OrganisationId,
+    RackId,
+    ServiceId,
+    TargetId,
+    Version,
+    ZoneId,
+)
+from comfreyshelf.messages import Status
+from comfreyshelf.model import Job, PartState, Shape, WorkerInfo
+from comfreyshelf.reports import report_domain
+from comfreyshelf.scheduler import Scheduler
 from comfreyshelf.ui import main
 
+WAIT_S = 60.0
+
 BASE_TEXT = f"""\
 [deployment]
 name = test
@@ -138,3 +169,81 @@
     kept = [line for line in lines if line.split("=")[0].strip() != option]
     text = "\n".join(["[entry]", *kept, setting, ""])
     run_command(context, f"entry {make_file(context, text)}")
+
+
+@given("the text scraps {target}")
+def text_scraps(context: Context, target: str) -> None:
+    text = f"{DEMO_TEXT}\n[target {target}]\nscrap = yes\n"
+    context.text_path.write_text(text, encoding="utf-8")
+
+
+@then('the operator\'s "{line}" exits with {code:d} in the end and prints "{message}"')
+def exits_in_the_end(context: Context, line: str, code: int, message: str) -> None:
+    until = time.monotonic() + WAIT_S
+    while time.monotonic() < until:
+        operator_runs(context, line)
+        if context.exit_code == code and message in context.output:
+            return
+        time.sleep(0.1)
+    raise AssertionError((context.exit_code, context.output))
+
+
+@given("an owner's core with a target that runs a job")
+def core_with_job(context: Context) -> None:
+    context.core = Scheduler(DomainId("litoral"), Epoch(1))
+    set_config(context, DEMO_TEXT, 1)
+    worker = WorkerInfo(TargetId("t"), ZoneId("paysandu"), RackId("r"), 8, 64, 256, 1)
+    context.status = Status(worker, 1.0, Epoch(1), Version(1))
+    context.core.handle(WorkerSeen(worker), 1.0)
+    job = Job(
+        JobId("j"),
+        OrganisationId("hidrovia-dragados"),
+        CallerId("hidrovia-office"),
+        "key",
+        ServiceId("permit"),
+        "kind",
+        Shape(1, 8),
+        10.0,
+        preemptible=False,
+    )
+    commands = context.core.handle(JobQueued(job), 1.0)
+    attempt = commands[0].attempt
+    context.core.handle(Reserved(job.id, attempt, worker.target), 1.0)
+    context.core.handle(StartRecorded(job.id, attempt, True), 1.0)
+    context.ended = PartEnded(job.id, attempt, 0, worker.target, PartState.FINISHED)
+
+
+def set_config(context: Context, text: str, version: int) -> None:
+    config = parse_config(text, Version(version)).ok
+    context.core.handle(ConfigInForce(config), 2.0)
+
+
+def leaving_view(context: Context) -> DrainView:
+    statuses = {context.status.worker.target: context.status}
+    return report_domain(context.core, statuses).leaving[0]
+
+
+@when("the target is scrapped")
+def scrap_target(context: Context) -> None:
+    set_config(context, f"{DEMO_TEXT}\n[target t]\nscrap = yes\n", 2)
+
+
+@then("the report names the job and the version that the target has not confirmed")
+def names_holders(context: Context) -> None:
+    view = leaving_view(context)
+    assert not view.empty
+    kinds = {type(holder) for holder in view.holders}
+    assert {HeldByJob, HeldByVersion} <= kinds, view.holders
+
+
+@when("the target confirms the version and the job ends")
+def confirm_and_end(context: Context) -> None:
+    context.core.handle(context.ended, 3.0)
+    context.core.handle(JobClosed(context.ended.job), 3.0)
+    assert not leaving_view(context).empty
+    context.status = msgspec.structs.replace(context.status, version=Version(2), draining=True)
+
+
+@then("the report calls the target empty")
+def is_empty(context: Context) -> None:
+    assert leaving_view(context).empty, leaving_view(context)
