--- a/comfreyshelf/ui/connection.py
+++ b/comfreyshelf/ui/connection.py
@@ -13,7 +13,12 @@
 ENTRY_VARIABLE = "COMFREYSHELF_ENTRY"
 
 EntryOption = Annotated[
-    str, typer.Option("--entry", envvar=ENTRY_VARIABLE, help="ip:port of an entry or the balancer")
+    str,
+    typer.Option(
+        "--entry",
+        envvar=ENTRY_VARIABLE,
+        help="ip:port of the balancer, or of entries, separated by commas",
+    ),
 ]
 KeyFileOption = Annotated[
     Path | None,
@@ -26,7 +31,8 @@
 
 def connect(entry: str, key_file: Path | None) -> Client:
     """Make a client; raises UserError if no key is given."""
-    return Client(entry, read_key(key_file))
+    first, *others = (address.strip() for address in entry.split(","))
+    return Client(first, read_key(key_file), others=others)
 
 
 def read_key(key_file: Path | None) -> str:
