--- a/comfreyshelf/config.py
+++ b/comfreyshelf/config.py
@@ -27,7 +27,7 @@
 
 # The options of each kind of section.
 OPTIONS: dict[str, frozenset[str]] = {
-    "deployment": frozenset({"name"}),
+    "deployment": frozenset({"name", "result_retention_s"}),
     "region": frozenset(),
     "zone": frozenset({"region", "domain"}),
     "service": frozenset({"depends", "slots", "connections", "timeout_s"}),
@@ -119,7 +119,10 @@
 
 
 class Config(msgspec.Struct, frozen=True):
-    """A validated configuration; `version` is 0 before the first publication."""
+    """A validated configuration; `version` is 0 before the first publication.
+
+    Ended jobs with their results, and the keys of requests, are kept for `result_retention_s`.
+    """
 
     version: Version
     name: str = ""
@@ -129,6 +132,7 @@
     callers: dict[CallerId, Caller] = {}
     operators: dict[OperatorId, Operator] = {}
     scrapped: frozenset[TargetId] = frozenset()
+    result_retention_s: float = 86_400.0
 
     @property
     def domains(self) -> list[DomainId]:
@@ -317,6 +321,7 @@
             self._callers(organisations),
             self._operators(),
             self._scrapped(),
+            self._result_retention_s(),
         )
         if self._problems:
             return Error(sorted(self._problems, key=lambda problem: problem.line))
@@ -331,6 +336,13 @@
             return ""
         return sections[0].required("name")
 
+    def _result_retention_s(self) -> float:
+        sections = self._sections["deployment"]
+        default = EMPTY_CONFIG.result_retention_s
+        if not sections:
+            return default
+        return sections[0].number("result_retention_s", default, 60.0, 30 * 86_400.0)
+
     def _regions(self) -> set[str]:
         return {section.id for section in self._sections["region"]}
 
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -2,30 +2,20 @@
 
 from collections import Counter, OrderedDict
 
-import msgspec
-
 from comfreyshelf.config import EMPTY_CONFIG, Config, parse_config
-from comfreyshelf.ids import (
-    Attempt,
-    CallerId,
-    DomainId,
-    EntryId,
-    Epoch,
-    JobId,
-    Offset,
-    OperatorId,
-    OrganisationId,
-    RecordId,
-    Version,
-)
-from comfreyshelf.model import (
-    AttemptOutcome,
-    CellUse,
-    DomainSummary,
-    Job,
-    JobState,
-    Placement,
+from comfreyshelf.ids import CallerId, DomainId, Epoch, JobId, Offset, OrganisationId, RecordId
+from comfreyshelf.ledger_state import (
+    ACCEPTED,
+    CallerKey,
+    ConfigEntry,
+    DomainEntry,
+    EntryInfo,
+    JobEntry,
+    LedgerState,
+    Verdict,
+    WriterMark,
 )
+from comfreyshelf.model import AttemptOutcome, Job, JobState
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import (
     AttemptEnded,
@@ -52,8 +42,6 @@
 # One record with a wrong clock must not make every reader forget ended jobs at once.
 MAX_TIME_STEP_S = 60.0
 WRITER_RETENTION_S = 24 * 3600.0
-FINAL_JOB_RETENTION_S = 3600.0
-REQUEST_KEY_RETENTION_S = 3600.0
 ENTRY_RETENTION_S = 3600.0
 # Entries announce themselves every 10 s.
 ENTRY_EXPIRES_S = 35.0
@@ -62,91 +50,6 @@
 REPEATED = "repeated"
 
 
-class JobEntry(msgspec.Struct):
-    """State of one job; `attempt` is the number of the newest attempt, 0 before the first.
-
-    `moves` counts how often the job was handed to another domain.
-    """
-
-    job: Job
-    domain: DomainId
-    state: JobState = JobState.QUEUED
-    attempt: Attempt = Attempt(0)
-    placements: tuple[Placement, ...] = ()
-    cell: CellUse | None = None
-    result: bytes = b""
-    digest: str = ""
-    reason: RefusalReason | None = None
-    ended_at: float = 0.0
-    moves: int = 0
-
-
-class DomainEntry(msgspec.Struct):
-    """Ownership of one domain; `renewed_at` is the time in the newest claim or renewal."""
-
-    epoch: Epoch = Epoch(0)
-    owner: EntryId = EntryId("")
-    renewed_at: float = 0.0
-    summary: DomainSummary | None = None
-    report: DomainReported | None = None
-
-
-class EntryInfo(msgspec.Struct):
-    """An entry as it announced itself."""
-
-    entry: EntryId
-    zone: str
-    http_address: str
-    pipe_address: str
-    renewed_at: float
-    version: Version = Version(0)
-
-
-class ConfigEntry(msgspec.Struct):
-    """One accepted configuration text."""
-
-    version: Version
-    text: str
-    operator: OperatorId
-    time: float
-
-
-class Verdict(msgspec.Struct, frozen=True):
-    """Whether a record was accepted; `reason` says why not."""
-
-    accepted: bool
-    reason: str = ""
-
-
-ACCEPTED = Verdict(True)
-
-CallerKey = tuple[OrganisationId, CallerId, str]
-
-
-class WriterMark(msgspec.Struct):
-    """The highest sequence number seen of one writer, and the time of that record."""
-
-    sequence: int
-    time: float
-
-
-class LedgerState(msgspec.Struct):
-    """Everything that the fold keeps; encodable, so that a snapshot is this struct.
-
-    `time` is the newest record time in seconds since the epoch, as far as it is trusted.
-    """
-
-    time: float = 0.0
-
-    config: ConfigEntry | None = None
-    history: list[ConfigEntry] = []
-    jobs: dict[JobId, JobEntry] = {}
-    domains: dict[DomainId, DomainEntry] = {}
-    entries: dict[EntryId, EntryInfo] = {}
-    requests: dict[str, tuple[EntryId, float]] = {}
-    writers: dict[str, WriterMark] = {}
-
-
 class Ledger:
     """Folds records in offset order; `next_offset` is the offset to read next.
 
@@ -246,7 +149,7 @@
     def _forget_old(self) -> None:
         while self._ended:
             job, ended_at = next(iter(self._ended.items()))
-            if self.time - ended_at < FINAL_JOB_RETENTION_S:
+            if self.time - ended_at < self.config.result_retention_s:
                 break
             del self._ended[job]
             entry = self.state.jobs.pop(job)
@@ -258,7 +161,7 @@
         """Drop request keys, writers and entries that have not been seen for long."""
         state = self.state
         self._swept_at = self.time
-        keys_from = self.time - REQUEST_KEY_RETENTION_S
+        keys_from = self.time - self.config.result_retention_s
         state.requests = {
             key: value for key, value in state.requests.items() if value[1] >= keys_from
         }
@@ -443,7 +346,7 @@
     def _request(self, record: Record, body: RequestStarted) -> Verdict:
         key = f"{body.organisation}/{body.caller}/{body.key}"
         known = self.state.requests.get(key)
-        if known is not None and self.time - known[1] < REQUEST_KEY_RETENTION_S:
+        if known is not None and self.time - known[1] < self.config.result_retention_s:
             return Verdict(False, "request key is known")
         self.state.requests[key] = (body.entry, self.time)
         return ACCEPTED
--- a/features/steps/recovery_steps.py
+++ b/features/steps/recovery_steps.py
@@ -56,7 +56,8 @@
 WAIT_S = 30.0
 
 TEXT = (
-    "[deployment]\nname = t\n[region litoral]\n[zone z]\nregion = litoral\n[service s]\n"
+    "[deployment]\nname = t\nresult_retention_s = 3600\n"
+    "[region litoral]\n[zone z]\nregion = litoral\n[service s]\n"
     f"[organisation o]\n[operator p]\nkey_sha256 = {'0' * 64}\n"
 )
 
