Publish start and stop of a process on the kernel's bus around its services

Cause: the bus was told to stop after the services had gone, so a plugin could not act before. Ruled out: starting services as bus listeners, because cherrypy's bus ends the process with code 70 when one of them fails to start. Before: no test. After: two scenarios; the order is start, stop, exit around the services. Conclusion: the services' own order stays with the kernel's exit stack.

--- a/comfreyshelf/kernel.py
+++ b/comfreyshelf/kernel.py
@@ -25,7 +25,8 @@
 class Kernel:
     """Starts services in order of registration and stops them in reverse order.
 
-    Each service subscribes to the bus, and finds the others by name:
+    Plugins may subscribe to the cherrypy bus: `start` is published once all services run, `stop`
+    before the first one stops, and `exit` after the last one has. Services find each other by name:
 
         kernel = Kernel()
         kernel.register("metrics", Metrics())
@@ -68,8 +69,9 @@
 
     def stop(self) -> None:
         """Stop all services that were started."""
+        self.bus.stop()
         self._stack.close()
-        self.bus.exit()
+        self.bus.publish("exit")
 
     def __enter__(self) -> "Kernel":
         self.start()
--- /dev/null
+++ b/features/steps/kernel_steps.py
@@ -0,0 +1,92 @@
+"""Steps for the kernel."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.kernel import Kernel, Service
+from comfreyshelf.metrics import Metrics
+
+
+class Noted(Service):
+    """Notes its starts and stops in a shared list."""
+
+    def __init__(self, name: str, notes: list[str], fails: bool = False) -> None:
+        self._name = name
+        self._notes = notes
+        self._fails = fails
+
+    def start(self) -> None:
+        if self._fails:
+            raise OSError("address in use")
+        self._notes.append(f"start {self._name}")
+
+    def stop(self) -> None:
+        self._notes.append(f"stop {self._name}")
+
+
+@given('services "log", "ledger" and "api" of which "api" fails to start')
+def failing_services(context: Context) -> None:
+    register(context, ["log", "ledger", "api"], failing="api")
+
+
+@given('services "log" and "ledger"')
+def two_services(context: Context) -> None:
+    register(context, ["log", "ledger"])
+
+
+def register(context: Context, names: list[str], failing: str = "") -> None:
+    context.notes = []
+    context.kernel = Kernel()
+    for name in names:
+        context.kernel.register(name, Noted(name, context.notes, name == failing))
+
+
+@when("the kernel starts")
+def start_kernel(context: Context) -> None:
+    context.error = None
+    try:
+        context.kernel.start()
+    except OSError as exc:
+        context.error = exc
+
+
+@then('"ledger" and then "log" were stopped')
+def stopped_in_reverse(context: Context) -> None:
+    assert context.notes == ["start log", "start ledger", "stop ledger", "stop log"], context.notes
+
+
+@then("the failure reaches the caller")
+def failure_reaches(context: Context) -> None:
+    assert "address in use" in str(context.error)
+
+
+@when("the kernel starts and stops with a plugin on its bus")
+def run_kernel(context: Context) -> None:
+    for channel in ("start", "stop", "exit"):
+        context.kernel.bus.subscribe(channel, lambda name=channel: context.notes.append(name))
+    with context.kernel:
+        pass
+
+
+@then('"log" is found by its name, and an unknown name or another kind is refused')
+def found_by_name(context: Context) -> None:
+    assert isinstance(context.kernel.find("log", Noted), Noted)
+    for name, kind in (("nothing", Noted), ("log", Metrics)):
+        try:
+            context.kernel.find(name, kind)
+        except LookupError:
+            continue
+        raise AssertionError(name)
+
+
+@then('the plugin heard "start", "stop" and "exit" around the services')
+def plugin_heard(context: Context) -> None:
+    assert context.notes == [
+        "start log",
+        "start ledger",
+        "start",
+        "stop",
+        "stop ledger",
+        "stop log",
+        "exit",
+    ], context.notes
