Leave the bus in its final state after a stop

Cause: the bus warned at the end of each process, because stop was published without exit. Ruled out: Bus.exit, which publishes stop a second time. Before: a RuntimeWarning after the demo. After: none, 2 kernel scenarios pass. Conclusion: none further.

--- a/comfreyshelf/kernel.py
+++ b/comfreyshelf/kernel.py
@@ -72,6 +72,8 @@
         self.bus.stop()
         self._stack.close()
         self.bus.publish("exit")
+        # Bus.exit would publish stop a second time; without this state the bus warns at exit.
+        self.bus.state = self.bus.states.EXITING
 
     def __enter__(self) -> "Kernel":
         self.start()
