Keep a target's pipes inside its region, and count bytes by the far end's zone

Cause: each target kept a pipe to every entry of the deployment and sent its status to all of them, over the slow link as well. Counters could not tell zones or regions apart. Each request listed all pipes while it waited, and the list of targets was rebuilt every 0.25 s whether it changed or not.

Change: a Welcome names the entries of the target's zone, the owner of its domain, and others of the region if the zone has fewer than two. Other entries get no statuses once a wanted one is connected, and their links close after 60 s, so that answers under way arrive. A claim is announced to the targets of the domain, which then dial the new owner. Without any wanted entry a target starts again from its settings. Roster and Hub have change numbers; the router lists targets anew only for them.

Ruled out: all entries of the region, because the statuses that an entry gets then grow with the number of zones.

--- a/benchmarks/target_cost.py
+++ b/benchmarks/target_cost.py
@@ -24,7 +24,7 @@
 MAX_CPU_PERCENT = 1.2
 MAX_MEMORY_MB = 256.0
 MAX_CONTROL_KB_S = 11.0
-_BYTES = re.compile(r'^comfreyshelf_control_bytes\{link="targets",.*\} (\d+)$', re.MULTILINE)
+_BYTES = re.compile(r'^comfreyshelf_control_bytes\{link="(?!log").*\} (\d+)$', re.MULTILINE)
 
 
 class Sample(msgspec.Struct, frozen=True):
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -9,6 +9,7 @@
 from comfreyshelf.ids import EntryId, TargetId, ZoneId
 from comfreyshelf.journal import Appender, LedgerReader
 from comfreyshelf.kernel import Kernel, Service
+from comfreyshelf.links import crosses_region
 from comfreyshelf.log import HttpLog, LogClient
 from comfreyshelf.membership import Roster
 from comfreyshelf.messages import AnyMessage, RequestAnswer, StartDisproved
@@ -49,7 +50,7 @@
         )
         self.router = Router(ZoneId(cfg.zone), self.roster, self.metrics)
         self.hub = self.kernel.register(
-            "hub", Hub(cfg.pipe_address, self.metrics, self._on_message)
+            "hub", Hub(cfg.pipe_address, self.metrics, self._on_message, self._crosses)
         )
         self.owner.attach(self.hub)
         self.router.attach(self.hub)
@@ -96,6 +97,9 @@
         """Wait until the log has been read to its end."""
         return self.reader.caught_up.wait(timeout_s)
 
+    def _crosses(self, zone: ZoneId) -> bool:
+        return crosses_region(self.reader.ledger.config, ZoneId(self._cfg.zone), zone)
+
     def _on_message(self, target: TargetId, message: AnyMessage) -> None:
         if isinstance(message, RequestAnswer | StartDisproved):
             self.router.receive(message)
--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -13,7 +13,7 @@
 from comfreyshelf.ids import Offset, RecordId
 from comfreyshelf.ledger import Ledger, Verdict
 from comfreyshelf.log import LogClient, Page
-from comfreyshelf.metrics import Metrics
+from comfreyshelf.metrics import LOG_END, Metrics
 from comfreyshelf.reasons import RetryReason
 from comfreyshelf.records import AnyBody, Record, decode_record, encode_record, make_record_id
 from comfreyshelf.snapshots import Recovery
@@ -86,7 +86,7 @@
             self.wait(READ_RETRY_S)
             return
         self._answered_at = time.monotonic()
-        self._metrics.bytes_received("log", sum(len(data) for _, data in page.items))
+        self._metrics.bytes_received(LOG_END, sum(len(data) for _, data in page.items))
         if page.oldest > self._next:
             self._restart_recovery(Offset(page.oldest))
         self._take(page)
@@ -255,7 +255,7 @@
                 item.tried = True
                 self._waiting[item.record.id] = item
         started = time.monotonic()
-        self._metrics.bytes_sent("log", sum(map(len, data)))
+        self._metrics.bytes_sent(LOG_END, sum(map(len, data)))
         try:
             self._log.append(data)
         except LogUnavailableError:
--- /dev/null
+++ b/comfreyshelf/links.py
@@ -0,0 +1,68 @@
+"""Which entries a target keeps pipes to, and which entries take over a request."""
+
+import hashlib
+from collections.abc import Collection, Iterable
+
+from comfreyshelf.config import Config
+from comfreyshelf.ids import EntryId, ZoneId
+from comfreyshelf.ledger import EntryInfo
+
+# A target of a zone with fewer entries also uses others of its region, up to this many in all.
+MIN_ENTRIES = 2
+# Each candidate costs a round trip, on the slow link for another region.
+MAX_HOP_CANDIDATES = 3
+
+
+def pipes_for(
+    zone: ZoneId, config: Config, entries: Iterable[EntryInfo], owner: EntryId | None
+) -> tuple[str, ...]:
+    """Pipe addresses of the entries that a target of `zone` keeps pipes to.
+
+    These are the entries of its zone and the owner of its domain, and others of its region if the
+    zone has fewer than MIN_ENTRIES.
+    """
+    region = config.zones[zone].region
+    near = [info for info in entries if _region(config, info) == region]
+    near.sort(key=lambda info: (info.zone != zone, info.entry != owner, _rank(zone, info)))
+    own = sum(1 for info in near if info.zone == zone)
+    chosen = near[: max(own, MIN_ENTRIES)]
+    chosen += [info for info in near if info.entry == owner and info not in chosen]
+    return tuple(info.pipe_address for info in chosen)
+
+
+def hop_candidates(
+    name: EntryId, zone: ZoneId, config: Config, entries: Iterable[EntryInfo]
+) -> list[EntryInfo]:
+    """Entries that may reach runners which entry `name` does not reach, nearest first.
+
+    One entry of each other zone, those of the own region first.
+    """
+    known = config.zones.get(zone)
+    by_zone: dict[ZoneId, EntryInfo] = {}
+    for info in sorted(entries, key=lambda info: _rank(name, info)):
+        if info.entry != name and info.zone != zone:
+            by_zone.setdefault(info.zone, info)
+    region = known.region if known is not None else None
+    found = sorted(by_zone.values(), key=lambda info: _region(config, info) != region)
+    return found[:MAX_HOP_CANDIDATES]
+
+
+def crosses_region(config: Config, zone: ZoneId, other: ZoneId) -> bool:
+    """Whether two zones are known to lie in different regions."""
+    ends = [config.zones[name].region for name in (zone, other) if name in config.zones]
+    return len(ends) == 2 and ends[0] != ends[1]
+
+
+def live_entries(entries: Collection[EntryInfo], horizon: float) -> list[EntryInfo]:
+    """Entries that renewed their announcement since `horizon`."""
+    return [info for info in entries if info.renewed_at >= horizon]
+
+
+def _region(config: Config, info: EntryInfo) -> str | None:
+    zone = config.zones.get(info.zone)
+    return zone.region if zone is not None else None
+
+
+def _rank(key: str, info: EntryInfo) -> bytes:
+    """Spreads what different keys choose over the entries."""
+    return hashlib.blake2b(f"{key} {info.entry}".encode(), digest_size=8).digest()
--- a/comfreyshelf/messages.py
+++ b/comfreyshelf/messages.py
@@ -3,7 +3,17 @@
 import msgspec
 
 from comfreyshelf.errors import RecordError
-from comfreyshelf.ids import Attempt, DomainId, EntryId, Epoch, JobId, RequestId, TargetId, Version
+from comfreyshelf.ids import (
+    Attempt,
+    DomainId,
+    EntryId,
+    Epoch,
+    JobId,
+    RequestId,
+    TargetId,
+    Version,
+    ZoneId,
+)
 from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 
@@ -65,6 +75,8 @@
     `echo` is `sent_at` of the status that this answers, so the lease of `lease_s` counts from the
     moment when the target asked. A `lease_s` of 0 renews nothing. `known` is the sequence number
     of the newest status that the entry has, and `digest` identifies everything but the lease.
+    `entries` are those that the target keeps pipes to. `zone` is that of the entry, and
+    `cross_region` tells whether it lies in another region than the target.
     """
 
     entry: EntryId
@@ -79,6 +91,8 @@
     services: tuple[ServiceSlots, ...] = ()
     known: int = 0
     digest: bytes = b""
+    zone: ZoneId = ZoneId("")
+    cross_region: bool = False
 
 
 class Renewal(Message, frozen=True, tag=True):
--- a/comfreyshelf/metrics.py
+++ b/comfreyshelf/metrics.py
@@ -3,6 +3,7 @@
 import threading
 from collections import Counter
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
 from comfreyshelf.kernel import Service
@@ -14,6 +15,16 @@
 _QUANTILES = (50.0, 90.0, 99.0, 100.0)
 
 
+class FarEnd(msgspec.Struct, frozen=True):
+    """The far end of a link: its availability zone, and whether that is in another region."""
+
+    zone: str = "unknown"
+    cross_region: bool = False
+
+
+LOG_END = FarEnd("log")
+
+
 class Metrics(Service):
     """Thread-safe counters and hdrhistogram latencies; rendered as Prometheus text."""
 
@@ -46,13 +57,18 @@
         """Count a retry."""
         self.count(f'retries{{reason="{reason.value}"}}')
 
-    def bytes_sent(self, link: str, size: int) -> None:
-        """Count control bytes sent over a link, named by the zone or role at its far end."""
-        self.count(f'control_bytes{{link="{link}",direction="out"}}', size)
+    def bytes_sent(self, end: FarEnd, size: int) -> None:
+        """Count control bytes sent over a link."""
+        self._count_bytes(end, "out", size)
 
-    def bytes_received(self, link: str, size: int) -> None:
+    def bytes_received(self, end: FarEnd, size: int) -> None:
         """Count control bytes received over a link."""
-        self.count(f'control_bytes{{link="{link}",direction="in"}}', size)
+        self._count_bytes(end, "in", size)
+
+    def _count_bytes(self, end: FarEnd, direction: str, size: int) -> None:
+        crosses = "yes" if end.cross_region else "no"
+        labels = f'link="{end.zone}",cross_region="{crosses}",direction="{direction}"'
+        self.count(f"control_bytes{{{labels}}}", size)
 
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -15,6 +15,7 @@
     ReserveParts,
     StopParts,
 )
+from comfreyshelf.config import Zone
 from comfreyshelf.domains import candidates, choose_move, guaranteed_domains, summarise
 from comfreyshelf.events import (
     ConfigInForce,
@@ -35,7 +36,8 @@
 )
 from comfreyshelf.heartbeats import LastHeard
 from comfreyshelf.ids import DomainId, EntryId, Epoch, JobId, TargetId, ZoneId
-from comfreyshelf.ledger import Ledger, Verdict
+from comfreyshelf.ledger import EntryInfo, Ledger, Verdict
+from comfreyshelf.links import crosses_region, live_entries, pipes_for
 from comfreyshelf.messages import (
     AnyMessage,
     AttemptAbsent,
@@ -202,7 +204,7 @@
         self._heard = LastHeard()
         self._welcomes: dict[tuple[ZoneId, bool], Welcome] = {}
         self._welcomes_of: tuple[object, ...] = ()
-        self._directory: tuple[str, ...] = ()
+        self._directory: tuple[tuple[EntryId, ZoneId, str], ...] = ()
         self._renewal_seen: dict[DomainId, float] = {}
         self._claiming: dict[DomainId, float] = {}
         self._released: set[DomainId] = set()
@@ -241,7 +243,9 @@
     # Claims and renewals
 
     def _on_time(self, now: float) -> None:
-        self._directory = self._pipes()
+        self._directory = tuple(
+            (info.entry, info.zone, info.pipe_address) for info in self._live_entries()
+        )
         for target in self._heard.pop_silent(now - FORGET_AFTER_S):
             del self._known[target]
         if self.stopping:
@@ -333,6 +337,8 @@
         self._released.discard(body.domain)
         self._renewal_seen[body.domain] = now
         if record.writer != self._writer:
+            # Targets without a pipe to the new owner learn its address.
+            self._welcome_domain(body.domain)
             if self.domains.pop(body.domain, None) is not None:
                 line = f"domain {body.domain} was taken over by {body.entry}"
                 self._emit(Noted("domains_lost", line))
@@ -345,7 +351,7 @@
         self._feed(owned, ConfigInForce(self._ledger.config), now)
         self._feed(owned, LogState(self._log_up), now)
         self._resume(body.domain, owned, now)
-        self._welcome_all()
+        self._welcome_domain(body.domain)
 
     def _resume(self, name: DomainId, owned: OwnedDomain, now: float) -> None:
         for entry in self._ledger.state.jobs.values():
@@ -515,6 +521,13 @@
         for _, known in sorted(self._known.items()):
             self._welcome(known, 0.0)
 
+    def _welcome_domain(self, domain: DomainId) -> None:
+        zones = self._ledger.config.zones
+        for _, known in sorted(self._known.items()):
+            zone = zones.get(known.status.worker.zone)
+            if zone is not None and zone.domain == domain:
+                self._welcome(known, 0.0)
+
     def _welcome(self, known: KnownTarget, echo: float) -> None:
         content = self._content_for(known.status)
         if content is None:
@@ -551,20 +564,25 @@
             cached = None
         if cached is not None and (cached.epoch, cached.owner) == (epoch, owner):
             return cached
-        content = self._make_content(zone.domain, epoch, owner, draining)
+        content = self._make_content(zone, epoch, owner, draining)
         self._welcomes[(zone_id, draining)] = content
         return content
 
-    def _make_content(self, domain: DomainId, epoch: Epoch, owner: bool, draining: bool) -> Welcome:
+    def _make_content(self, zone: Zone, epoch: Epoch, owner: bool, draining: bool) -> Welcome:
         config = self._ledger.config
+        own_zone = ZoneId(self._cfg.zone)
+        current = self._ledger.state.domains.get(zone.domain)
+        holder = current.owner if current else None
         content = Welcome(
             self._entry,
-            domain,
+            zone.domain,
             epoch,
             config.version,
             owner,
             draining=draining,
-            entries=self._directory,
+            entries=pipes_for(zone.id, config, self._live_entries(), holder),
+            zone=own_zone,
+            cross_region=crosses_region(config, own_zone, zone.id),
             services=tuple(
                 ServiceSlots(service.id, service.slots, service.connections)
                 for service in config.services.values()
@@ -573,14 +591,9 @@
         digest = hashlib.blake2b(encode_message(content), digest_size=_DIGEST_BYTES).digest()
         return msgspec.structs.replace(content, digest=digest)
 
-    def _pipes(self) -> tuple[str, ...]:
-        """Pipe addresses of the entries in the directory."""
+    def _live_entries(self) -> list[EntryInfo]:
         horizon = self._ledger.time - ENTRY_EXPIRES_S
-        return tuple(
-            info.pipe_address
-            for info in self._ledger.state.entries.values()
-            if info.renewed_at >= horizon
-        )
+        return live_entries(self._ledger.state.entries.values(), horizon)
 
     def _find_lost(self, owned: OwnedDomain, now: float) -> None:
         for table in (owned.seen, owned.expected):
--- a/comfreyshelf/router.py
+++ b/comfreyshelf/router.py
@@ -81,6 +81,7 @@
         self._routing = Routing(zone, rng)
         self._listed: list[TargetView] = []
         self._listed_at = float("-inf")
+        self._listed_of: tuple[int, int] = (-1, -1)
         self._retries = Retries(rng)
 
     def attach(self, hub: Hub) -> None:
@@ -165,13 +166,15 @@
                 self._routing.ended(target, call.service)
 
     def _views(self) -> list[TargetView]:
-        """The targets to which there is a pipe, listed anew every POOL_MAX_AGE_S."""
+        """The targets with a pipe; listed anew if they changed, but not within POOL_MAX_AGE_S."""
         now = time.monotonic()
-        if now - self._listed_at > POOL_MAX_AGE_S:
+        changes = (self._roster.changes, self._hub.changes if self._hub is not None else 0)
+        if changes != self._listed_of and now - self._listed_at > POOL_MAX_AGE_S:
             reachable = set(self._hub.targets()) if self._hub is not None else set()
             views = self._roster.views()
             self._listed = [view for view in views if view.worker.target in reachable]
             self._listed_at = now
+            self._listed_of = changes
         return self._listed
 
     def _exchange(self, config: Config, call: Call, attempt: Attempt) -> Result[bytes, Outcome]:
@@ -203,7 +206,7 @@
                 return attempt.future.result(min(left_s, _CHECK_INTERVAL_S))
             except FutureTimeoutError:
                 now = time.monotonic()
-            if self._hub is not None and attempt.target not in self._hub.targets():
+            if self._hub is not None and not self._hub.is_connected(attempt.target):
                 down_since = down_since or now
                 if now - down_since >= grace_s:
                     return RetryReason.TARGET_LOST
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -32,7 +32,7 @@
     UsageReport,
     Welcome,
 )
-from comfreyshelf.metrics import Metrics
+from comfreyshelf.metrics import FarEnd, Metrics
 from comfreyshelf.model import WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.runner import Runner, runners_of
@@ -50,6 +50,8 @@
 MAX_USAGE_REPORTS = 64
 METRICS_THREADS = 2
 STOP_LINGER_S = 0.5
+# Longer than an entry's default shutdown_grace_s of 30 s.
+CLOSE_LINK_AFTER_S = 60.0
 REFUSALS = frozenset(reason.value for reason in RefusalReason)
 
 
@@ -104,6 +106,8 @@
         self._metrics = metrics
         self._links: dict[str, Link] = {}
         self._sender = StatusSender()
+        self._wanted: frozenset[str] = frozenset()
+        self._unwanted_since: dict[str, float] = {}
         self._owner = ""
         self._status_at = 0.0
         self._usage_at = 0.0
@@ -207,21 +211,32 @@
             logging.info("entry %s owns domain %s", message.entry, message.domain)
             self._owner = address
             actions = self.agent.owner_changed(now)
-        for entry in message.entries:
-            self._link(entry)
+        self._links[address].end = FarEnd(message.zone, message.cross_region)
         if message.entries and message.version == self.agent.version:
-            self._drop_links({*message.entries, *self._cfg.entries})
+            self._wanted = frozenset(message.entries)
+        self._review_links(now)
         return actions
 
-    def _drop_links(self, wanted: set[str]) -> None:
-        """Close links to entries that left.
+    def _review_links(self, now: float) -> None:
+        """Dial the wanted entries, and close links to others once a wanted one is connected.
 
-        A connected one stays: an entry that is stopping waits on it for answers under way.
+        A connected link stays for a while: an entry that is stopping waits on it for answers under
+        way. Without any wanted entry the target starts again from those of its settings.
         """
-        for address in set(self._links) - wanted:
-            if not self._links[address].connected:
+        for address in sorted(self._wanted):
+            self._link(address)
+        if not any(self._links[address].connected for address in self._wanted):
+            for address in self._cfg.entries:
+                self._link(address)
+            self._unwanted_since.clear()
+            return
+        for address in self._links.keys() - self._wanted - {self._owner}:
+            since = self._unwanted_since.setdefault(address, now)
+            if not self._links[address].connected or now - since > CLOSE_LINK_AFTER_S:
                 self._links.pop(address).stop()
                 self._sender.forget(address)
+        for address in self._unwanted_since.keys() - (self._links.keys() - self._wanted):
+            del self._unwanted_since[address]
 
     def _link(self, address: str) -> None:
         if address in self._links:
@@ -233,8 +248,10 @@
     def _send_status(self, now: float) -> None:
         self._status_at = now
         status = self._sender.number(self.agent.status(now))
+        self._review_links(now)
         for address, link in self._links.items():
-            link.send(self._sender.message(address, status))
+            if address not in self._unwanted_since:
+                link.send(self._sender.message(address, status))
         self._publish_counters()
 
     def _resend_status(self, address: str, now: float) -> None:
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -7,7 +7,7 @@
 import pynng
 
 from comfreyshelf.errors import RecordError
-from comfreyshelf.ids import TargetId
+from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.messages import (
     AnyMessage,
     Heartbeat,
@@ -16,7 +16,7 @@
     decode_message,
     encode_message,
 )
-from comfreyshelf.metrics import Metrics
+from comfreyshelf.metrics import FarEnd, Metrics
 from comfreyshelf.tasks import Poller
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
@@ -26,6 +26,7 @@
 _LINGER_S = 0.1
 _SEND_TIMEOUT_MS = 500
 _BUFFERED_MESSAGES = 256
+UNKNOWN_END = FarEnd()
 
 
 class Hub(Poller):
@@ -33,13 +34,22 @@
 
     `receive` is called with each target's messages; the target of a pipe is known from its first
     `Status`. `send` queues a message to a target and tells whether there is a pipe to it.
+    `crosses` tells whether a zone lies in another region, for the counters of bytes. `changes`
+    grows when a target gets its pipe or loses it.
     """
 
     def __init__(
-        self, address: str, metrics: Metrics, receive: Callable[[TargetId, AnyMessage], None]
+        self,
+        address: str,
+        metrics: Metrics,
+        receive: Callable[[TargetId, AnyMessage], None],
+        crosses: Callable[[ZoneId], bool] = lambda _: False,
     ) -> None:
         super().__init__("hub")
+        self.changes = 0
         self._address = address
+        self._crosses = crosses
+        self._ends: dict[int, FarEnd] = {}
         self._metrics = metrics
         self._receive = receive
         self._lock = threading.Lock()
@@ -70,6 +80,11 @@
             self._socket.close()
         super().stop()
 
+    def is_connected(self, target: TargetId) -> bool:
+        """Whether there is a pipe to a target."""
+        with self._lock:
+            return target in self._pipes
+
     def targets(self) -> list[TargetId]:
         """Targets with an open pipe."""
         with self._lock:
@@ -90,7 +105,7 @@
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
             return False
-        self._metrics.bytes_sent("targets", len(data))
+        self._metrics.bytes_sent(self._ends.get(pipe.id, UNKNOWN_END), len(data))
         return True
 
     def poll(self) -> None:
@@ -104,7 +119,8 @@
             self._stopping.set()
             return
         data = received.bytes
-        self._metrics.bytes_received("targets", len(data))
+        end = self._ends.get(received.pipe.id, UNKNOWN_END)
+        self._metrics.bytes_received(end, len(data))
         try:
             message = decode_message(data)
         except RecordError:
@@ -136,7 +152,11 @@
             if target in self._pipes and incarnation < self._incarnations[target]:
                 self._targets.pop(pipe.id, None)
                 return False
+            known = self._pipes.get(target)
+            self.changes += known is None or known.id != pipe.id
             self._pipes[target] = pipe
+            zone = status.worker.zone
+            self._ends[pipe.id] = FarEnd(zone, self._crosses(zone))
             self._incarnations[target] = incarnation
             self._targets[pipe.id] = target
         return True
@@ -150,20 +170,26 @@
     def _on_removed(self, pipe: pynng.Pipe) -> None:
         with self._lock:
             target = self._targets.pop(pipe.id, None)
+            self._ends.pop(pipe.id, None)
             known = self._pipes.get(target) if target is not None else None
             if target is not None and known is not None and known.id == pipe.id:
                 del self._pipes[target]
                 del self._incarnations[target]
+                self.changes += 1
 
 
 class Link(Poller):
-    """A target process's pipe to one entry; `receive` gets the entry's messages."""
+    """A target process's pipe to one entry; `receive` gets the entry's messages.
+
+    `end` is set when the entry has told its zone.
+    """
 
     def __init__(
         self, address: str, metrics: Metrics, receive: Callable[[str, AnyMessage], None]
     ) -> None:
         super().__init__(f"link-{address}")
         self.address = address
+        self.end = UNKNOWN_END
         self._metrics = metrics
         self._receive = receive
         self._socket: pynng.Pair1 | None = None
@@ -206,7 +232,7 @@
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
             return False
-        self._metrics.bytes_sent("entries", len(data))
+        self._metrics.bytes_sent(self.end, len(data))
         return True
 
     def poll(self) -> None:
@@ -219,7 +245,7 @@
         except pynng.Closed:
             self._stopping.set()
             return
-        self._metrics.bytes_received("entries", len(data))
+        self._metrics.bytes_received(self.end, len(data))
         try:
             message = decode_message(data)
         except RecordError:
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -214,10 +214,14 @@
         self.sent: list[tuple[str, object]] = []
         self.on_send = lambda target, message: None
         self.open = {"t-0", "t-1"}
+        self.changes = 0
 
     def targets(self) -> set[str]:
         return self.open
 
+    def is_connected(self, target: str) -> bool:
+        return target in self.open
+
     def send(self, target: str, message: object) -> bool:
         self.sent.append((target, message))
         self.on_send(target, message)
