Forward requests between entries, wire in TLS, and free runner slots whatever happens

Cause: an entry knows only the targets of its zone and its domains, so a request for a runner elsewhere was refused. It now goes over HTTP to an entry of another zone, the own region first, with the caller's key, the digest, the time left and the idempotency; a forwarded request is not forwarded again. Once the connection was made, whatever cannot be read as an answer or a refusal is "may have run". Ruled out: HTTP redirects, because a caller may not reach the other region.

TLS. tls.py was not used.

Runner slots. Cause: a pool of 64 threads while slots are a setting, and a SystemExit, an error with text that cannot be encoded, or an answer that is not bytes left the slot taken. Each request that runs now has a thread, and every end of the call is reported.

--- a/comfreyshelf/api.py
+++ b/comfreyshelf/api.py
@@ -3,6 +3,7 @@
 import cherrypy
 
 from comfreyshelf.front import Front
+from comfreyshelf.hop import Forwarder
 from comfreyshelf.jobs_api import Cancellations, Jobs
 from comfreyshelf.operators_api import Configuration, Targets
 from comfreyshelf.requests_api import Services
@@ -14,10 +15,10 @@
 class V1:
     """`/v1`."""
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, forwarder: Forwarder | None) -> None:
         self.jobs = Jobs(front)
         self.cancellations = Cancellations(front, self.jobs)
-        self.services = Services(front)
+        self.services = Services(front, forwarder)
         self.config = Configuration(front)
         self.targets = Targets(front)
 
@@ -25,9 +26,9 @@
 class Root:
     """`/`: health, metrics, status and the interface under `/v1`."""
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, forwarder: Forwarder | None = None) -> None:
         self._front = front
-        self.v1 = V1(front)
+        self.v1 = V1(front, forwarder)
 
     @cherrypy.expose
     def health(self) -> bytes:
--- a/comfreyshelf/client.py
+++ b/comfreyshelf/client.py
@@ -40,14 +40,23 @@
 
     `Client("127.0.0.1:8080", key).wait(job, 30.0)` returns the job's view as a dict. With `others`,
     a call that is safe to repeat goes on to the next entry when one is unreachable or stopping.
+    `authority` is the PEM file of the authority that signs the entries' certificates, for HTTPS.
     """
 
     def __init__(
-        self, address: str, key: str, timeout_s: float = 90.0, others: Sequence[str] = ()
+        self,
+        address: str,
+        key: str,
+        timeout_s: float = 90.0,
+        others: Sequence[str] = (),
+        authority: str = "",
     ) -> None:
-        self._bases = [f"http://{one}" for one in (address, *others)]
+        scheme = "https" if authority else "http"
+        self._bases = [f"{scheme}://{one}" for one in (address, *others)]
         self._headers = {"Authorization": f"Bearer {key}"}
-        self._pool = urllib3.PoolManager(timeout=timeout_s, retries=False)
+        self._pool = urllib3.PoolManager(
+            timeout=timeout_s, retries=False, ca_certs=authority or None
+        )
 
     @property
     def _base(self) -> str:
--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from comfreyshelf.api import Front, Root
+from comfreyshelf.hop import Forwarder
 from comfreyshelf.ids import EntryId, TargetId, ZoneId
 from comfreyshelf.journal import Appender, LedgerReader
 from comfreyshelf.kernel import Kernel, Service
@@ -19,6 +20,7 @@
 from comfreyshelf.router import Router
 from comfreyshelf.settings import EntrySettings
 from comfreyshelf.snapshotter import Snapshotter
+from comfreyshelf.tls import tls_files
 from comfreyshelf.transport import Hub
 from comfreyshelf.web import WebServer
 
@@ -32,6 +34,7 @@
         self._cfg = cfg
         self._log = log or HttpLog(cfg.log_url)
         self._is_stopped = False
+        self._tls = tls_files(cfg.tls_certificate, cfg.tls_key, cfg.tls_authority)
         self.kernel = Kernel()
         self.metrics = self.kernel.register("metrics", Metrics())
         self.roster = Roster()
@@ -50,21 +53,25 @@
         )
         self.router = Router(ZoneId(cfg.zone), self.roster, self.metrics)
         self.hub = self.kernel.register(
-            "hub", Hub(cfg.pipe_address, self.metrics, self._on_message, self._crosses)
+            "hub", Hub(cfg.pipe_address, self.metrics, self._on_message, self._crosses, self._tls)
         )
         self.owner.attach(self.hub)
         self.router.attach(self.hub)
         self.front = Front(
             cfg.name, self.reader, self.appender, self.roster, self.router, self.metrics
         )
+        self.forwarder = Forwarder(
+            EntryId(cfg.name), ZoneId(cfg.zone), self.reader, self.metrics, cfg.tls_authority
+        )
         self.web = self.kernel.register(
             "api",
             WebServer(
                 cfg.http_address,
-                Root(self.front),
+                Root(self.front, self.forwarder),
                 cfg.http_threads,
                 self.front.error_page,
                 parses_forms=False,
+                tls=self._tls,
             ),
         )
 
@@ -90,6 +97,7 @@
             body = EntryDown(EntryId(self._cfg.name))
             self.appender.submit(body, LEAVE_TIMEOUT_S).result()
         self.kernel.stop()
+        self.forwarder.close()
         self._log.close()
         logging.info("entry %s stopped", self._cfg.name)
 
--- a/comfreyshelf/links.py
+++ b/comfreyshelf/links.py
@@ -38,7 +38,7 @@
     One entry of each other zone, those of the own region first.
     """
     known = config.zones.get(zone)
-    by_zone: dict[ZoneId, EntryInfo] = {}
+    by_zone: dict[str, EntryInfo] = {}
     for info in sorted(entries, key=lambda info: _rank(name, info)):
         if info.entry != name and info.zone != zone:
             by_zone.setdefault(info.zone, info)
@@ -59,7 +59,7 @@
 
 
 def _region(config: Config, info: EntryInfo) -> str | None:
-    zone = config.zones.get(info.zone)
+    zone = config.zones.get(ZoneId(info.zone))
     return zone.region if zone is not None else None
 
 
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -204,7 +204,7 @@
         self._heard = LastHeard()
         self._welcomes: dict[tuple[ZoneId, bool], Welcome] = {}
         self._welcomes_of: tuple[object, ...] = ()
-        self._directory: tuple[tuple[EntryId, ZoneId, str], ...] = ()
+        self._directory: tuple[tuple[EntryId, str, str], ...] = ()
         self._renewal_seen: dict[DomainId, float] = {}
         self._claiming: dict[DomainId, float] = {}
         self._released: set[DomainId] = set()
--- a/comfreyshelf/requests_api.py
+++ b/comfreyshelf/requests_api.py
@@ -16,6 +16,7 @@
 from comfreyshelf.config import Caller, Config, Service
 from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
 from comfreyshelf.front import APPEND_TIMEOUT_S, Front, log_down
+from comfreyshelf.hop import HOP_HEADER, HOP_REASONS, Forwarded, Forwarder
 from comfreyshelf.ids import EntryId, RequestId, ServiceId
 from comfreyshelf.model import MAX_PAYLOAD_BYTES
 from comfreyshelf.reasons import RefusalReason
@@ -74,7 +75,8 @@
 class Ask(msgspec.Struct, frozen=True):
     """A checked request of a caller; `until` is its deadline in monotonic seconds.
 
-    The whole request uses the `config` that it was checked against.
+    The whole request uses the `config` that it was checked against. `forwarded` tells that another
+    entry sent it, and `authorization` carries the caller's key to another entry.
     """
 
     config: Config
@@ -85,13 +87,16 @@
     idempotent: bool
     is_short: bool
     key: str
+    authorization: str
+    forwarded: bool
 
 
 class Services:
     """`/v1/services/NAME/requests`: send a short request to a runner."""
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, forwarder: Forwarder | None = None) -> None:
         self._front = front
+        self._forwarder = forwarder
         self._kept = KeptAnswers()
 
     def _cp_dispatch(self, vpath: list[str]) -> "Services | None":
@@ -166,7 +171,20 @@
                 )
             )
         is_short = allowed.ok < known.timeout_s
-        return Ok(Ask(config, caller.ok, known, body.ok, until, idempotent == "yes", is_short, key))
+        return Ok(
+            Ask(
+                config,
+                caller.ok,
+                known,
+                body.ok,
+                until,
+                idempotent == "yes",
+                is_short,
+                key,
+                headers.get("Authorization", ""),
+                HOP_HEADER in headers,
+            )
+        )
 
     def _call(self, ask: Ask) -> Answer:
         call = Call(
@@ -178,7 +196,27 @@
             ask.idempotent,
             ask.is_short,
         )
-        return self._front.router.call(ask.config, call)
+        answer = self._front.router.call(ask.config, call)
+        if answer.is_ok() or not self._may_hop(ask, answer.error):
+            return answer
+        return self._hop(ask, answer.error)
+
+    def _hop(self, ask: Ask, refusal: Refusal) -> Answer:
+        assert self._forwarder is not None
+        request = Forwarded(ask.service.id, ask.body, ask.until, ask.idempotent, ask.authorization)
+        return self._forwarder.forward(ask.config, request, refusal)
+
+    def _has_candidates(self, ask: Ask) -> bool:
+        return self._forwarder is not None and bool(self._forwarder.candidates(ask.config))
+
+    def _may_hop(self, ask: Ask, refusal: Refusal) -> bool:
+        """Whether another entry may serve a request that no runner here has started."""
+        return (
+            self._forwarder is not None
+            and not ask.forwarded
+            and refusal.execution is Execution.NOT_RUN
+            and refusal.reason in HOP_REASONS
+        )
 
     def _once(self, ask: Ask) -> Answer:
         """Run a keyed non-idempotent request, unless any entry has started it before."""
@@ -199,6 +237,8 @@
     def _start(self, ask: Ask, forget: Callable[[], None]) -> Answer:
         """Append the record of the key, then run; `forget` is called if the key stays unused."""
         refusal = self._front.router.check(ask.config, ask.service.id)
+        if refusal is not None and self._may_hop(ask, refusal) and self._has_candidates(ask):
+            refusal = None
         left_s = ask.until - time.monotonic()
         if refusal is None and left_s <= 0:
             refusal = deadline_passed()
--- a/comfreyshelf/settings.py
+++ b/comfreyshelf/settings.py
@@ -20,6 +20,7 @@
     For `shutdown_notice_s` a stopping entry still answers, with a failing health check, so that the
     balancer removes it first; it has to be longer than the interval of the balancer's checks.
     `accept_lost_history` lets an entry start from a log whose records expired without a snapshot.
+    The `tls_` options name PEM files; all three are given, or none for plain TCP.
     """
 
     name: str
@@ -35,6 +36,9 @@
     http_threads: int = 96
     log_retention_s: float = 3600.0
     accept_lost_history: bool = False
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
 
 
 class TargetSettings(msgspec.Struct, frozen=True):
@@ -42,6 +46,7 @@
 
     `runner_urls` has `SERVICE=URL` for each back end over HTTP. Metrics are served at `/metrics` of
     `metrics_address` if that is given. The `worker_` options set up the stand-in worker.
+    The `tls_` options name PEM files as for an entry.
     """
 
     name: str
@@ -60,6 +65,9 @@
     worker_folder: str = ""
     worker_fault: str = ""
     worker_usage_lag_s: float = 5.0
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
 
 
 class RunnerStandinSettings(msgspec.Struct, frozen=True):
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
 from pathlib import Path
 
 import cherrypy
@@ -38,12 +38,11 @@
 from comfreyshelf.runner import Runner, runners_of
 from comfreyshelf.settings import TargetSettings
 from comfreyshelf.tasks import Task
+from comfreyshelf.tls import tls_files
 from comfreyshelf.transport import Link
 from comfreyshelf.web import WebServer
 from comfreyshelf.worker import PartExit, StandinWorker, Worker, WorkerFault
 
-# One thread per request that runs; the admission core never lets more run than a service's slots.
-MAX_RUNNER_THREADS = 64
 # The core's shortest time limit is 2 s, so a tick each quarter of a second is exact enough.
 TICK_S = 0.25
 # Limits usage reports to 64 a round, about 8 KB each `usage_interval_s`.
@@ -105,6 +104,7 @@
         self._runners = runners
         self._metrics = metrics
         self._links: dict[str, Link] = {}
+        self._tls = tls_files(cfg.tls_certificate, cfg.tls_key, cfg.tls_authority)
         self._sender = StatusSender()
         self._wanted: frozenset[str] = frozenset()
         self._unwanted_since: dict[str, float] = {}
@@ -113,7 +113,7 @@
         self._usage_at = 0.0
         self._published: Counter[str] = Counter()
         self._empty = threading.Event()
-        self._pool = ThreadPoolExecutor(MAX_RUNNER_THREADS, "runner")
+        self._calls: set[threading.Thread] = set()
         worker.on_exit = self.send
 
     def start(self) -> None:
@@ -167,7 +167,8 @@
 
     def close(self) -> None:
         """Close the worker and the runners, and the links last."""
-        self._pool.shutdown(wait=True)
+        for thread in list(self._calls):
+            thread.join()
         self._worker.close()
         for runner in self._runners.values():
             runner.close()
@@ -241,7 +242,9 @@
     def _link(self, address: str) -> None:
         if address in self._links:
             return
-        link = Link(address, self._metrics, lambda name, msg: self.send(FromEntry(name, msg)))
+        link = Link(
+            address, self._metrics, lambda name, msg: self.send(FromEntry(name, msg)), self._tls
+        )
         self._links[address] = link
         link.start()
 
@@ -291,15 +294,34 @@
                         action.job, action.attempt, action.part, action.checkpoint
                     )
                 case RunProbe():
-                    self._pool.submit(self._probe, address)
+                    self._start_call(self._probe, address)
                 case CallRunner():
-                    self._pool.submit(self._call_runner, action)
+                    self._start_runner(action)
 
     def _send(self, address: str, message: AnyMessage) -> None:
         link = self._links.get(address)
         if link is None or not link.send(message):
             self._metrics.count("message_undelivered")
 
+    def _start_call(self, work: Callable[..., None], *args: object) -> None:
+        """Run a call in a thread of its own; the admission core bounds them by the slots.
+
+        The slots of all services may be more than any fixed pool has threads, and a request that
+        waits for a thread would look like a running one.
+        """
+        self._calls = {thread for thread in self._calls if thread.is_alive()}
+        thread = threading.Thread(target=work, args=args, name="runner", daemon=True)
+        self._calls.add(thread)
+        thread.start()
+
+    def _start_runner(self, action: CallRunner) -> None:
+        try:
+            self._start_call(self._call_runner, action)
+        except RuntimeError as exc:
+            # The operating system gave no thread; the slot has to become free.
+            self._metrics.count("runner_failed")
+            self.send(RequestEnded(action.request.request, False, type(exc).__name__.encode()))
+
     def _probe(self, address: str) -> None:
         answer = ProbeAnswer(self.agent.worker.target, self._worker.probe())
         self._send(address, answer)
@@ -308,10 +330,13 @@
         request = action.request
         try:
             body = self._runners[request.service].call(request.body, action.timeout_s)
-        except Exception as exc:
-            # Whatever the runner raised, the slot has to become free and the caller answered.
+            if not isinstance(body, bytes):
+                raise TypeError("the runner's answer is not bytes")
+        except BaseException as exc:
+            # Whatever the runner raised, the slot has to become free and the caller answered. The
+            # exception's own text may not be encodable.
             self._metrics.count("runner_failed")
-            self.send(RequestEnded(request.request, False, str(exc).encode()))
+            self.send(RequestEnded(request.request, False, type(exc).__name__.encode()))
             return
         self.send(RequestEnded(request.request, True, body))
 
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -18,6 +18,7 @@
 )
 from comfreyshelf.metrics import FarEnd, Metrics
 from comfreyshelf.tasks import Poller
+from comfreyshelf.tls import TlsFiles, pipe_client, pipe_server, pipe_url
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Closing a socket wakes its receiver; the limit only bounds how long a missed wake-up lasts.
@@ -44,11 +45,13 @@
         metrics: Metrics,
         receive: Callable[[TargetId, AnyMessage], None],
         crosses: Callable[[ZoneId], bool] = lambda _: False,
+        tls: TlsFiles | None = None,
     ) -> None:
         super().__init__("hub")
         self.changes = 0
         self._address = address
         self._crosses = crosses
+        self._tls = tls
         self._ends: dict[int, FarEnd] = {}
         self._metrics = metrics
         self._receive = receive
@@ -69,7 +72,9 @@
             send_buffer_size=_BUFFERED_MESSAGES,
         )
         self._socket.add_post_pipe_remove_cb(self._on_removed)
-        self._socket.listen(f"tcp://{self._address}")
+        if self._tls is not None:
+            self._socket.tls_config = pipe_server(self._tls)
+        self._socket.listen(pipe_url(self._address, self._tls))
         super().start()
 
     def stop(self) -> None:
@@ -185,11 +190,16 @@
     """
 
     def __init__(
-        self, address: str, metrics: Metrics, receive: Callable[[str, AnyMessage], None]
+        self,
+        address: str,
+        metrics: Metrics,
+        receive: Callable[[str, AnyMessage], None],
+        tls: TlsFiles | None = None,
     ) -> None:
         super().__init__(f"link-{address}")
         self.address = address
         self.end = UNKNOWN_END
+        self._tls = tls
         self._metrics = metrics
         self._receive = receive
         self._socket: pynng.Pair1 | None = None
@@ -205,7 +215,9 @@
             reconnect_time_min=100,
             reconnect_time_max=1000,
         )
-        self._socket.dial(f"tcp://{self.address}", block=False)
+        if self._tls is not None:
+            self._socket.tls_config = pipe_client(self._tls, self.address)
+        self._socket.dial(pipe_url(self.address, self._tls), block=False)
         super().start()
 
     def stop(self) -> None:
--- a/comfreyshelf/ui/connection.py
+++ b/comfreyshelf/ui/connection.py
@@ -11,6 +11,7 @@
 
 KEY_VARIABLE = "COMFREYSHELF_KEY"
 ENTRY_VARIABLE = "COMFREYSHELF_ENTRY"
+AUTHORITY_VARIABLE = "COMFREYSHELF_AUTHORITY"
 
 EntryOption = Annotated[
     str, typer.Option("--entry", envvar=ENTRY_VARIABLE, help="ip:port of an entry or the balancer")
@@ -26,7 +27,7 @@
 
 def connect(entry: str, key_file: Path | None) -> Client:
     """Make a client; raises UserError if no key is given."""
-    return Client(entry, read_key(key_file))
+    return Client(entry, read_key(key_file), authority=os.environ.get(AUTHORITY_VARIABLE, ""))
 
 
 def read_key(key_file: Path | None) -> str:
--- a/comfreyshelf/web.py
+++ b/comfreyshelf/web.py
@@ -14,6 +14,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from comfreyshelf.kernel import Service
+from comfreyshelf.tls import TlsFiles, http_adapter
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
@@ -199,6 +200,7 @@
         threads: int = 16,
         error_page: ErrorPage = plain_error,
         parses_forms: bool = True,
+        tls: TlsFiles | None = None,
     ) -> None:
         host, port = address.rsplit(":", 1)
         self._error_page = error_page
@@ -211,6 +213,8 @@
         self._server = _Server(
             (host, int(port)), self._in_flight, numthreads=threads, timeout=SOCKET_TIMEOUT_S
         )
+        if tls is not None:
+            self._server.ssl_adapter = http_adapter(tls)
         self._server.error_body = error_page
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.max_request_header_size = MAX_HEADER_BYTES
--- a/features/processes.py
+++ b/features/processes.py
@@ -26,9 +26,10 @@
     """Starts processes by name and keeps their settings, so that one can be replaced."""
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
+        self.folder = folder
         self._running: dict[str, subprocess.Popen[bytes]] = {}
         self.log_address = free_address()
+        self.authority = ""
         self.http: dict[str, str] = {}
         self.pipes: dict[str, str] = {}
 
@@ -70,7 +71,7 @@
             "target",
             f"[target]\nname = {name}\nzone = {zone}\nrack = {rack}\nentries = {known}\n"
             f"services = permit\nstatus_interval_s = {status_interval_s}\n"
-            f"shutdown_grace_s = 6\nworker_folder = {self._folder}\n{more}",
+            f"shutdown_grace_s = 6\nworker_folder = {self.folder}\n{more}",
         )
 
     def ledger(self) -> Ledger:
@@ -85,18 +86,18 @@
 
     def parts(self, event: str, job: str) -> list[tuple[int, int, str]]:
         """Attempt, part and text of each part of a job that `started` or `ended` on a worker."""
-        path = self._folder / f"{event}.txt"
+        path = self.folder / f"{event}.txt"
         lines = path.read_text(encoding="utf-8").splitlines() if path.exists() else []
         rows = [line.split(" ", 3) for line in lines]
         return [(int(row[1]), int(row[2]), row[3]) for row in rows if row[0] == job]
 
     def logged(self, name: str) -> str:
         """What a process wrote to its output."""
-        return (self._folder / f"{name}.log").read_text(encoding="utf-8")
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
 
     def client(self, entry: str, key: str) -> Client:
         """A client of one entry, once it is healthy."""
-        client = Client(self.http[entry], key)
+        client = Client(self.http[entry], key, authority=self.authority)
         until = time.monotonic() + START_TIMEOUT_S
         while not client.healthy():
             if time.monotonic() > until:
@@ -130,9 +131,9 @@
             self.kill(name)
 
     def _start(self, name: str, command: str, settings: str) -> None:
-        path = self._folder / f"{name}.ini"
+        path = self.folder / f"{name}.ini"
         path.write_text(settings, encoding="utf-8")
-        with (self._folder / f"{name}.log").open("ab") as log:
+        with (self.folder / f"{name}.log").open("ab") as log:
             self._running[name] = subprocess.Popen(
                 [sys.executable, "-m", "comfreyshelf", command, str(path)],
                 cwd=ROOT,
--- /dev/null
+++ b/features/steps/links_steps.py
@@ -0,0 +1,346 @@
+"""Steps for heartbeats, the choice of links, the hop between entries, and runner slots."""
+
+import hashlib
+import queue
+import socket
+import threading
+import time
+
+import msgspec
+from behave import given, then
+from behave.runner import Context
+
+from comfreyshelf.agent import Agent, CallRunner
+from comfreyshelf.client import RefusedError
+from comfreyshelf.config import parse_config
+from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, free_address
+from comfreyshelf.errors import Execution, not_run
+from comfreyshelf.heartbeats import StatusSender
+from comfreyshelf.hop import Forwarded, Forwarder
+from comfreyshelf.ids import (
+    DomainId,
+    EntryId,
+    Epoch,
+    Offset,
+    OperatorId,
+    RequestId,
+    Version,
+    ZoneId,
+)
+from comfreyshelf.ledger import EntryInfo, Ledger
+from comfreyshelf.links import pipes_for
+from comfreyshelf.messages import (
+    Heartbeat,
+    Renewal,
+    RunRequest,
+    ServiceSlots,
+    Status,
+    StatusWanted,
+    Welcome,
+)
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.ownership import Folded, FromTarget, Noted, Ownership, SendMessage, TimePassed
+from comfreyshelf.reasons import RefusalReason
+from comfreyshelf.records import ConfigPublished, DomainClaimed, Record, make_record_id
+from comfreyshelf.runner import Runner
+from comfreyshelf.settings import EntrySettings, TargetSettings
+from comfreyshelf.target import AgentTask
+from comfreyshelf.transport import Hub, Link
+from comfreyshelf.worker import StandinWorker
+from features.processes import separate_processes
+from features.steps.agent_steps import TARGET
+from features.steps.requests_steps import worker
+
+ENTRY = "entry-link"
+# A guarantee has to name its domain where there are two.
+TEXT = DEMO_TEXT.replace("@ worker", "@ worker in litoral") + (
+    "\n[region platense]\n[zone colonia]\nregion = platense\n"
+)
+
+
+def fold(context: Context, body: object, now: float) -> list[object]:
+    offset = context.ledger.next_offset
+    record = Record(make_record_id("w", offset + 1), "w", 1.0, body)
+    return context.core.handle(Folded(record, context.ledger.apply(Offset(offset), record)), now)
+
+
+def to_entry(context: Context, message: object, now: float) -> list[object]:
+    """What an owner sends back to the target for a message."""
+    outputs = context.core.handle(FromTarget(TARGET, message), now)
+    return [output.message for output in outputs if isinstance(output, SendMessage)]
+
+
+def next_message(context: Context, now: float) -> object:
+    return context.sender.message(ENTRY, context.sender.number(context.agent.status(now)))
+
+
+@given("an owner entry and a target that exchanged a status")
+def exchanged(context: Context) -> None:
+    context.ledger = Ledger()
+    cfg = EntrySettings("e", "paysandu", "127.0.0.1:1", "127.0.0.1:2", "")
+    context.core = Ownership(cfg, "w", context.ledger)
+    fold(context, ConfigPublished(Version(1), Version(0), TEXT, OperatorId("o")), 1.0)
+    fold(context, DomainClaimed(DomainId("litoral"), Epoch(1), Epoch(0), EntryId("e")), 1.0)
+    context.agent = Agent(worker(TARGET, "paysandu", 1), ("permit",))
+    context.sender = StatusSender()
+    first = next_message(context, 10.0)
+    assert isinstance(first, Status)
+    [answer] = to_entry(context, first, 10.0)
+    assert isinstance(answer, Welcome) and answer.known == first.sequence
+    context.sender.welcomed(ENTRY, answer)
+    context.agent.handle(answer, 10.1)
+    assert context.agent.lease_until == 16.0
+
+
+@then("an unchanged status is a heartbeat whose renewal gives the lease of a welcome")
+def renewed(context: Context) -> None:
+    beat = next_message(context, 12.0)
+    assert isinstance(beat, Heartbeat)
+    [answer] = to_entry(context, beat, 12.1)
+    assert isinstance(answer, Renewal)
+    context.agent.handle(context.sender.renewed(ENTRY, answer), 13.0)
+    assert context.agent.lease_until == 18.0, "counts from when the target asked"
+
+
+@then("a renewal of an unknown welcome and a heartbeat of an unknown status renew nothing")
+def unknown(context: Context) -> None:
+    assert context.sender.renewed(ENTRY, Renewal(b"other", 13.0, 6.0)) is None
+    assert context.sender.renewed("another entry", Renewal(b"", 13.0, 6.0)) is None
+    beat = next_message(context, 13.0)
+    [answer] = to_entry(context, msgspec.structs.replace(beat, sequence=99), 13.0)
+    assert answer == StatusWanted()
+    context.sender.forget(ENTRY)
+    assert isinstance(next_message(context, 13.0), Status)
+
+
+@then("a changed configuration is sent whole")
+def changed(context: Context) -> None:
+    outputs = fold(context, ConfigPublished(Version(2), Version(1), TEXT, OperatorId("o")), 14.0)
+    told = [out.message for out in outputs if isinstance(out, SendMessage)]
+    assert [(one.version, one.lease_s) for one in told] == [(2, 0.0)], told
+    # The target did not get it, as after a full pipe, so its heartbeat is answered by a whole one.
+    beat = Heartbeat(TARGET, 14.5, told[0].known, Epoch(1), Version(1))
+    [answer] = to_entry(context, beat, 14.5)
+    assert isinstance(answer, Welcome) and answer.version == 2 and answer.lease_s == 6.0
+
+
+@then("the target is lost once, 7 s after its last heartbeat")
+def lost(context: Context) -> None:
+    to_entry(context, next_message(context, 12.0), 12.0)
+    counted = []
+    for tenth in range(121, 800):
+        for output in context.core.handle(TimePassed(), tenth / 10):
+            if isinstance(output, Noted) and output.counter == "targets_lost":
+                counted.append(tenth)
+    assert counted == [191], counted
+
+
+@then("a heartbeat on a new pipe is answered by a demand for the status")
+def new_pipe(context: Context) -> None:
+    address = free_address()
+    context.received = queue.Queue()
+    context.answers = queue.Queue()
+    hub = Hub(address, Metrics(), lambda _, message: context.received.put(message))
+    context.links = [
+        Link(address, Metrics(), lambda _, message: context.answers.put(message)) for _ in range(2)
+    ]
+    for service in (hub, *context.links):
+        service.start()
+        context.stack.callback(service.stop)
+    context.beat = Heartbeat(TARGET, 1.0, 1, Epoch(1), Version(1))
+    send(context.links[0], context.beat)
+    assert context.answers.get(timeout=10.0) == StatusWanted()
+
+
+def send(link: Link, message: object) -> None:
+    until = time.monotonic() + 10.0
+    while not link.send(message):
+        assert time.monotonic() < until
+        time.sleep(0.02)
+
+
+@then("a heartbeat on the pipe of an old incarnation is dropped")
+def old_incarnation(context: Context) -> None:
+    for index, link in enumerate(context.links):
+        status = Agent(worker(TARGET, "paysandu", index + 1)).status(1.0)
+        send(link, status)
+        assert context.received.get(timeout=10.0) == status
+    send(context.links[0], context.beat)
+    time.sleep(0.3)
+    newer = msgspec.structs.replace(context.beat, sent_at=2.0)
+    send(context.links[1], newer)
+    assert context.received.get(timeout=10.0) == newer
+
+
+def entry_info(name: str, zone: str, address: str = "") -> EntryInfo:
+    return EntryInfo(EntryId(name), ZoneId(zone), address or name, f"{name}:1", 0.0, Version(1))
+
+
+@then("a target gets the entries of its zone, the owner, and a few others of its region only")
+def chosen(context: Context) -> None:
+    config = parse_config(TEXT, Version(1)).ok
+    zones = {"p0": "paysandu", "p1": "paysandu", "p2": "paysandu", "s0": "salto", "c0": "colonia"}
+    known = [entry_info(name, zone) for name, zone in zones.items()]
+
+    def pipes(zone: str, owner: str) -> set[str]:
+        found = pipes_for(ZoneId(zone), config, known, EntryId(owner))
+        return {address.partition(":")[0] for address in found}
+
+    assert pipes("paysandu", "p0") == {"p0", "p1", "p2"}
+    assert pipes("paysandu", "s0") == {"p0", "p1", "p2", "s0"}
+    assert pipes("salto", "p1") == {"s0", "p1"}
+    assert pipes("salto", "s0") > {"s0"} and len(pipes("salto", "s0")) == 2
+    assert pipes("colonia", "c0") == {"c0"}
+
+
+@given("an entry without runners, and an entry of another region with a runner")
+def two_regions(context: Context) -> None:
+    processes = context.processes = context.stack.enter_context(separate_processes())
+    processes.start_log()
+    processes.start_entry("near", "paysandu")
+    processes.start_entry("far", "colonia")
+    processes.start_target("target-0", "colonia", "rack", entries=["far"])
+    processes.client("near", OPERATOR_KEY).publish(TEXT, 0)
+    far = processes.client("far", OPERATOR_KEY)
+    until = time.monotonic() + 30.0
+    while not any(one["version"] == 1 for one in far.targets()):
+        assert time.monotonic() < until
+        time.sleep(0.1)
+
+
+@then("a request through the first entry is answered by the runner, once")
+def hop_answered(context: Context) -> None:
+    near = context.processes.client("near", CALLER_KEY)
+    assert near.request("permit", b"abc", idempotent=False) == b"cba"
+    assert near.request("permit", b"abcd", idempotent=False, key="k-1") == b"dcba"
+    assert "comfreyshelf_request_forwarded 2" in near.metrics()
+    assert context.processes.client("near", OPERATOR_KEY).targets() == [], "status across regions"
+
+
+@then("a request for which no entry has a runner is refused as not_run")
+def hop_refused(context: Context) -> None:
+    context.processes.stop("target-0")
+    near = context.processes.client("near", CALLER_KEY)
+    try:
+        near.request("permit", b"abc", idempotent=False)
+    except RefusedError as exc:
+        assert exc.refusal.execution is Execution.NOT_RUN, exc
+        return
+    raise AssertionError("answered without a runner")
+
+
+@then("bytes are counted by zone, and those across regions apart")
+def bytes_by_zone(context: Context) -> None:
+    texts = [context.processes.client(name, CALLER_KEY).metrics() for name in ("near", "far")]
+    assert 'control_bytes{link="colonia",cross_region="yes",direction="out"}' in texts[0]
+    assert 'control_bytes{link="colonia",cross_region="no",direction="in"}' in texts[1]
+
+
+class FakeEntry:
+    """Accepts connections; answers with `body`, or closes after the request if that is None."""
+
+    def __init__(self, context: Context, body: bytes | None) -> None:
+        self.calls = 0
+        self._body = body
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        context.stack.callback(self._socket.close)
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                conn, _ = self._socket.accept()
+            except OSError:
+                return
+            with conn:
+                conn.recv(65536)
+                self.calls += 1
+                if self._body is not None:
+                    digest = hashlib.sha256(self._body).hexdigest()
+                    head = f"HTTP/1.1 200 OK\r\nDigest: sha-256={digest}\r\nContent-Length: "
+                    conn.sendall(f"{head}{len(self._body)}\r\n\r\n".encode() + self._body)
+
+
+class FakeReader:
+    def __init__(self, addresses: list[str]) -> None:
+        self.lock = threading.Lock()
+        self.ledger = Ledger()
+        for index, address in enumerate(addresses):
+            zone = ("salto", "colonia")[index]
+            self.ledger.state.entries[EntryId(zone)] = entry_info(zone, zone, address)
+
+
+def forward(addresses: list[str], idempotent: bool):
+    forwarder = Forwarder(EntryId("e"), ZoneId("paysandu"), FakeReader(addresses), Metrics(), "")
+    request = Forwarded("permit", b"abc", time.monotonic() + 5.0, idempotent, "Bearer k")
+    refusal = not_run(RefusalReason.NO_RUNNER, "none", "wait")
+    return forwarder.forward(parse_config(TEXT, Version(1)).ok, request, refusal)
+
+
+@then("a lost answer of a non-idempotent request is may_have_run and is not sent again")
+def lost_answer(context: Context) -> None:
+    context.lost, context.good = FakeEntry(context, None), FakeEntry(context, b"ok")
+    answer = forward([context.lost.address, context.good.address], False)
+    assert answer.error.execution is Execution.MAY_HAVE_RUN
+    assert (context.lost.calls, context.good.calls) == (1, 0)
+
+
+@then("an idempotent request goes on to the next entry")
+def goes_on(context: Context) -> None:
+    assert forward([context.lost.address, context.good.address], True).ok == b"ok"
+
+
+@then("a refused connection is not_run")
+def refused_connection(context: Context) -> None:
+    assert forward([free_address()], False).error.execution is Execution.NOT_RUN
+    assert forward([free_address(), context.good.address], False).ok == b"ok"
+
+
+class OddRunner(Runner):
+    """Fails in unusual ways, or waits until `count` calls run at once."""
+
+    def __init__(self, count: int) -> None:
+        self.all_here = threading.Barrier(count)
+
+    def call(self, body: bytes, timeout_s: float) -> bytes:
+        if body == b"exit":
+            raise SystemExit("\udc80")
+        if body == b"none":
+            return None
+        self.all_here.wait(10.0)
+        return body
+
+
+def run_requests(context: Context, slots: int, bodies: list[bytes]) -> AgentTask:
+    cfg = TargetSettings("t", "paysandu", "r", (), services=("permit",))
+    metrics = context.runner_metrics = Metrics()
+    task = AgentTask(cfg, StandinWorker(), {"permit": OddRunner(slots)}, metrics)
+    task.start()
+    context.stack.callback(task.stop)
+    limits = ServiceSlots("permit", slots, slots)
+    task.agent.admission.set_limits((limits,), time.monotonic())
+    for index, body in enumerate(bodies):
+        digest = hashlib.sha256(body).hexdigest()
+        request = RunRequest(
+            RequestId(f"r{index}"), "permit", Version(0), 10.0, body, False, digest
+        )
+        actions = task.agent.admission.offer(request, time.monotonic(), "", False)
+        task._carry_out([CallRunner(one.request, 10.0) for one in actions], "")
+    until = time.monotonic() + 15.0
+    while not task.agent.admission.idle:
+        assert time.monotonic() < until, task.agent.admission.loads()
+        time.sleep(0.02)
+    return task
+
+
+@then("a runner that raises SystemExit or answers with no bytes has all slots free again")
+def odd_runner(context: Context) -> None:
+    run_requests(context, 2, [b"exit", b"none"])
+    assert context.runner_metrics.value("runner_failed") == 2
+
+
+@then("80 requests of a runner with 80 slots run at once")
+def many_slots(context: Context) -> None:
+    run_requests(context, 80, [b"x"] * 80)
+    assert context.runner_metrics.value("runner_failed") == 0
--- /dev/null
+++ b/features/steps/tls_steps.py
@@ -0,0 +1,80 @@
+"""Steps for TLS between processes."""
+
+import time
+from pathlib import Path
+
+import trustme
+from behave import given, then
+from behave.runner import Context
+
+from comfreyshelf.client import Client, UnreachableError
+from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, wait_for_targets
+from comfreyshelf.errors import SettingsError
+from comfreyshelf.tls import tls_files
+from features.processes import separate_processes
+
+
+def certificates(folder: Path) -> str:
+    """Write an authority and a certificate for loopback; the settings that name them."""
+    folder.mkdir()
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    authority.cert_pem.write_to_path(folder / "authority.pem")
+    certificate.private_key_pem.write_to_path(folder / "key.pem")
+    for index, pem in enumerate(certificate.cert_chain_pems):
+        pem.write_to_path(folder / "certificate.pem", append=index > 0)
+    return "".join(
+        f"tls_{name} = {folder / name}.pem\n" for name in ("certificate", "key", "authority")
+    )
+
+
+@given("an entry and a target with certificates of one authority")
+def start(context: Context) -> None:
+    processes = context.processes = context.stack.enter_context(separate_processes())
+    context.folder = processes.folder
+    options = certificates(context.folder / "own")
+    context.others = certificates(context.folder / "other")
+    processes.authority = str(context.folder / "own" / "authority.pem")
+    processes.start_log()
+    processes.start_entry("entry-0", "paysandu", options)
+    processes.start_target("target-0", "paysandu", "rack", more=options)
+    context.operator = processes.client("entry-0", OPERATOR_KEY)
+    context.operator.publish(DEMO_TEXT, 0)
+    wait_for_targets(context.operator, 1, 1)
+
+
+@then("a caller who knows the authority gets the answer of a request")
+def answered(context: Context) -> None:
+    client = context.processes.client("entry-0", CALLER_KEY)
+    assert client.request("permit", b"abc", idempotent=False) == b"cba"
+
+
+@then("a caller of another authority and a plain one get no answer")
+def no_answer(context: Context) -> None:
+    address = context.processes.http["entry-0"]
+    for authority in (str(context.folder / "other" / "authority.pem"), ""):
+        try:
+            Client(address, CALLER_KEY, authority=authority).request("permit", b"abc")
+        except UnreachableError:
+            continue
+        raise AssertionError(f"answered with authority {authority!r}")
+
+
+@then("a target of another authority and a plain one are refused")
+def refused(context: Context) -> None:
+    context.processes.start_target("target-1", "paysandu", "rack", more=context.others)
+    context.processes.start_target("target-2", "paysandu", "rack")
+    # A target that is admitted shows within 1 s.
+    time.sleep(5.0)
+    shown = [target["target"] for target in context.operator.targets()]
+    assert shown == ["target-0"], shown
+
+
+@then("settings with only some of the files are refused")
+def some_files(context: Context) -> None:
+    for names in (("a", "b", ""), ("", "", "c")):
+        try:
+            tls_files(*names)
+        except SettingsError:
+            continue
+        raise AssertionError(names)
