--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,17 +1,21 @@
 """Slopes behind docs/CAPACITY.md: `python -m benchmarks.capacity`."""
 
 import gc
+import hashlib
+import queue
+import threading
 import time
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 import typer
 
+from benchmarks import target_cost
 from comfreyshelf.commands import ReserveParts
 from comfreyshelf.config import parse_config
 from comfreyshelf.demo import DEMO_TEXT, free_address
-from comfreyshelf.events import JobQueued
+from comfreyshelf.events import JobQueued, Reserved, StartRecorded
 from comfreyshelf.ids import (
     Attempt,
     CallerId,
@@ -32,9 +36,12 @@
 from comfreyshelf.membership import Roster
 from comfreyshelf.messages import (
     AnyMessage,
+    Heartbeat,
     PartReport,
+    Renewal,
     Reserve,
     RunnerLoad,
+    ServiceSlots,
     Status,
     Welcome,
     decode_message,
@@ -42,15 +49,41 @@
 )
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.model import HeldPart, Job, PartState, Placement, Shape, WorkerInfo
-from comfreyshelf.ownership import Folded, FromTarget, Ownership, SendMessage, TimePassed
-from comfreyshelf.records import ConfigPublished, DomainClaimed, Record, make_record_id
+from comfreyshelf.ownership import (
+    SUMMARY_INTERVAL_S,
+    Folded,
+    FromTarget,
+    LogChanged,
+    Ownership,
+    SendMessage,
+    TimePassed,
+)
+from comfreyshelf.records import (
+    AnyBody,
+    AttemptStarted,
+    ConfigPublished,
+    DomainClaimed,
+    JobAccepted,
+    JobFinished,
+    Record,
+    decode_record,
+    encode_record,
+    make_record_id,
+)
 from comfreyshelf.settings import EntrySettings
+from comfreyshelf.snapshots import take_snapshot
 from comfreyshelf.transport import Hub, Link
 
 # 260,000 tasks on 31,000 workers.
 PARTS_PER_WORKER = 8
 ACCELERATORS = 8
 WORKERS_PER_RACK = 3
+# 31,000 workers in 15 zones, each zone a domain.
+DOMAIN_WORKERS = 2067
+STATUS_INTERVAL_S = 2.0
+TICKS_A_SECOND = 10
+# Heartbeats under way at once; an owner of 2,067 workers gets a thousand a second.
+BURST = 32
 DOMAIN = DomainId("litoral")
 
 
@@ -90,23 +123,26 @@
 
 
 class Owner:
-    """An ownership core with `workers` full workers."""
+    """An ownership core with `workers` full workers, whose domain is its own if `owns`."""
 
-    def __init__(self, workers: int) -> None:
+    def __init__(self, workers: int, owns: bool = True) -> None:
         self.ledger = Ledger()
         cfg = EntrySettings("e", "paysandu", "127.0.0.1:1", "127.0.0.1:2", "")
         self.core = Ownership(cfg, "w", self.ledger)
         self._fold(ConfigPublished(Version(1), Version(0), DEMO_TEXT, OperatorId("o")))
-        self._fold(DomainClaimed(DOMAIN, Epoch(1), Epoch(0), EntryId("e")))
+        self._fold(DomainClaimed(DOMAIN, Epoch(1), Epoch(0), EntryId("e")), "w" if owns else "v")
         self.held: dict[int, tuple[HeldPart, ...]] = {}
         for index in range(workers):
             self.core.handle(FromTarget(worker_info(index).target, make_status(index, (), 1.0)), 1)
         self.core.handle(TimePassed(), 5.0)
-        self._fill(workers)
+        if owns:
+            self._fill(workers)
+        else:
+            self.held = {index: held_parts(index) for index in range(workers)}
 
-    def _fold(self, body: ConfigPublished | DomainClaimed) -> None:
+    def _fold(self, body: ConfigPublished | DomainClaimed, writer: str = "w") -> None:
         offset = self.ledger.next_offset
-        record = Record(make_record_id("w", offset + 1), "w", 1.0, body)
+        record = Record(make_record_id(writer, offset + 1), writer, 1.0, body)
         verdict: Verdict = self.ledger.apply(Offset(offset), record)
         self.core.handle(Folded(record, verdict), 1.0)
 
@@ -123,6 +159,8 @@
                             job.id, command.attempt, 0, placement.mask, PartState.RUNNING
                         )
                         held.setdefault(indexes[placement.target], []).append(part)
+                        scheduler.handle(Reserved(job.id, command.attempt, placement.target), 5.0)
+                    scheduler.handle(StartRecorded(job.id, command.attempt, True), 5.0)
         self.held = {index: tuple(parts) for index, parts in held.items()}
 
 
@@ -135,50 +173,178 @@
     return (time.process_time() - started) / count * 1e6
 
 
-def status_cost(workers: int) -> float:
+def status_cost(workers: int, owns: bool = True) -> float:
     """Decode a status, update the roster, decide, and encode the answer, in microseconds."""
-    owner = Owner(workers)
+    owner = Owner(workers, owns)
+    return message_cost(owner, [status_of(owner, index) for index in range(workers)])
+
+
+def heartbeat_cost(workers: int, owns: bool = True) -> float:
+    """The same for a heartbeat; at the owner it includes reconciling the worker's parts."""
+    owner = Owner(workers, owns)
     roster = Roster()
-    data = [
-        encode_message(make_status(index, owner.held.get(index, ()), 5.0))
-        for index in range(workers)
-    ]
+    for index in range(workers):
+        status = status_of(owner, index)
+        roster.update(status)
+        owner.core.handle(FromTarget(status.worker.target, status), 6.0)
+    return message_cost(owner, [beat_of(index) for index in range(workers)], roster)
+
+
+def status_of(owner: Owner, index: int) -> Status:
+    """The numbered status of a worker with all its parts."""
+    status = make_status(index, owner.held.get(index, ()), 5.0)
+    return msgspec.structs.replace(status, sequence=1)
+
+
+def beat_of(index: int) -> Heartbeat:
+    """A heartbeat for `status_of`."""
+    return Heartbeat(worker_info(index).target, 6.0, 1, Epoch(1), Version(1))
+
+
+def message_cost(
+    owner: Owner, messages: Sequence[Status | Heartbeat], roster: Roster | None = None
+) -> float:
+    """Mean cost of messages at an entry without their pipes, in microseconds."""
+    table = roster or Roster()
+    data = [encode_message(message) for message in messages]
 
     def work(index: int) -> None:
-        message = decode_message(data[index % workers])
-        assert isinstance(message, Status)
-        roster.update(message)
-        for output in owner.core.handle(FromTarget(message.worker.target, message), 6.0):
+        message = decode_message(data[index % len(data)])
+        if isinstance(message, Status):
+            table.update(message)
+            target = message.worker.target
+        else:
+            assert isinstance(message, Heartbeat)
+            table.renew(message)
+            target = message.target
+        for output in owner.core.handle(FromTarget(target, message), 12.0):
             if isinstance(output, SendMessage):
                 encode_message(output.message)
 
-    return microseconds(work, max(workers, 2000))
+    return microseconds(work, max(len(data), 2000))
 
 
 def tick_cost(workers: int) -> float:
     """One tick of the core without anything due, in microseconds."""
     owner = Owner(workers)
-    owner.core.handle(TimePassed(), 6.0)
-    return microseconds(lambda _: owner.core.handle(TimePassed(), 6.0), 200)
+    owner.core.handle(TimePassed(), 9.0)
+    return microseconds(lambda _: owner.core.handle(TimePassed(), 9.0), 200)
 
 
-def memory_per_worker(workers: int) -> float:
-    """Bytes that the owner's core and the roster keep for a worker with 8 parts."""
+def summary_cost(workers: int) -> float:
+    """A renewal of the domain with its summary, due every 5 s, in microseconds."""
+    owner = Owner(workers)
+    owner.core.handle(LogChanged(True), 6.0)
+    for index in range(workers):
+        status = status_of(owner, index)
+        owner.core.handle(FromTarget(status.worker.target, status), 1000.0)
+    owner.core.handle(TimePassed(), 1000.0)
+
+    def renew(index: int) -> None:
+        for domain in owner.core.domains.values():
+            domain.renewed_at = domain.summarised_at = 0.0
+        owner.core.handle(TimePassed(), 1000.5 + index * 0.5)
+
+    return microseconds(renew, 10)
+
+
+def memory_of(build: Callable[[], object], workers: int) -> float:
+    """Bytes a worker that `build` keeps."""
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    owner = Owner(workers)
-    roster = Roster()
-    for index in range(workers):
-        roster.update(make_status(index, owner.held.get(index, ()), 1.0))
+    kept = build()
     gc.collect()
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
+    del kept
     return (after - before) / workers
 
 
-def pipe_cost(messages: int) -> float:
-    """Both ends of a pipe together: processor time to send and receive one status, microseconds."""
+def owner_memory(workers: int) -> float:
+    """Bytes that the owner's core keeps for a worker with 8 parts."""
+    return memory_of(lambda: Owner(workers), workers)
+
+
+def roster_memory(workers: int) -> float:
+    """Bytes that the roster of an entry keeps for a worker with 8 parts."""
+    data = [encode_message(make_status(n, held_parts(n), 1.0)) for n in range(workers)]
+
+    def build() -> Roster:
+        roster = Roster()
+        for item in data:
+            message = decode_message(item)
+            assert isinstance(message, Status)
+            roster.update(message)
+        return roster
+
+    return memory_of(build, workers)
+
+
+def held_parts(index: int) -> tuple[HeldPart, ...]:
+    """Eight parts of jobs of their own."""
+    return tuple(
+        HeldPart(
+            JobId(f"{index * PARTS_PER_WORKER + part:032x}"),
+            Attempt(1),
+            0,
+            1 << part,
+            PartState.RUNNING,
+        )
+        for part in range(PARTS_PER_WORKER)
+    )
+
+
+def fold_cost(jobs: int) -> dict[str, float]:
+    """Microseconds to decode and fold each record of a job, and to snapshot and encode a job."""
+    ledger = Ledger()
+    writes: list[tuple[str, list[AnyBody]]] = [
+        ("ConfigPublished", [ConfigPublished(Version(1), Version(0), DEMO_TEXT, OperatorId("o"))]),
+        ("DomainClaimed", [DomainClaimed(DOMAIN, Epoch(1), Epoch(0), EntryId("e"))]),
+        ("JobAccepted", [JobAccepted(make_job(n), DOMAIN) for n in range(jobs)]),
+        ("AttemptStarted", [_started(n) for n in range(jobs)]),
+        ("JobFinished", [_finished(n) for n in range(jobs)]),
+    ]
+    costs: dict[str, float] = {}
+    sequence = 0
+    for name, bodies in writes:
+        data = []
+        for body in bodies:
+            sequence += 1
+            data.append(encode_record(Record(make_record_id("w", sequence), "w", 1.0, body)))
+
+        def fold(index: int, data: list[bytes] = data) -> None:
+            ledger.apply(Offset(ledger.next_offset), decode_record(data[index]))
+
+        costs[f"fold of {name}, us"] = microseconds(fold, len(data))
+        if name == "AttemptStarted":
+            costs |= _snapshot_cost(ledger, jobs, "running")
+    return costs | _snapshot_cost(ledger, jobs, "finished")
+
+
+def _snapshot_cost(ledger: Ledger, jobs: int, state: str) -> dict[str, float]:
+    size = sum(len(chunk.data) for chunk in take_snapshot(ledger))
+    cost = microseconds(lambda _: take_snapshot(ledger), 3)
+    return {
+        f"snapshot a {state} job, bytes": size / jobs,
+        f"snapshot a {state} job, us": cost / jobs,
+    }
+
+
+def _started(number: int) -> AttemptStarted:
+    job = make_job(number)
+    placement = Placement(0, worker_info(number).target, 1)
+    return AttemptStarted(job.id, Attempt(1), DOMAIN, Epoch(1), (placement,))
+
+
+def _finished(number: int) -> JobFinished:
+    result = f"result {number}".encode() * 8
+    digest = hashlib.sha256(result).hexdigest()
+    return JobFinished(make_job(number).id, Attempt(1), DOMAIN, Epoch(1), result, digest)
+
+
+def pipe_cost(messages: int, is_heartbeat: bool = False) -> float:
+    """Both ends of a pipe together: processor time to send and receive a message, microseconds."""
     received: list[TargetId] = []
     address = free_address()
     metrics = Metrics()
@@ -186,17 +352,14 @@
     link = Link(address, metrics, lambda *_: None)
     hub.start()
     link.start()
-    parts = tuple(
-        HeldPart(JobId(f"{part:032x}"), Attempt(1), 0, 1 << part, PartState.RUNNING)
-        for part in range(PARTS_PER_WORKER)
-    )
-    status = make_status(0, parts, 1.0)
+    status = make_status(0, held_parts(0), 1.0)
+    message: AnyMessage = beat_of(0) if is_heartbeat else status
     while not link.send(status):
         time.sleep(0.01)
     started = time.process_time()
     sent = 1
     while sent < messages:
-        sent += link.send(status)
+        sent += link.send(message)
     until = time.monotonic() + 10.0
     while len(received) < messages and time.monotonic() < until:
         time.sleep(0.001)
@@ -206,21 +369,82 @@
     return cost
 
 
+def round_trip_cost(workers: int) -> float:
+    """A heartbeat and its renewal over a pipe with the owner's core behind it, both ends, in us.
+
+    The entry's share is less than this; its inbox and its histogram of decisions are included.
+    """
+    owner = Owner(workers)
+    for index in range(workers):
+        status = status_of(owner, index)
+        owner.core.handle(FromTarget(status.worker.target, status), 6.0)
+    inbox: queue.SimpleQueue[FromTarget | None] = queue.SimpleQueue()
+    answers: queue.SimpleQueue[AnyMessage] = queue.SimpleQueue()
+    address = free_address()
+    metrics = Metrics()
+    roster = Roster()
+    hub = Hub(address, metrics, lambda target, message: inbox.put(FromTarget(target, message)))
+    link = Link(address, metrics, lambda _, message: answers.put(message))
+
+    def decide() -> None:
+        while (event := inbox.get()) is not None:
+            if isinstance(event.message, Heartbeat):
+                roster.renew(event.message)
+            started = time.perf_counter()
+            outputs = owner.core.handle(event, 12.0)
+            metrics.record_latency("decision", time.perf_counter() - started)
+            for output in outputs:
+                if isinstance(output, SendMessage):
+                    hub.send(output.target, output.message)
+
+    thread = threading.Thread(target=decide, daemon=True)
+    thread.start()
+    hub.start()
+    link.start()
+    while not link.send(status_of(owner, 0)):
+        time.sleep(0.01)
+    answers.get(timeout=10.0)
+
+    def work(_: int) -> None:
+        sent = 0
+        while sent < BURST:
+            sent += link.send(beat_of(0))
+        for _ in range(BURST):
+            answers.get(timeout=10.0)
+
+    cost = microseconds(work, 64) / BURST
+    inbox.put(None)
+    thread.join()
+    link.stop()
+    hub.stop()
+    return cost
+
+
 def message_sizes() -> dict[str, int]:
     """Bytes of the common messages."""
-    parts = tuple(
-        HeldPart(JobId(f"{part:032x}"), Attempt(1), 0, 1 << part, PartState.RUNNING)
-        for part in range(PARTS_PER_WORKER)
-    )
     entries = ("10.0.0.1:7411", "10.0.0.2:7411")
     target = TargetId("target-00001")
     job = make_job(1)
     messages: dict[str, AnyMessage] = {
         "Status, idle": make_status(1, (), 1.0),
-        "Status, 8 parts": make_status(1, parts, 1.0),
+        "Status, 8 parts": make_status(1, held_parts(1), 1.0),
         "Welcome": Welcome(
-            EntryId("entry-1"), DOMAIN, Epoch(1), Version(1), True, 1.0, 6.0, False, entries
+            EntryId("entry-1"),
+            DOMAIN,
+            Epoch(1),
+            Version(1),
+            True,
+            1.0,
+            6.0,
+            False,
+            entries,
+            (ServiceSlots("permit", 8, 64),),
+            1,
+            b"8 bytes.",
+            ZoneId("paysandu"),
         ),
+        "Heartbeat": beat_of(1),
+        "Renewal": Renewal(b"8 bytes.", 1.0, 6.0),
         "Reserve, 1 part": Reserve(
             Epoch(1), Version(1), job, Attempt(1), (Placement(0, target, 1),)
         ),
@@ -239,21 +463,40 @@
     return microseconds(lambda _: parse_config(text, Version(1)), 5) / 1000
 
 
-def main() -> None:
-    """Print the slopes."""
-    sizes = (250, 500, 1000, 2000)
+def main(with_target: bool = True) -> None:
+    """Print the slopes; `with_target` also measures a whole target process, for 35 s."""
+    sizes = (500, 1000, DOMAIN_WORKERS)
+    pipes = (1000, 5000)
     slopes = [
-        Slope("status at the owner", "us", {size: status_cost(size) for size in sizes}),
-        Slope("tick of the owner", "us", {size: tick_cost(size) for size in sizes}),
-        Slope("memory a worker", "bytes", {size: memory_per_worker(size) for size in sizes}),
-        Slope("pipe, both ends", "us", {size: pipe_cost(size) for size in (1000, 5000)}),
-        Slope("configuration text", "ms", {size: config_cost(size) for size in (4, 41, 410)}),
+        Slope("status at the owner", "us", {n: status_cost(n) for n in sizes}),
+        Slope("heartbeat at the owner", "us", {n: heartbeat_cost(n) for n in sizes}),
+        Slope("status at another entry", "us", {n: status_cost(n, False) for n in sizes}),
+        Slope("heartbeat at another entry", "us", {n: heartbeat_cost(n, False) for n in sizes}),
+        Slope("tick of the owner", "us", {n: tick_cost(n) for n in sizes}),
+        Slope("renewal with summary", "us", {n: summary_cost(n) for n in sizes}),
+        Slope("owner's memory a worker", "bytes", {n: owner_memory(n) for n in sizes}),
+        Slope("roster's memory a worker", "bytes", {n: roster_memory(n) for n in sizes}),
+        Slope("pipe, status, both ends", "us", {n: pipe_cost(n) for n in pipes}),
+        Slope("pipe, heartbeat, both ends", "us", {n: pipe_cost(n, True) for n in pipes}),
+        Slope("heartbeat and renewal, both ends", "us", {n: round_trip_cost(n) for n in sizes}),
+        Slope("configuration text", "ms", {n: config_cost(n) for n in (4, 41, 410)}),
     ]
     for slope in slopes:
         values = ", ".join(f"{size}: {value:.1f}" for size, value in slope.values.items())
         print(f"{slope.name} ({slope.unit}): {values}")
+    small, large = slopes[-1].values[41], slopes[-1].values[410]
+    print(f"configuration an organisation: {(large - small) / 369 * 1000:.1f} us")
+    for name, cost in fold_cost(20_000).items():
+        print(f"{name}: {cost:.1f}")
     for name, size in message_sizes().items():
         print(f"{name}: {size} bytes")
+    beats_a_second = DOMAIN_WORKERS / STATUS_INTERVAL_S
+    whole = slopes[-2].values[DOMAIN_WORKERS] * beats_a_second
+    whole += slopes[4].values[DOMAIN_WORKERS] * TICKS_A_SECOND
+    whole += slopes[5].values[DOMAIN_WORKERS] / SUMMARY_INTERVAL_S
+    print(f"owner of {DOMAIN_WORKERS} workers, both ends of the pipes: {whole / 1e6:.3f} cores")
+    if with_target:
+        target_cost.run()
 
 
 if __name__ == "__main__":
