--- a/comfreyshelf/messages.py
+++ b/comfreyshelf/messages.py
@@ -3,7 +3,17 @@
 import msgspec
 
 from comfreyshelf.errors import RecordError
-from comfreyshelf.ids import Attempt, DomainId, EntryId, Epoch, JobId, RequestId, TargetId, Version
+from comfreyshelf.ids import (
+    Attempt,
+    DomainId,
+    EntryId,
+    Epoch,
+    JobId,
+    RequestId,
+    TargetId,
+    Version,
+    ZoneId,
+)
 from comfreyshelf.model import HeldPart, Job, PartState, Placement, WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 
@@ -22,7 +32,10 @@
 
 
 class Status(Message, frozen=True, tag=True):
-    """Target to entry: what the target has and holds; `sent_at` is the target's own clock."""
+    """Target to entry: what the target has and holds; `sent_at` is the target's own clock.
+
+    `sequence` grows with each change of the contents; `epoch` and `version` are not part of them.
+    """
 
     worker: WorkerInfo
     sent_at: float
@@ -31,6 +44,21 @@
     parts: tuple[HeldPart, ...] = ()
     runners: tuple[RunnerLoad, ...] = ()
     draining: bool = False
+    sequence: int = 0
+
+
+class Heartbeat(Message, frozen=True, tag=True):
+    """Target to entry: the contents of status `sequence`, which the entry has, still hold."""
+
+    target: TargetId
+    sent_at: float
+    sequence: int
+    epoch: Epoch
+    version: Version
+
+
+class StatusWanted(Message, frozen=True, tag=True):
+    """Entry to target: send a full `Status`, because the entry lacks the one of a heartbeat."""
 
 
 class ServiceSlots(msgspec.Struct, frozen=True):
@@ -45,7 +73,10 @@
     """Entry to target: configuration, entries and lease.
 
     `echo` is `sent_at` of the status that this answers, so the lease of `lease_s` counts from the
-    moment when the target asked. A `lease_s` of 0 renews nothing.
+    moment when the target asked. A `lease_s` of 0 renews nothing. `known` is the sequence number
+    of the newest status that the entry has, and `digest` identifies everything but the lease.
+    `entries` are those that the target keeps pipes to. `zone` is that of the entry, and
+    `cross_region` tells whether it lies in another region than the target.
     """
 
     entry: EntryId
@@ -58,6 +89,18 @@
     draining: bool = False
     entries: tuple[str, ...] = ()
     services: tuple[ServiceSlots, ...] = ()
+    known: int = 0
+    digest: bytes = b""
+    zone: ZoneId = ZoneId("")
+    cross_region: bool = False
+
+
+class Renewal(Message, frozen=True, tag=True):
+    """Entry to target: answers a heartbeat like the `Welcome` of `digest` with this lease."""
+
+    digest: bytes
+    echo: float
+    lease_s: float
 
 
 class Reserve(Message, frozen=True, tag=True):
@@ -213,7 +256,10 @@
 
 AnyMessage = (
     Status
+    | Heartbeat
+    | StatusWanted
     | Welcome
+    | Renewal
     | Reserve
     | ReserveAnswer
     | Commit
@@ -232,6 +278,11 @@
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
+# First bytes of a msgpack array; a single message is a map.
+_ARRAY_HEADS = frozenset({*range(0x90, 0xA0), 0xDC, 0xDD})
+_FRAME_DECODER: msgspec.msgpack.Decoder[list[msgspec.Raw]] = msgspec.msgpack.Decoder(
+    list[msgspec.Raw]
+)
 _DECODER: msgspec.msgpack.Decoder[AnyMessage] = msgspec.msgpack.Decoder(AnyMessage)
 
 
@@ -246,3 +297,21 @@
         return _DECODER.decode(data)
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
         raise RecordError(f"unreadable message: {exc}", "drop it and count it") from exc
+
+
+def encode_frame(messages: list[bytes]) -> bytes:
+    """Join encoded messages into one frame; a single message is sent as it is."""
+    if len(messages) == 1:
+        return messages[0]
+    return _ENCODER.encode([msgspec.Raw(message) for message in messages])
+
+
+def decode_frame(data: bytes) -> list[AnyMessage]:
+    """The messages of a frame in order; raises RecordError if any of them is damaged."""
+    if not data[:1] or data[0] not in _ARRAY_HEADS:
+        return [decode_message(data)]
+    try:
+        items = _FRAME_DECODER.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise RecordError(f"unreadable frame: {exc}", "drop it and count it") from exc
+    return [decode_message(bytes(item)) for item in items]
--- a/comfreyshelf/reports.py
+++ b/comfreyshelf/reports.py
@@ -21,12 +21,18 @@
     runners = {target: status.runners for target, status in statuses.items()}
     leaving = tuple(
         _confirmed(
-            explain(target, config, status.parts, runners, scheduler.gangs, scheduler.plan),
-            status,
+            explain(
+                target,
+                config,
+                statuses[target].parts,
+                runners,
+                scheduler.gangs,
+                scheduler.plan,
+            ),
+            statuses[target],
             config.version,
         )
-        for target, status in sorted(statuses.items())
-        if target in config.scrapped
+        for target in sorted(config.scrapped & statuses.keys())
     )
     lost = tuple(
         LostGuarantee(guarantee.organisation, guarantee.shape)
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Callable
 from pathlib import Path
 
 import cherrypy
@@ -21,27 +21,36 @@
     TellOwner,
 )
 from comfreyshelf.errors import SettingsError
+from comfreyshelf.heartbeats import StatusSender
 from comfreyshelf.ids import RackId, RequestId, TargetId, ZoneId
 from comfreyshelf.kernel import Kernel, Service
-from comfreyshelf.messages import AnyMessage, ProbeAnswer, UsageReport, Welcome
-from comfreyshelf.metrics import Metrics
+from comfreyshelf.messages import (
+    AnyMessage,
+    ProbeAnswer,
+    Renewal,
+    StatusWanted,
+    UsageReport,
+    Welcome,
+)
+from comfreyshelf.metrics import FarEnd, Metrics
 from comfreyshelf.model import WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.runner import Runner, runners_of
 from comfreyshelf.settings import TargetSettings
 from comfreyshelf.tasks import Task
+from comfreyshelf.tls import tls_files
 from comfreyshelf.transport import Link
 from comfreyshelf.web import WebServer
 from comfreyshelf.worker import PartExit, StandinWorker, Worker, WorkerFault
 
-# One thread per request that runs; the admission core never lets more run than a service's slots.
-MAX_RUNNER_THREADS = 64
 # The core's shortest time limit is 2 s, so a tick each quarter of a second is exact enough.
 TICK_S = 0.25
 # Limits usage reports to 64 a round, about 8 KB each `usage_interval_s`.
 MAX_USAGE_REPORTS = 64
 METRICS_THREADS = 2
 STOP_LINGER_S = 0.5
+# Longer than an entry's default shutdown_grace_s of 30 s.
+CLOSE_LINK_AFTER_S = 60.0
 REFUSALS = frozenset(reason.value for reason in RefusalReason)
 
 
@@ -95,12 +104,16 @@
         self._runners = runners
         self._metrics = metrics
         self._links: dict[str, Link] = {}
+        self._tls = tls_files(cfg.tls_certificate, cfg.tls_key, cfg.tls_authority)
+        self._sender = StatusSender()
+        self._wanted: frozenset[str] = frozenset()
+        self._unwanted_since: dict[str, float] = {}
         self._owner = ""
         self._status_at = 0.0
         self._usage_at = 0.0
         self._published: Counter[str] = Counter()
         self._empty = threading.Event()
-        self._pool = ThreadPoolExecutor(MAX_RUNNER_THREADS, "runner")
+        self._calls: set[threading.Thread] = set()
         worker.on_exit = self.send
 
     def start(self) -> None:
@@ -154,7 +167,8 @@
 
     def close(self) -> None:
         """Close the worker and the runners, and the links last."""
-        self._pool.shutdown(wait=True)
+        for thread in list(self._calls):
+            thread.join()
         self._worker.close()
         for runner in self._runners.values():
             runner.close()
@@ -166,11 +180,23 @@
             self._empty.set()
 
     def _on_entry(self, message: FromEntry, now: float) -> None:
+        address, content = message.address, message.message
+        if isinstance(content, Welcome):
+            self._sender.welcomed(address, content)
+        elif isinstance(content, Renewal):
+            welcome = self._sender.renewed(address, content)
+            if welcome is None:
+                self._resend_status(address, now)
+                return
+            content = welcome
+        elif isinstance(content, StatusWanted):
+            self._resend_status(address, now)
+            return
         before = self._shown()
-        actions = self.agent.handle(message.message, now, message.address)
+        actions = self.agent.handle(content, now, address)
         if isinstance(message.message, Welcome):
-            actions += self._on_welcome(message.address, message.message, now)
-        self._carry_out(actions, message.address)
+            actions += self._on_welcome(address, message.message, now)
+        self._carry_out(actions, address)
         if before != self._shown():
             self._send_status(now)
 
@@ -186,35 +212,58 @@
             logging.info("entry %s owns domain %s", message.entry, message.domain)
             self._owner = address
             actions = self.agent.owner_changed(now)
-        for entry in message.entries:
-            self._link(entry)
+        self._links[address].end = FarEnd(message.zone, message.cross_region)
         if message.entries and message.version == self.agent.version:
-            self._drop_links({*message.entries, *self._cfg.entries})
+            self._wanted = frozenset(message.entries)
+        self._review_links(now)
         return actions
 
-    def _drop_links(self, wanted: set[str]) -> None:
-        """Close links to entries that left.
+    def _review_links(self, now: float) -> None:
+        """Dial the wanted entries, and close links to others once a wanted one is connected.
 
-        A connected one stays: an entry that is stopping waits on it for answers under way.
+        A connected link stays for a while: an entry that is stopping waits on it for answers under
+        way. Without any wanted entry the target starts again from those of its settings.
         """
-        for address in set(self._links) - wanted:
-            if not self._links[address].connected:
+        for address in sorted(self._wanted):
+            self._link(address)
+        if not any(self._links[address].connected for address in self._wanted):
+            for address in self._cfg.entries:
+                self._link(address)
+            self._unwanted_since.clear()
+            return
+        for address in self._links.keys() - self._wanted - {self._owner}:
+            since = self._unwanted_since.setdefault(address, now)
+            if not self._links[address].connected or now - since > CLOSE_LINK_AFTER_S:
                 self._links.pop(address).stop()
+                self._sender.forget(address)
+        for address in self._unwanted_since.keys() - (self._links.keys() - self._wanted):
+            del self._unwanted_since[address]
 
     def _link(self, address: str) -> None:
         if address in self._links:
             return
-        link = Link(address, self._metrics, lambda name, msg: self.send(FromEntry(name, msg)))
+        link = Link(
+            address, self._metrics, lambda name, msg: self.send(FromEntry(name, msg)), self._tls
+        )
         self._links[address] = link
         link.start()
 
     def _send_status(self, now: float) -> None:
         self._status_at = now
-        status = self.agent.status(now)
-        for link in self._links.values():
-            link.send(status)
+        status = self._sender.number(self.agent.status(now))
+        self._review_links(now)
+        for address, link in self._links.items():
+            if address not in self._unwanted_since:
+                link.send(self._sender.message(address, status))
         self._publish_counters()
 
+    def _resend_status(self, address: str, now: float) -> None:
+        """Send a full status to an entry that lacks the one of a heartbeat."""
+        self._sender.forget(address)
+        link = self._links.get(address)
+        if link is not None:
+            link.send(self._sender.number(self.agent.status(now)))
+
     def _publish_counters(self) -> None:
         """Add what the core counted since the last time to the metrics."""
         for name, count in (self.agent.counters - self._published).items():
@@ -245,15 +294,34 @@
                         action.job, action.attempt, action.part, action.checkpoint
                     )
                 case RunProbe():
-                    self._pool.submit(self._probe, address)
+                    self._start_call(self._probe, address)
                 case CallRunner():
-                    self._pool.submit(self._call_runner, action)
+                    self._start_runner(action)
 
     def _send(self, address: str, message: AnyMessage) -> None:
         link = self._links.get(address)
         if link is None or not link.send(message):
             self._metrics.count("message_undelivered")
 
+    def _start_call(self, work: Callable[..., None], *args: object) -> None:
+        """Run a call in a thread of its own; the admission core bounds them by the slots.
+
+        The slots of all services may be more than any fixed pool has threads, and a request that
+        waits for a thread would look like a running one.
+        """
+        self._calls = {thread for thread in self._calls if thread.is_alive()}
+        thread = threading.Thread(target=work, args=args, name="runner", daemon=True)
+        self._calls.add(thread)
+        thread.start()
+
+    def _start_runner(self, action: CallRunner) -> None:
+        try:
+            self._start_call(self._call_runner, action)
+        except RuntimeError as exc:
+            # The operating system gave no thread; the slot has to become free.
+            self._metrics.count("runner_failed")
+            self.send(RequestEnded(action.request.request, False, type(exc).__name__.encode()))
+
     def _probe(self, address: str) -> None:
         answer = ProbeAnswer(self.agent.worker.target, self._worker.probe())
         self._send(address, answer)
@@ -262,10 +330,13 @@
         request = action.request
         try:
             body = self._runners[request.service].call(request.body, action.timeout_s)
-        except Exception as exc:
-            # Whatever the runner raised, the slot has to become free and the caller answered.
+            if not isinstance(body, bytes):
+                raise TypeError("the runner's answer is not bytes")
+        except BaseException as exc:
+            # Whatever the runner raised, the slot has to become free and the caller answered. The
+            # exception's own text may not be encodable.
             self._metrics.count("runner_failed")
-            self.send(RequestEnded(request.request, False, str(exc).encode()))
+            self.send(RequestEnded(request.request, False, type(exc).__name__.encode()))
             return
         self.send(RequestEnded(request.request, True, body))
 
--- a/comfreyshelf/transport.py
+++ b/comfreyshelf/transport.py
@@ -4,13 +4,24 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import pynng
 
 from comfreyshelf.errors import RecordError
-from comfreyshelf.ids import TargetId
-from comfreyshelf.messages import AnyMessage, Status, decode_message, encode_message
-from comfreyshelf.metrics import Metrics
+from comfreyshelf.ids import TargetId, ZoneId
+from comfreyshelf.messages import (
+    AnyMessage,
+    Heartbeat,
+    Status,
+    StatusWanted,
+    decode_frame,
+    decode_message,
+    encode_frame,
+    encode_message,
+)
+from comfreyshelf.metrics import FarEnd, Metrics
 from comfreyshelf.tasks import Poller
+from comfreyshelf.tls import TlsFiles, pipe_client, pipe_server, pipe_url
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Closing a socket wakes its receiver; the limit only bounds how long a missed wake-up lasts.
@@ -19,6 +30,31 @@
 _LINGER_S = 0.1
 _SEND_TIMEOUT_MS = 500
 _BUFFERED_MESSAGES = 256
+# A polyamorous Pair1 queues two frames a pipe and drops further ones without an error: of 200 small
+# messages sent at once, 140 were lost. Frames to one pipe are therefore this far apart.
+_FRAME_INTERVAL_S = 0.001
+MAX_FRAME_BYTES = 1024 * 1024
+# Messages that wait for a target's pipe; more are refused like those to a target without a pipe.
+MAX_OUTBOX = 4096
+UNKNOWN_END = FarEnd()
+
+
+class Outbox(msgspec.Struct):
+    """Encoded messages that wait for one pipe."""
+
+    pipe: pynng.Pipe
+    messages: list[bytes] = []
+
+    def take(self) -> list[bytes]:
+        """Remove the messages of the next frame: one at least, MAX_FRAME_BYTES at most."""
+        size = len(self.messages[0])
+        count = 1
+        while count < len(self.messages) and size + len(self.messages[count]) <= MAX_FRAME_BYTES:
+            size += len(self.messages[count])
+            count += 1
+        taken = self.messages[:count]
+        self.messages = self.messages[count:]
+        return taken
 
 
 class Hub(Poller):
@@ -26,19 +62,33 @@
 
     `receive` is called with each target's messages; the target of a pipe is known from its first
     `Status`. `send` queues a message to a target and tells whether there is a pipe to it.
+    `crosses` tells whether a zone lies in another region, for the counters of bytes. `changes`
+    grows when a target gets its pipe or loses it.
     """
 
     def __init__(
-        self, address: str, metrics: Metrics, receive: Callable[[TargetId, AnyMessage], None]
+        self,
+        address: str,
+        metrics: Metrics,
+        receive: Callable[[TargetId, AnyMessage], None],
+        crosses: Callable[[ZoneId], bool] = lambda _: False,
+        tls: TlsFiles | None = None,
     ) -> None:
         super().__init__("hub")
+        self.changes = 0
         self._address = address
+        self._crosses = crosses
+        self._tls = tls
+        self._ends: dict[int, FarEnd] = {}
         self._metrics = metrics
         self._receive = receive
         self._lock = threading.Lock()
         self._pipes: dict[TargetId, pynng.Pipe] = {}
         self._incarnations: dict[TargetId, int] = {}
         self._targets: dict[int, TargetId] = {}
+        self._outboxes: dict[int, Outbox] = {}
+        self._has_output = threading.Event()
+        self._sender = threading.Thread(target=self._send_frames, name="hub-sender", daemon=True)
         self._socket: pynng.Pair1 | None = None
 
     def start(self) -> None:
@@ -52,17 +102,28 @@
             send_buffer_size=_BUFFERED_MESSAGES,
         )
         self._socket.add_post_pipe_remove_cb(self._on_removed)
-        self._socket.listen(f"tcp://{self._address}")
+        if self._tls is not None:
+            self._socket.tls_config = pipe_server(self._tls)
+        self._socket.listen(pipe_url(self._address, self._tls))
+        self._sender.start()
         super().start()
 
     def stop(self) -> None:
-        """Let the last messages leave, close the socket, and end the thread."""
+        """Let the last messages leave, close the socket, and end the threads."""
         self._stopping.set()
         if self._socket is not None:
+            if self._sender.is_alive():
+                self._has_output.set()
+                self._sender.join()
             time.sleep(_LINGER_S)
             self._socket.close()
         super().stop()
 
+    def is_connected(self, target: TargetId) -> bool:
+        """Whether there is a pipe to a target."""
+        with self._lock:
+            return target in self._pipes
+
     def targets(self) -> list[TargetId]:
         """Targets with an open pipe."""
         with self._lock:
@@ -72,16 +133,42 @@
         """Send a message; False if there is no pipe to the target or it does not take data."""
         with self._lock:
             pipe = self._pipes.get(target)
-        if pipe is None:
-            return False
+        return pipe is not None and self._send_to(pipe, message)
+
+    def _send_to(self, pipe: pynng.Pipe, message: AnyMessage) -> bool:
         data = encode_message(message)
+        with self._lock:
+            outbox = self._outboxes.setdefault(pipe.id, Outbox(pipe))
+            if len(outbox.messages) >= MAX_OUTBOX:
+                self._metrics.count("pipe_send_failed")
+                return False
+            outbox.messages.append(data)
+        self._has_output.set()
+        return True
+
+    def _send_frames(self) -> None:
+        """Send what waits for each pipe as one frame, at most once in _FRAME_INTERVAL_S."""
+        while True:
+            self._has_output.wait()
+            self._has_output.clear()
+            with self._lock:
+                frames = [(box.pipe, box.take()) for box in self._outboxes.values()]
+                self._outboxes = {key: box for key, box in self._outboxes.items() if box.messages}
+                if self._outboxes:
+                    self._has_output.set()
+            for pipe, messages in frames:
+                self._send_frame(pipe, encode_frame(messages))
+            if self._stopping.is_set() and not self._outboxes:
+                return
+            time.sleep(_FRAME_INTERVAL_S)
+
+    def _send_frame(self, pipe: pynng.Pipe, data: bytes) -> None:
         try:
             pipe.send(data)
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
-            return False
-        self._metrics.bytes_sent("targets", len(data))
-        return True
+            return
+        self._metrics.bytes_sent(self._ends.get(pipe.id, UNKNOWN_END), len(data))
 
     def poll(self) -> None:
         """Receive one message."""
@@ -94,7 +181,8 @@
             self._stopping.set()
             return
         data = received.bytes
-        self._metrics.bytes_received("targets", len(data))
+        end = self._ends.get(received.pipe.id, UNKNOWN_END)
+        self._metrics.bytes_received(end, len(data))
         try:
             message = decode_message(data)
         except RecordError:
@@ -106,6 +194,11 @@
         target = self._targets.get(received.pipe.id)
         if target is None:
             self._metrics.count("message_before_status")
+            if isinstance(message, Heartbeat):
+                self._send_to(received.pipe, StatusWanted())
+            return
+        if isinstance(message, Heartbeat) and not self._is_current(target, received.pipe):
+            self._metrics.count("status_of_old_incarnation")
             return
         self._receive(target, message)
 
@@ -121,28 +214,49 @@
             if target in self._pipes and incarnation < self._incarnations[target]:
                 self._targets.pop(pipe.id, None)
                 return False
+            known = self._pipes.get(target)
+            self.changes += known is None or known.id != pipe.id
             self._pipes[target] = pipe
+            zone = status.worker.zone
+            self._ends[pipe.id] = FarEnd(zone, self._crosses(zone))
             self._incarnations[target] = incarnation
             self._targets[pipe.id] = target
         return True
 
+    def _is_current(self, target: TargetId, pipe: pynng.Pipe) -> bool:
+        """Whether a pipe is that of the newest incarnation; only this one may get a lease."""
+        with self._lock:
+            known = self._pipes.get(target)
+        return known is not None and known.id == pipe.id
+
     def _on_removed(self, pipe: pynng.Pipe) -> None:
         with self._lock:
             target = self._targets.pop(pipe.id, None)
+            self._ends.pop(pipe.id, None)
             known = self._pipes.get(target) if target is not None else None
             if target is not None and known is not None and known.id == pipe.id:
                 del self._pipes[target]
                 del self._incarnations[target]
+                self.changes += 1
 
 
 class Link(Poller):
-    """A target process's pipe to one entry; `receive` gets the entry's messages."""
+    """A target process's pipe to one entry; `receive` gets the entry's messages.
+
+    `end` is set when the entry has told its zone.
+    """
 
     def __init__(
-        self, address: str, metrics: Metrics, receive: Callable[[str, AnyMessage], None]
+        self,
+        address: str,
+        metrics: Metrics,
+        receive: Callable[[str, AnyMessage], None],
+        tls: TlsFiles | None = None,
     ) -> None:
         super().__init__(f"link-{address}")
         self.address = address
+        self.end = UNKNOWN_END
+        self._tls = tls
         self._metrics = metrics
         self._receive = receive
         self._socket: pynng.Pair1 | None = None
@@ -158,7 +272,9 @@
             reconnect_time_min=100,
             reconnect_time_max=1000,
         )
-        self._socket.dial(f"tcp://{self.address}", block=False)
+        if self._tls is not None:
+            self._socket.tls_config = pipe_client(self._tls, self.address)
+        self._socket.dial(pipe_url(self.address, self._tls), block=False)
         super().start()
 
     def stop(self) -> None:
@@ -185,7 +301,7 @@
         except pynng.exceptions.NNGException:
             self._metrics.count("pipe_send_failed")
             return False
-        self._metrics.bytes_sent("entries", len(data))
+        self._metrics.bytes_sent(self.end, len(data))
         return True
 
     def poll(self) -> None:
@@ -198,10 +314,11 @@
         except pynng.Closed:
             self._stopping.set()
             return
-        self._metrics.bytes_received("entries", len(data))
+        self._metrics.bytes_received(self.end, len(data))
         try:
-            message = decode_message(data)
+            messages = decode_frame(data)
         except RecordError:
             self._metrics.count("message_damaged")
             return
-        self._receive(self.address, message)
+        for message in messages:
+            self._receive(self.address, message)
--- a/comfreyshelf/ui/connection.py
+++ b/comfreyshelf/ui/connection.py
@@ -11,6 +11,7 @@
 
 KEY_VARIABLE = "COMFREYSHELF_KEY"
 ENTRY_VARIABLE = "COMFREYSHELF_ENTRY"
+AUTHORITY_VARIABLE = "COMFREYSHELF_AUTHORITY"
 
 EntryOption = Annotated[
     str,
@@ -32,7 +33,8 @@
 def connect(entry: str, key_file: Path | None) -> Client:
     """Make a client; raises UserError if no key is given."""
     first, *others = (address.strip() for address in entry.split(","))
-    return Client(first, read_key(key_file), others=others)
+    authority = os.environ.get(AUTHORITY_VARIABLE, "")
+    return Client(first, read_key(key_file), others=others, authority=authority)
 
 
 def read_key(key_file: Path | None) -> str:
