Shake hands over TLS in the thread that serves the connection

Cause: cheroot does the handshake in the thread that accepts. One peer that connected and stayed silent delayed the next caller by 9.81 s (a connection to a WebServer with TLS, then a request). Change: the handshake happens at the first read, under the time limit of a whole request; a failed one closes the connection. Ruled out: a shorter socket timeout, which would cut slow callers. Conclusion: a silent peer costs one HTTP thread for 10 s, as it does without TLS.

--- a/comfreyshelf/tls.py
+++ b/comfreyshelf/tls.py
@@ -1,5 +1,7 @@
 """TLS for callers' HTTP and mutual TLS for the pipes between processes."""
 
+import socket
+import ssl
 from pathlib import Path
 
 import msgspec
@@ -36,9 +38,22 @@
     return files
 
 
+class _HttpAdapter(BuiltinSSLAdapter):
+    """Leaves the handshake to the first read, in the thread that serves the connection.
+
+    cheroot shakes hands in the thread that accepts, where one silent peer kept all others waiting
+    for the socket timeout of 10 s.
+    """
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Wrap an accepted connection and give its part of the WSGI environment."""
+        wrapped = self.context.wrap_socket(sock, do_handshake_on_connect=False, server_side=True)
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
+
+
 def http_adapter(files: TlsFiles) -> BuiltinSSLAdapter:
     """The adapter of an HTTPS server; callers authenticate by their keys, not by certificates."""
-    return BuiltinSSLAdapter(str(files.certificate), str(files.key))
+    return _HttpAdapter(str(files.certificate), str(files.key))
 
 
 def pipe_server(files: TlsFiles) -> pynng.TLSConfig:
--- a/comfreyshelf/web.py
+++ b/comfreyshelf/web.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import ssl
 import sys
 import threading
 import time
@@ -11,6 +12,7 @@
 import cherrypy
 from absl import logging
 from cheroot import makefile, wsgi
+from cheroot.errors import FatalSSLAlert
 from cheroot.server import HTTPConnection, HTTPRequest
 
 from comfreyshelf.kernel import Service
@@ -52,6 +54,9 @@
         self._conn.settimeout(left_s)
         try:
             return super().readinto(buffer)
+        except ssl.SSLError as exc:
+            # cheroot closes the connection of a failed handshake without an answer.
+            raise FatalSSLAlert(*exc.args) from exc
         finally:
             self._conn.settimeout(SOCKET_TIMEOUT_S)
 
--- a/features/steps/tls_steps.py
+++ b/features/steps/tls_steps.py
@@ -1,5 +1,6 @@
 """Steps for TLS between processes."""
 
+import socket
 import time
 from pathlib import Path
 
@@ -60,6 +61,15 @@
         raise AssertionError(f"answered with authority {authority!r}")
 
 
+@then("a peer that never shakes hands delays no caller")
+def silent_peer(context: Context) -> None:
+    host, port = context.processes.http["entry-0"].split(":")
+    for _ in range(3):
+        context.stack.callback(socket.create_connection((host, int(port))).close)
+    client = Client(f"{host}:{port}", CALLER_KEY, 3.0, authority=context.processes.authority)
+    assert client.request("permit", b"abc") == b"cba"
+
+
 @then("a target of another authority and a plain one are refused")
 def refused(context: Context) -> None:
     context.processes.start_target("target-1", "paysandu", "rack", more=context.others)
--- a/features/tls.feature
+++ b/features/tls.feature
@@ -5,5 +5,6 @@
     Given an entry and a target with certificates of one authority
     Then a caller who knows the authority gets the answer of a request
     And a caller of another authority and a plain one get no answer
+    And a peer that never shakes hands delays no caller
     And a target of another authority and a plain one are refused
     And settings with only some of the files are refused
