Say of a refused job whether it ran, and keep one token bucket

Cause: a job that failed everywhere is closed by JobRefused. Its view named only the reason, and /v1/jobs/ID/result answered with execution not_run for any job without a result, even one with three recorded attempts or one that is running. A caller that trusts this submits the job again.

The view of a refused job now carries execution: not_run without an attempt, may_have_run after one. The refusal of a missing result follows the attempt too, and does not ask to wait for a job that has ended.

limits.TokenBucket was a second bucket beside the one in entry_limits. It was called, by Retries with a rate of 0, so it could not just be deleted: Retries now keeps a plain number of earned retries. The property test of the bucket runs against RateLimits, which is what callers meet.

Ruled out: that the ledger closes such a job under the wrong state; it needs state QUEUED, which AttemptEnded sets before.

--- a/comfreyshelf/jobs_api.py
+++ b/comfreyshelf/jobs_api.py
@@ -10,7 +10,7 @@
 from msgspec import Meta
 
 from comfreyshelf.config import Caller
-from comfreyshelf.errors import Refusal, not_run
+from comfreyshelf.errors import Execution, Refusal, may_have_run, not_run
 from comfreyshelf.front import MAX_WAIT_S, Front, seconds
 from comfreyshelf.ids import DomainId, JobId, ServiceId
 from comfreyshelf.ledger import JobEntry
@@ -70,7 +70,10 @@
 
 
 class JobView(msgspec.Struct):
-    """A job as its organisation sees it; `length` is in bytes."""
+    """A job as its organisation sees it; `length` is in bytes.
+
+    `execution` says of a job that ended without a result whether it ran.
+    """
 
     id: JobId
     key: str
@@ -80,6 +83,7 @@
     reason: RefusalReason | None = None
     digest: str = ""
     length: int = 0
+    execution: Execution | None = None
 
 
 class CancelRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -99,9 +103,19 @@
         entry.reason,
         entry.digest,
         len(entry.result),
+        _execution_of(entry),
     )
 
 
+def _execution_of(entry: JobEntry) -> Execution | None:
+    """A job that is refused after an attempt, because it failed everywhere, did run."""
+    if entry.state is JobState.MAY_HAVE_RUN:
+        return Execution.MAY_HAVE_RUN
+    if entry.state is not JobState.REFUSED:
+        return None
+    return Execution.MAY_HAVE_RUN if entry.attempt else Execution.NOT_RUN
+
+
 @cherrypy.popargs("job")
 class Jobs:
     """`/v1/jobs`: submit; `/v1/jobs/ID`: look up, wait and cancel; `/v1/jobs/ID/result`."""
@@ -140,11 +154,7 @@
             return self._front.refuse(found.error)
         entry = found.ok
         if entry.state is not JobState.FINISHED:
-            return self._front.refuse(
-                not_run(
-                    RefusalReason.UNKNOWN, "the job has no result", "wait until it is finished", 1
-                )
-            )
+            return self._front.refuse(no_result(entry))
         cherrypy.response.headers["Content-Type"] = "application/octet-stream"
         cherrypy.response.headers["Digest"] = f"sha-256={entry.digest}"
         return entry.result
@@ -331,6 +341,17 @@
         return self._jobs.cancel([JobId(job) for job in request.ok.jobs])
 
 
+def no_result(entry: JobEntry) -> Refusal:
+    """The job has no result, or not yet; "not run" only if no attempt of it was recorded."""
+    remedy = "submit it under a new key" if entry.state.final else "wait until it is finished"
+    message = f"the job has no result, it is {entry.state.value}"
+    if entry.attempt or entry.state is JobState.MAY_HAVE_RUN:
+        refusal = may_have_run(RefusalReason.UNKNOWN, message, remedy)
+    else:
+        refusal = not_run(RefusalReason.UNKNOWN, message, remedy)
+    return msgspec.structs.replace(refusal, retry_after_s=0 if entry.state.final else 1)
+
+
 def unknown_job() -> Refusal:
     """No job of the caller's organisation has this id or key."""
     return not_run(RefusalReason.UNKNOWN, "no such job", "check the id or the key")
--- a/comfreyshelf/limits.py
+++ b/comfreyshelf/limits.py
@@ -1,4 +1,4 @@
-"""Queue limits with shedding, token buckets, and delays of retries."""
+"""Queue limits with shedding, and delays of retries."""
 
 import random
 from collections import Counter
@@ -10,37 +10,7 @@
 
 RETRY_BASE_S = 2.0
 RETRY_LONGEST_S = 300.0
-RETRY_BURST = 10
-
-
-class TokenBucket:
-    """`rate` tokens a second, at most `burst` at once.
-
-    bucket = TokenBucket(rate=2.0, burst=1)
-    bucket.take(0.0), bucket.take(0.1), bucket.take(0.6)  # True, False, True
-    """
-
-    __slots__ = ("_at", "_burst", "_rate", "_tokens")
-
-    def __init__(self, rate: float, burst: int) -> None:
-        self._rate = rate
-        self._burst = burst
-        self._tokens = float(burst)
-        self._at: float | None = None
-
-    def take(self, now: float) -> bool:
-        """Take one token at time `now` in seconds, or return False if there is none."""
-        if self._at is not None and now > self._at:
-            self._tokens = min(self._burst, self._tokens + (now - self._at) * self._rate)
-        self._at = now if self._at is None else max(now, self._at)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-    def add(self, tokens: float) -> None:
-        """Add tokens up to the burst."""
-        self._tokens = min(self._burst, self._tokens + tokens)
+RETRY_BURST = 10.0
 
 
 class QueueLimits:
@@ -96,15 +66,15 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._failures: Counter[JobId] = Counter()
-        self._budgets: dict[OrganisationId, TokenBucket] = {}
+        self._budgets: dict[OrganisationId, float] = {}
 
-    def delay_s(self, job: Job, now: float) -> float:
+    def delay_s(self, job: Job) -> float:
         """Delay of the next attempt; the longest one when the budget is used up.
 
         An accepted job is never dropped for lack of budget, it only waits longer.
         """
         self._failures[job.id] += 1
-        if not self._budget(job.organisation).take(now):
+        if not self._spend(job.organisation):
             return RETRY_LONGEST_S * self._rng.uniform(0.5, 1.0)
         delay = RETRY_BASE_S * 2.0 ** min(10, self._failures[job.id] - 1)
         return min(RETRY_LONGEST_S, delay) * self._rng.uniform(0.5, 1.0)
@@ -113,14 +83,20 @@
         """Each start earns the organisation its share of a retry."""
         known = config.organisations.get(job.organisation)
         ratio = known.retry_ratio if known is not None else _DEFAULT_RETRY_RATIO
-        self._budget(job.organisation).add(ratio)
+        tokens = self._budgets.get(job.organisation, RETRY_BURST)
+        self._budgets[job.organisation] = min(RETRY_BURST, tokens + ratio)
 
     def forget(self, job: JobId) -> None:
         """Drop what is known of a closed job."""
         self._failures.pop(job, None)
 
-    def _budget(self, organisation: OrganisationId) -> TokenBucket:
-        return self._budgets.setdefault(organisation, TokenBucket(0.0, RETRY_BURST))
+    def _spend(self, organisation: OrganisationId) -> bool:
+        """Take one retry from a budget, or return False if it is used up."""
+        tokens = self._budgets.get(organisation, RETRY_BURST)
+        if tokens < 1.0:
+            return False
+        self._budgets[organisation] = tokens - 1.0
+        return True
 
 
 _DEFAULT_CALLER_LIMIT = Caller(CallerId(""), OrganisationId(""), "").max_queued
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -222,7 +222,7 @@
             return None
         if self.quarantine.fails_everywhere(job.id, self._workers):
             return RefusalReason.FAILS_EVERYWHERE
-        self.queue.push(job, now + self._retries.delay_s(job, now))
+        self.queue.push(job, now + self._retries.delay_s(job))
         return None
 
     # Placement
--- a/features/order.feature
+++ b/features/order.feature
@@ -99,10 +99,10 @@
     Then a job declared as 1000 s is expected to run 90 to 115 s
     And estimates of 10000 kinds keep at most 4096
 
-  Scenario: A token bucket never exceeds its rate and burst
+  Scenario: A rate limit never exceeds its rate and burst
     Guards against: a caller gets more than its rate after a pause or a burst.
     Given any times of requests
-    Then a token bucket of 5 a second and burst 10 grants at most burst plus rate times time
+    Then a rate limit of 5 a second and burst 10 grants at most burst plus rate times time
 
   Scenario: Order does not depend on the urgency of a flood
     Guards against: a flood of the most urgent work starves other organisations.
@@ -119,3 +119,8 @@
     Guards against: a job is lost, doubled or refused when faults coincide.
     Given a replay of 2 h with worker-loss, bad-workers, cancel-wave, log-outage
     Then every job ends once and no accelerators overlap
+
+  Scenario: A job that failed everywhere is not reported as not run
+    Guards against: a caller submits a job again that it believes never ran.
+    Given a job that failed on three workers and was refused
+    Then neither the job nor its result is reported as not run
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,7 +11,9 @@
 
 from benchmarks import policy
 from comfreyshelf.commands import AppendRecord, CommitParts, ReserveParts, StopParts
-from comfreyshelf.config import Config, Organisation
+from comfreyshelf.config import Caller, Config, Organisation
+from comfreyshelf.entry_limits import RateLimits
+from comfreyshelf.errors import Execution
 from comfreyshelf.estimates import MAX_KINDS, Estimates
 from comfreyshelf.events import (
     ConfigInForce,
@@ -35,8 +37,10 @@
     Version,
     ZoneId,
 )
-from comfreyshelf.limits import RETRY_LONGEST_S, Retries, TokenBucket
-from comfreyshelf.model import Job, PartState, Shape, Urgency, WorkerInfo
+from comfreyshelf.jobs_api import no_result, view_of
+from comfreyshelf.ledger import JobEntry
+from comfreyshelf.limits import RETRY_LONGEST_S, Retries
+from comfreyshelf.model import Job, JobState, PartState, Shape, Urgency, WorkerInfo
 from comfreyshelf.quarantine import Quarantine
 from comfreyshelf.queueing import FairQueue, Resources
 from comfreyshelf.reasons import RefusalReason
@@ -383,17 +387,19 @@
     context.gaps = st.lists(st.floats(0.0, 3.0), max_size=200)
 
 
-@then("a token bucket of 5 a second and burst 10 grants at most burst plus rate times time")
+@then("a rate limit of 5 a second and burst 10 grants at most burst plus rate times time")
 def bucket_bound(context: Context) -> None:
     @settings(max_examples=100, deadline=None, derandomize=True)
     @hypothesis_given(context.gaps)
     def check(gaps: list[float]) -> None:
-        bucket = TokenBucket(5.0, 10)
+        limits = RateLimits()
+        organisation = Organisation(OrganisationId("a"), rate=5.0, burst=10)
+        caller = Caller(CallerId("c"), organisation.id, "", rate=1000.0, burst=1000)
         now = 0.0
         granted = 0
         for gap in gaps:
             now += gap
-            granted += bucket.take(now)
+            granted += limits.take(organisation, caller, 1, now) is None
             assert granted <= 10 + 5.0 * now + 1e-6
 
     check()
@@ -424,7 +430,7 @@
 def given_failing(context: Context) -> None:
     def delays(seed: int) -> list[float]:
         retries = Retries(random.Random(seed))
-        return [retries.delay_s(make_job("x"), 0.0) for _ in range(30)]
+        return [retries.delay_s(make_job("x")) for _ in range(30)]
 
     context.delays = delays(1), delays(2)
 
@@ -453,3 +459,26 @@
     assert not found.refused, found.refused
     for outcome in context.replay.outcomes.values():
         assert outcome.finishes or outcome.cancelled or not outcome.work.job.idempotent
+
+
+@given("a job that failed on three workers and was refused")
+def given_refused(context: Context) -> None:
+    core = context.core = Core(3)
+    core.queue(make_job("broken", shape=Shape(1, 1)))
+    for _ in range(3):
+        core.end("broken", PartState.FAILED)
+        core.now += RETRY_LONGEST_S
+        core.feed(Tick())
+    assert [body.reason for body in core.refused] == [RefusalReason.FAILS_EVERYWHERE]
+
+
+@then("neither the job nor its result is reported as not run")
+def refused_after_run(context: Context) -> None:
+    entry = JobEntry(make_job("broken"), DomainId("d"))
+    entry.state = JobState.REFUSED
+    entry.reason = context.core.refused[0].reason
+    assert view_of(entry).execution is Execution.NOT_RUN
+    entry.attempt = Attempt(3)
+    assert view_of(entry).execution is Execution.MAY_HAVE_RUN
+    assert no_result(entry).execution is Execution.MAY_HAVE_RUN
+    assert no_result(entry).retry_after_s == 0
