Keep a tenth of the accelerators reclaimable for urgent work

Work that cannot be preempted and is not urgent now leaves a tenth of the accelerators in blocks of 4 outside cells to work that can. A flood above its fair share adds such work only to workers that run some already.

Ruled out: holds and reservations (urgent work overrides them), and the estimate of candidates (all preemptible work stood in cells).

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -18,8 +18,8 @@
 from comfreyshelf.config import Config, Guarantee, Organisation
 from comfreyshelf.events import (
     ConfigInForce,
-    JobClosed,
     Event,
+    JobClosed,
     JobQueued,
     PartEnded,
     Reserved,
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -124,6 +124,18 @@
     )
 
 
+def work_done(replay: Replay, without: OrganisationId, start: float, end: float) -> float:
+    """Accelerator-seconds of the other organisations in a window that were not lost.
+
+    Unlike `goodput` it does not depend on whether a wide job ends just inside the window.
+    """
+    return sum(
+        used * max(0.0, min(end, last) - max(start, first))
+        for organisation, used, first, last in replay.work()
+        if organisation != without
+    )
+
+
 def figures(replay: Replay, fragmentation: Fragmentation) -> Figures:
     """Summarise a finished replay; jobs of a flood count only as broken promises."""
     everyone = list(replay.outcomes.values())
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -14,7 +14,7 @@
 import typer
 
 from benchmarks.baselines import FirstCome, QuotaCounts
-from benchmarks.figures import Figures, Fragmentation, figures, goodput
+from benchmarks.figures import Figures, Fragmentation, figures, goodput, work_done
 from benchmarks.load import ACCELERATORS, Load, Work, kinds_of, mean_work
 from benchmarks.replay import Replay
 from comfreyshelf.config import Config, parse_config
@@ -83,12 +83,13 @@
 class Row(msgspec.Struct, frozen=True):
     """Figures of one policy without floods, and the share of goodput others kept in each flood.
 
-    `broken_in_floods` counts doubled jobs and overlapping accelerators in the runs with a flood.
+    `goodput_kept` counts jobs that finish in the flood, `work_kept` accelerator-seconds. `broken_in_floods` counts doubled jobs and overlapping accelerators in the runs with a flood.
     """
 
     policy: str
     figures: Figures
     goodput_kept: dict[str, float]
+    work_kept: dict[str, float]
     broken_in_floods: int = 0
 
 
@@ -142,7 +143,7 @@
     add_faults(setup, run, faults)
     fragmentation = Fragmentation()
     run.run(until or setup.duration_s * 20, fragmentation.sample)
-    return run, Row("", figures(run, fragmentation), {})
+    return run, Row("", figures(run, fragmentation), {}, {})
 
 
 def arrivals(setup: Setup, faults: tuple[str, ...]) -> list[Work]:
@@ -193,6 +194,7 @@
     base_faults = tuple(fault for fault in setup.faults if fault not in FLOODS)
     base, row = replay(setup, POLICIES[name], base_faults)
     kept = {}
+    work = {}
     broken = 0
     start, end = setup.flood_window
     for fault in setup.faults:
@@ -202,7 +204,10 @@
             before = goodput(base, flooder(setup), start, end)
             during = goodput(flooded, flooder(setup), start, end)
             kept[fault] = during / before if before else 1.0
-    return Row(name, row.figures, kept, broken)
+            before = work_done(base, flooder(setup), start, end)
+            during = work_done(flooded, flooder(setup), start, end)
+            work[fault] = during / before if before else 1.0
+    return Row(name, row.figures, kept, work, broken)
 
 
 def table(rows: list[Row]) -> str:
@@ -230,6 +235,7 @@
     line("fragmentation", lambda row: row.figures.fragmentation)
     for name in rows[0].goodput_kept:
         line(f"goodput kept {name}", _of(lambda row: row.goodput_kept, name, float))
+        line(f"work kept {name}", _of(lambda row: row.work_kept, name, float))
     for name in FIELDS:
         line(name, attrgetter(f"figures.{name}"))
     line("doubled or cut in floods", lambda row: row.broken_in_floods)
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -34,7 +34,7 @@
     WorkerLost,
     WorkerSeen,
 )
-from comfreyshelf.ids import Attempt, JobId, TargetId
+from comfreyshelf.ids import Attempt, JobId, OrganisationId, TargetId
 from comfreyshelf.model import AttemptOutcome, PartState, Placement, WorkerInfo
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import AnyBody, AttemptEnded, AttemptStarted, JobFinished, JobRefused
@@ -90,6 +90,7 @@
         self.outcomes: dict[JobId, Outcome] = {}
         self.now = 0.0
         self.counts: Counter[str] = Counter()
+        self.done: list[tuple[OrganisationId, int, float, float]] = []
         self.emptied_s = -1.0
         self._config = config
         self._workers = {info.target: info for info in workers}
@@ -336,6 +337,8 @@
         running.ended = True
         started = running.started >= 0
         ran_s = self.now - running.started if started else 0.0
+        if started and (kept or state is PartState.FINISHED):
+            self.done.append(self._work_of(job, running))
         del self._held[key]
         self._check_empty()
         for placement in running.placements:
@@ -343,6 +346,19 @@
                 PartEnded(job, attempt, placement.part, target, state, b"x", ran_s, started, kept)
             )
 
+    def _work_of(self, job: JobId, running: _Running) -> tuple[OrganisationId, int, float, float]:
+        used = sum(placement.mask.bit_count() for placement in running.placements)
+        return self.outcomes[job].work.job.organisation, used, running.started, self.now
+
+    def work(self) -> list[tuple[OrganisationId, int, float, float]]:
+        """Organisation, accelerators, start and end of all work that was not lost so far."""
+        running = [
+            self._work_of(job, each)
+            for (_, job, _), each in self._held.items()
+            if each.started >= 0 and not each.ended
+        ]
+        return self.done + running
+
     def _check_empty(self) -> None:
         if self._scrapped is None or self.emptied_s >= 0:
             return
--- a/benchmarks/sweep.py
+++ b/benchmarks/sweep.py
@@ -16,7 +16,7 @@
 SEED_SETS = {"tuning": range(1, 11), "held-out": range(11, 10_000)}
 HEADER = (
     f"{'deployment':10} {'seeds':8} {'fault':12} {'sd p99':>7} {'vs fc':>6} {'vs ff':>6} "
-    f"{'frag':>6} {'vs fc':>6} {'vs ff':>6} {'kept':>11} {'small/l':>9} "
+    f"{'frag':>6} {'vs fc':>6} {'vs ff':>6} {'goodput':>11} {'work':>11} {'small/l':>9} "
     f"{'urgent':>7} {'reclaim':>7} {'unf':>4} {'dbl':>4} {'cut':>4} {'maybe':>5} {'lost s':>7}"
 )
 
@@ -53,15 +53,19 @@
             return f"{mean([a.all.slowdown_p99 / b.all.slowdown_p99 for a, b in pairs]):6.2f}"
         return f"{mean([a.fragmentation / b.fragmentation for a, b in pairs]):6.2f}"
 
-    kept = [value for row in mine for value in row.goodput_kept.values()]
-    kept_text = f"{mean(kept):5.3f}/{min(kept):5.3f}" if kept else "          -"
+    def share(kept: list[dict[str, float]]) -> str:
+        values = [value for each in kept for value in each.values()]
+        return f"{mean(values):5.3f}/{min(values):5.3f}" if values else "          -"
+
+    kept = share([row.goodput_kept for row in mine])
+    work = share([row.work_kept for row in mine])
     fair = [each.small_over_large for each in figures]
     return (
         f"{label} {mean([each.all.slowdown_p99 for each in figures]):7.2f} "
         f"{ratio('first-come', 'slowdown')} {ratio('first-fit', 'slowdown')} "
         f"{mean([each.fragmentation for each in figures]):6.3f} "
         f"{ratio('first-come', 'fragmentation')} {ratio('first-fit', 'fragmentation')} "
-        f"{kept_text} {mean(fair):4.2f}/{max(fair):4.2f} "
+        f"{kept} {work} {mean(fair):4.2f}/{max(fair):4.2f} "
         f"{max(each.urgent_start_max_s for each in figures):7.2f} "
         f"{max(each.reclaim_p99_s for each in figures):7.2f} "
         f"{sum(each.unfinished for each in figures):4} "
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from itertools import islice
 
 from comfreyshelf.backfill import Backfill, Place, preemptible
 from comfreyshelf.config import EMPTY_CONFIG, Config
@@ -11,7 +12,7 @@
 from comfreyshelf.ids import DomainId, JobId, OrganisationId, RackId, TargetId
 from comfreyshelf.limits import QueueLimits, Retries
 from comfreyshelf.model import AttemptOutcome, Job, PartState, Shape, Urgency, WorkerInfo
-from comfreyshelf.placement import Cells
+from comfreyshelf.placement import Cells, Placements, keeps_blocks
 from comfreyshelf.quarantine import Quarantine
 from comfreyshelf.queueing import JobQueue
 from comfreyshelf.reasons import RefusalReason
@@ -32,6 +33,14 @@
 FLOOD_WAIT_S = 5.0
 FLOOD_INTERVAL_S = 1.0
 
+# Work that cannot be preempted leaves this share of the accelerators to work that can, in blocks of
+# URGENT_BLOCK outside planned cells. Otherwise urgent work that may not borrow finds nothing to
+# preempt and waits for the end of a job.
+URGENT_SHARE = 0.1
+URGENT_BLOCK = 4
+# Other places that are tried for work that would break these rules at the tightest one.
+PLACES_TRIED = 16
+
 _NORMAL_RANK = Urgency.NORMAL.rank
 
 
@@ -227,6 +236,28 @@
 
     # Placement
 
+    def may_start(self, job: Job, placements: Placements, topology: Topology) -> bool:
+        """Whether work that cannot be preempted leaves enough that can be reclaimed.
+
+        A flood above its fair share adds such work only to workers that run some already, so that
+        wide gangs of others find whole workers to reclaim.
+        """
+        if job.may_borrow or not self.queue.reserves or self.queue.counts_as_urgent(job):
+            return True
+        organisation = job.organisation
+        if self.queue.flooding(organisation) and self.queue.organisation_share(organisation) > 1.0:
+            if not all(topology.workers[place.target].firm for place in placements):
+                return False
+        least = int(URGENT_SHARE * self.queue.capacity.accelerators / URGENT_BLOCK)
+        return keeps_blocks(placements, topology, URGENT_BLOCK, least)
+
+    def choose(self, job: Job, found: Iterable[Placements], topology: Topology) -> Placements:
+        """The first of some places at which a job may start, or an empty tuple."""
+        for placements in islice(found, PLACES_TRIED):
+            if self.may_start(job, placements, topology):
+                return placements
+        return ()
+
     def tick(self, now: float) -> list[TargetId]:
         """Time passed; returns the workers to probe."""
         self.queue.release(now)
--- a/comfreyshelf/placement.py
+++ b/comfreyshelf/placement.py
@@ -6,7 +6,15 @@
 
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.model import Adjacency, Placement, Shape
-from comfreyshelf.topology import RackKey, SizeIndex, Topology, View, Worker, find_block
+from comfreyshelf.topology import (
+    RackKey,
+    SizeIndex,
+    Topology,
+    View,
+    Worker,
+    count_blocks,
+    find_block,
+)
 
 Placements = tuple[Placement, ...]
 
@@ -60,6 +68,23 @@
         yield from _in_zones(shape, topology, view, index)
 
 
+def keeps_blocks(placements: Placements, topology: Topology, size: int, least: int) -> bool:
+    """Whether firm work at `placements` leaves `least` reclaimable blocks of `size` accelerators.
+
+    Blocks in planned cells do not count. Work that takes no such block is always allowed.
+    """
+    taken: dict[TargetId, int] = {}
+    for place in placements:
+        taken[place.target] = taken.get(place.target, 0) | place.mask
+    lost = 0
+    for target, mask in taken.items():
+        worker = topology.workers[target]
+        left = worker.mask(View.PLAN)
+        lost += count_blocks(left, size, worker.capacity)
+        lost -= count_blocks(left & ~mask, size, worker.capacity)
+    return not lost or sum(topology.index(View.PLAN, size).zone_slots.values()) - lost >= least
+
+
 def spread(placements: Placements, topology: Topology) -> Adjacency | None:
     """The narrowest unit that holds all the placements, or None if they leave a zone."""
     workers = [topology.workers[placement.target] for placement in placements]
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -38,7 +38,7 @@
 from comfreyshelf.ids import Attempt, DomainId, Epoch, JobId, TargetId
 from comfreyshelf.model import AttemptOutcome, CellUse, HeldPart, Job, PartState, WorkerInfo
 from comfreyshelf.ordering import Ordering
-from comfreyshelf.placement import Cells, Placements, Placer
+from comfreyshelf.placement import Cells, Placements, Placer, candidates
 from comfreyshelf.queueing import FairQueue, JobQueue
 from comfreyshelf.reasons import RefusalReason, RetryReason
 from comfreyshelf.records import AttemptEnded, AttemptStarted, JobFinished, JobRefused
@@ -338,18 +338,31 @@
             self.topology.excluding(self.order.quarantine.avoided(job.id, now)),
         ):
             if self._placer.keeps_guarantees:
-                return self.plan.decide(job, self._place, self.gangs)
+                decision = self.plan.decide(job, self._place, self.gangs)
+                return decision if self._may_start(job, decision) else Decision()
             return Decision(self._place(job, View.BORROW))
 
+    def _may_start(self, job: Job, decision: Decision) -> bool:
+        """Whether a decision keeps room for urgent work; work in its own cell always does."""
+        if not decision.placements or decision.cell is not None:
+            return True
+        return self.order.may_start(job, decision.placements, self.topology)
+
     def _place(self, job: Job, view: View) -> Placements:
         """Place a job, on workers under suspicion last."""
         suspects = frozenset(self.order.quarantine.suspects)
         if suspects:
             with self.topology.excluding(suspects):
-                placements = self._placer.place(job.shape, self.topology, view)
+                placements = self._find(job, view)
             if placements:
                 return placements
-        return self._placer.place(job.shape, self.topology, view)
+        return self._find(job, view)
+
+    def _find(self, job: Job, view: View) -> Placements:
+        placements = self._placer.place(job.shape, self.topology, view)
+        if not placements or self.order.may_start(job, placements, self.topology):
+            return placements
+        return self.order.choose(job, candidates(job.shape, self.topology, view), self.topology)
 
     def _place_anywhere(self, job: Job) -> Placements:
         """Where a job would start if nothing had to be reclaimed for it."""
