Bound the work of a flood that cannot be preempted

Cause, by a trace of the queue in floods: the others are below their fair share and wait with gangs of 16 and 24, while the flooding organisation runs 22 to 35 accelerators of work that cannot be preempted, spread over most workers, so no whole worker can be reclaimed for them.

Ruled out: preemption that comes too late (the waiting jobs had waited long past it), and small jobs (nearly all waiting work of the others is 16 or 24 accelerators wide).

--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -38,6 +38,8 @@
 # preempt and waits for the end of a job.
 URGENT_SHARE = 0.1
 URGENT_BLOCK = 4
+# Work that cannot be preempted of a flood above its fair share stays below this part of that share.
+FLOOD_FIRM_SHARE = 0.25
 # Other places that are tried for work that would break these rules at the tightest one.
 PLACES_TRIED = 16
 
@@ -246,6 +248,9 @@
             return True
         organisation = job.organisation
         if self.queue.flooding(organisation) and self.queue.organisation_share(organisation) > 1.0:
+            fair = self.queue.fair_accelerators(organisation)
+            if self.queue.firm[organisation] + job.shape.total > FLOOD_FIRM_SHARE * fair:
+                return False
             if not all(topology.workers[place.target].firm for place in placements):
                 return False
         least = int(URGENT_SHARE * self.queue.capacity.accelerators / URGENT_BLOCK)
--- a/comfreyshelf/queueing.py
+++ b/comfreyshelf/queueing.py
@@ -70,6 +70,7 @@
         self.config: Config = EMPTY_CONFIG
         self.capacity = Resources()
         self.used: Counter[OrganisationId] = Counter()
+        self.firm: Counter[OrganisationId] = Counter()
         self._jobs: dict[JobId, Job] = {}
         self._delayed: dict[JobId, Job] = {}
         self._delays: list[tuple[float, JobId]] = []
@@ -129,10 +130,14 @@
     def started(self, job: Job) -> None:
         """An attempt of a job took its accelerators."""
         self.used[job.organisation] += job.shape.total
+        if not job.may_borrow:
+            self.firm[job.organisation] += job.shape.total
 
     def ended(self, job: Job) -> None:
         """An attempt of a job gave its accelerators back."""
         self.used[job.organisation] -= job.shape.total
+        if not job.may_borrow:
+            self.firm[job.organisation] -= job.shape.total
 
     @abstractmethod
     def no_room(self, job: Job) -> None:
