--- a/features/order.feature
+++ b/features/order.feature
@@ -124,3 +124,23 @@
     Guards against: a caller submits a job again that it believes never ran.
     Given a job that failed on three workers and was refused
     Then neither the job nor its result is reported as not run
+
+  Scenario: Urgent work that cannot borrow finds work to preempt
+    Guards against: work that cannot be preempted fills the fleet and urgent work waits for its end.
+    Given a core with 10 workers
+    And 10 jobs of organisation b that cannot be preempted and one that can
+    When an urgent job of organisation a that cannot be preempted arrives
+    Then a preemptible job is stopped for it
+
+  Scenario: A flood cannot fill the fleet with work that cannot be preempted
+    Guards against: gangs of others find no whole worker to reclaim until the flood ends.
+    Given a core with 0 workers
+    And organisation a floods with work that cannot be preempted beside organisation b
+    When 10 workers join
+    Then at most 44 of the 80 accelerators run work of organisation a
+
+  Scenario: A long queue offers new urgent work at once
+    Guards against: scores that are computed only at times hide a job that arrived in between.
+    Given a queue of 100 groups that was ranked a moment ago
+    When organisation b queues an urgent job in the long queue
+    Then the urgent job comes first and a group without room is skipped until room changes
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -42,7 +42,7 @@
 from comfreyshelf.limits import RETRY_LONGEST_S, Retries
 from comfreyshelf.model import Job, JobState, PartState, Shape, Urgency, WorkerInfo
 from comfreyshelf.quarantine import Quarantine
-from comfreyshelf.queueing import FairQueue, Resources
+from comfreyshelf.queueing import RANKED_GROUPS, FairQueue, Resources
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import AttemptStarted, JobFinished, JobRefused
 from comfreyshelf.scheduler import Scheduler
@@ -70,6 +70,9 @@
         self.finished: list[str] = []
         self.limits: dict[str, int] = {}
         self.configure()
+        self.join(workers)
+
+    def join(self, workers: int) -> None:
         for index in range(workers):
             target = TargetId(f"w-{index}")
             info = WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1)
@@ -482,3 +485,69 @@
     assert view_of(entry).execution is Execution.MAY_HAVE_RUN
     assert no_result(entry).execution is Execution.MAY_HAVE_RUN
     assert no_result(entry).retry_after_s == 0
+
+
+@given("10 jobs of organisation b that cannot be preempted and one that can")
+def given_firm_fleet(context: Context) -> None:
+    for number in range(10):
+        context.core.queue(make_job(f"firm-{number}", organisation="b", preemptible=False))
+    context.core.queue(make_job("soft", organisation="b"))
+
+
+@when("an urgent job of organisation a that cannot be preempted arrives")
+def firm_urgent_arrives(context: Context) -> None:
+    job = make_job("urgent", shape=Shape(1, 4), urgency=Urgency.URGENT, preemptible=False)
+    context.core.queue(job)
+
+
+@then("a preemptible job is stopped for it")
+def soft_stopped(context: Context) -> None:
+    assert [stop.job for stop in context.core.stopped] == ["soft"], context.core.started
+
+
+@given("organisation a floods with work that cannot be preempted beside organisation b")
+def given_firm_flood(context: Context) -> None:
+    context.core.queue(make_job("other", organisation="b", shape=Shape(1, 1)))
+    for number in range(100):
+        context.core.queue(make_job(f"a-{number}", shape=Shape(1, 4), preemptible=False))
+
+
+@when("{count:d} workers join")
+def workers_join(context: Context, count: int) -> None:
+    context.core.join(count)
+
+
+@then("at most {most:d} of the 80 accelerators run work of organisation a")
+def bounded_flood(context: Context, most: int) -> None:
+    used = context.core.scheduler.queue.used["a"]
+    assert 0 < used <= most, used
+
+
+@given("a queue of 100 groups that was ranked a moment ago")
+def given_long_queue(context: Context) -> None:
+    context.queue = FairQueue()
+    context.queue.capacity = Resources(80.0, 640.0, 2560.0)
+    assert RANKED_GROUPS < 100
+    for number in range(100):
+        context.queue.push(make_job(f"q-{number}", organisation=f"o-{number}"))
+    context.first = next(context.queue.ordered(100.0))
+
+
+@when("organisation b queues an urgent job in the long queue")
+def b_queues_urgent(context: Context) -> None:
+    context.queue.push(
+        make_job("b-job", organisation="b", urgency=Urgency.URGENT, accepted_at=100.0)
+    )
+
+
+@then("the urgent job comes first and a group without room is skipped until room changes")
+def urgent_first(context: Context) -> None:
+    queue = context.queue
+    jobs = queue.ordered(100.1)
+    assert next(jobs).id == "b-job"
+    queue.no_room(queue.remove(JobId("b-job")))
+    assert next(jobs).id == context.first.id
+    queue.no_room(context.first)
+    assert context.first.id not in [job.id for job in queue.ordered(100.2)]
+    queue.room_changed()
+    assert next(queue.ordered(100.3)).id == context.first.id
