State what fragmentation counts, and measure its avoidable part

The figure counts free accelerators that whole gangs of the job mix cannot occupy. It includes what no placement can avoid, such as 16 free accelerators for a gang of 24. scattered compares with the same number of free accelerators in one place.

--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -27,12 +27,13 @@
 
 
 class Figures(msgspec.Struct, frozen=True):
-    """All figures of one run; `fragmentation` is a share of the free accelerators."""
+    """All figures of one run; `fragmentation` and `scattered` are shares of free accelerators."""
 
     all: Spread
     by_urgency: dict[str, Spread]
     by_organisation: dict[str, Spread]
     fragmentation: float
+    scattered: float
     small_over_large: float
     jain: float
     urgent_start_p99_s: float
@@ -49,7 +50,16 @@
 
 
 class Fragmentation:
-    """Averages the share of free accelerators that the job mix cannot use."""
+    """Averages the share of free accelerators that the job mix cannot use.
+
+    For one shape the usable ones are those that whole gangs of it could occupy at once, side by
+    side: each part on an aligned block of one worker with enough cores and memory, and all parts
+    of a gang inside its worker, rack or zone. Planned cells and holds do not count as occupied.
+    The rest is averaged over the shapes by their share of jobs, and over time by what is free.
+
+    Part of this no placement can avoid: 16 free accelerators never hold a gang of 24. `scattered`
+    compares with what the same number of free accelerators could hold if they were in one place.
+    """
 
     def __init__(self) -> None:
         self._mix = [
@@ -57,6 +67,7 @@
         ]
         self._free = 0.0
         self._unusable = 0.0
+        self._scattered = 0.0
 
     def sample(self, scheduler: Scheduler) -> None:
         """Add the current state of a scheduler."""
@@ -64,13 +75,20 @@
         free = sum(worker.free.bit_count() for worker in topology.workers.values())
         self._free += free
         for share, shape in self._mix:
-            self._unusable += share * (free - usable(shape, topology))
+            used = usable(shape, topology)
+            self._unusable += share * (free - used)
+            self._scattered += share * (free // shape.total * shape.total - used)
 
     @property
     def share(self) -> float:
         """Unusable over free accelerators."""
         return self._unusable / self._free if self._free else 0.0
 
+    @property
+    def scattered(self) -> float:
+        """Accelerators that are unusable because of where they are, over free ones."""
+        return self._scattered / self._free if self._free else 0.0
+
 
 def usable(shape: Shape, topology: Topology) -> int:
     """Accelerators that whole gangs of one shape could occupy."""
@@ -162,6 +180,7 @@
             for name in names
         },
         fragmentation=fragmentation.share,
+        scattered=fragmentation.scattered,
         small_over_large=small / large if large else 0.0,
         jain=jain(_caller_slowdowns(done)),
         urgent_start_p99_s=quantile(waits, 99),
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -43,6 +43,7 @@
 FLOOD_S = 7200.0
 BROKEN_SHARE = 0.02
 FIELDS = (
+    "scattered",
     "small_over_large",
     "jain",
     "urgent_start_p99_s",
--- a/benchmarks/sweep.py
+++ b/benchmarks/sweep.py
@@ -16,8 +16,9 @@
 SEED_SETS = {"tuning": range(1, 11), "held-out": range(11, 10_000)}
 HEADER = (
     f"{'deployment':10} {'seeds':8} {'fault':12} {'sd p99':>7} {'vs fc':>6} {'vs ff':>6} "
-    f"{'frag':>6} {'vs fc':>6} {'vs ff':>6} {'goodput':>11} {'work':>11} {'small/l':>9} "
-    f"{'urgent':>7} {'reclaim':>7} {'unf':>4} {'dbl':>4} {'cut':>4} {'maybe':>5} {'lost s':>7}"
+    f"{'frag':>6} {'vs fc':>6} {'vs ff':>6} {'scat':>6} {'vs fc':>6} {'vs ff':>6} "
+    f"{'goodput':>11} {'work':>11} {'small/l':>9} {'urgent':>7} "
+    f"{'reclaim':>7} {'unf':>4} {'dbl':>4} {'cut':>4} {'maybe':>5} {'lost s':>7}"
 )
 
 
@@ -51,7 +52,7 @@
         pairs = [(row["comfreyshelf"].figures, row[name].figures) for row in rows]
         if field == "slowdown":
             return f"{mean([a.all.slowdown_p99 / b.all.slowdown_p99 for a, b in pairs]):6.2f}"
-        return f"{mean([a.fragmentation / b.fragmentation for a, b in pairs]):6.2f}"
+        return f"{mean([getattr(a, field) / getattr(b, field) for a, b in pairs]):6.2f}"
 
     def share(kept: list[dict[str, float]]) -> str:
         values = [value for each in kept for value in each.values()]
@@ -65,6 +66,8 @@
         f"{ratio('first-come', 'slowdown')} {ratio('first-fit', 'slowdown')} "
         f"{mean([each.fragmentation for each in figures]):6.3f} "
         f"{ratio('first-come', 'fragmentation')} {ratio('first-fit', 'fragmentation')} "
+        f"{mean([each.scattered for each in figures]):6.3f} "
+        f"{ratio('first-come', 'scattered')} {ratio('first-fit', 'scattered')} "
         f"{kept} {work} {mean(fair):4.2f}/{max(fair):4.2f} "
         f"{max(each.urgent_start_max_s for each in figures):7.2f} "
         f"{max(each.reclaim_p99_s for each in figures):7.2f} "
