--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -304,9 +304,13 @@
             victims = self._below(job, gangs, job.urgency.rank + 1)
         else:
             victims = self._victims(job, topology, gangs, place, now)
-        if not victims:
+        if not victims and not urgent:
             return []
-        return self._backfill.make_room(job, topology, victims, place, now)
+        chosen = self._backfill.make_room(job, topology, victims, place, now)
+        if not chosen and urgent and not self.queue.floods_urgent(job.organisation):
+            victims = self._below(job, gangs, job.urgency.rank + 1, beyond_guarantees=False)
+            chosen = self._backfill.make_room(job, topology, victims, place, now)
+        return chosen
 
     def _victims(
         self, job: Job, topology: Topology, gangs: list[Gang], place: Place, now: float
@@ -331,15 +335,22 @@
         candidates = self._below(job, gangs, min(job.urgency.rank, _NORMAL_RANK))
         return self._backfill.longer(job, candidates, now)
 
-    def _below(self, job: Job, gangs: list[Gang], least_rank: int) -> list[Gang]:
-        """Preemptible work; a flood preempts only work of organisations above their share."""
+    def _below(
+        self, job: Job, gangs: list[Gang], least_rank: int, beyond_guarantees: bool = True
+    ) -> list[Gang]:
+        """Preemptible work; a flood preempts only work of organisations above their share.
+
+        A gang wider than what its organisation runs beyond its guarantees is taken only for urgent
+        work that finds nothing else. It uses no cell, so the guarantee itself is kept.
+        """
         share = self.queue.organisation_share
         urgent = job.urgency is Urgency.URGENT
         floods = self.queue.floods_urgent if urgent else self.queue.flooding
         if floods(job.organisation):
             gangs = [gang for gang in gangs if share(gang.job.organisation) > 1.0]
         used = self.queue.used
-        return preemptible(gangs, job.organisation, used, self._promised, share, least_rank)
+        promised = self._promised if beyond_guarantees else {}
+        return preemptible(gangs, job.organisation, used, promised, share, least_rank)
 
     def _flooded(self, job: Job, flood: list[Gang], now: float) -> list[Gang]:
         """Work that an organisation above its fair share runs beyond its guarantees.
