--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -1,4 +1,4 @@
-"""Policy benchmark: one seeded load under this policy and two baselines.
+"""Policy benchmark: one seeded load under this policy and three baselines.
 
 python -m benchmarks.policy --deployment camara --seed 1 --load 0.85 --workers 10
 """
@@ -8,18 +8,19 @@
 from functools import partial
 from operator import attrgetter
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import typer
 
 from benchmarks.baselines import FirstCome, QuotaCounts
-from benchmarks.figures import Figures, Fragmentation, figures, goodput
+from benchmarks.figures import Figures, Fragmentation, figures, goodput, work_done
 from benchmarks.load import ACCELERATORS, Load, Work, kinds_of, mean_work
 from benchmarks.replay import Replay
 from comfreyshelf.config import Config, parse_config
 from comfreyshelf.ids import DomainId, Epoch, OrganisationId, RackId, TargetId, Version
 from comfreyshelf.model import Urgency, WorkerInfo
+from comfreyshelf.placement import Cells, FirstFit, Placer
 from comfreyshelf.queueing import FairQueue, JobQueue
 from comfreyshelf.scheduler import Scheduler
 
@@ -42,6 +43,7 @@
 FLOOD_S = 7200.0
 BROKEN_SHARE = 0.02
 FIELDS = (
+    "scattered",
     "small_over_large",
     "jain",
     "urgent_start_p99_s",
@@ -82,20 +84,33 @@
 class Row(msgspec.Struct, frozen=True):
     """Figures of one policy without floods, and the share of goodput others kept in each flood.
 
+    `goodput_kept` counts jobs that finish in the flood, `work_kept` accelerator-seconds.
     `broken_in_floods` counts doubled jobs and overlapping accelerators in the runs with a flood.
     """
 
     policy: str
     figures: Figures
     goodput_kept: dict[str, float]
+    work_kept: dict[str, float]
     broken_in_floods: int = 0
 
 
-QueueFactory = Callable[[Setup], JobQueue]
-POLICIES: dict[str, QueueFactory] = {
-    "comfreyshelf": lambda setup: FairQueue(),
-    "first-come": lambda setup: FirstCome(),
-    "quota-counts": lambda setup: QuotaCounts(setup.config, setup.domain, setup.accelerators),
+class Policy(NamedTuple):
+    """How a policy orders jobs and how it places them."""
+
+    make_queue: Callable[[Setup], JobQueue]
+    placer: Placer
+
+
+# "first-fit" is first-come first-fit without planned cells. "first-come" changes only the order, so
+# it keeps the guarantees and the tight placement.
+POLICIES: dict[str, Policy] = {
+    "comfreyshelf": Policy(lambda setup: FairQueue(), Cells()),
+    "first-fit": Policy(lambda setup: FirstCome(), FirstFit()),
+    "first-come": Policy(lambda setup: FirstCome(), Cells()),
+    "quota-counts": Policy(
+        lambda setup: QuotaCounts(setup.config, setup.domain, setup.accelerators), Cells()
+    ),
 }
 
 
@@ -120,16 +135,17 @@
 
 
 def replay(
-    setup: Setup, make_queue: QueueFactory, faults: tuple[str, ...], until: float = 0.0
+    setup: Setup, policy: Policy, faults: tuple[str, ...], until: float = 0.0
 ) -> tuple[Replay, Row]:
     """Replay the load of a setup with some faults, until every job ended or to `until`."""
-    scheduler = Scheduler(setup.domain, Epoch(1), queue=make_queue(setup))
+    queue = policy.make_queue(setup)
+    scheduler = Scheduler(setup.domain, Epoch(1), placer=policy.placer, queue=queue)
     run = Replay(scheduler, setup.config, setup.workers, setup.seed)
     run.submit(arrivals(setup, faults))
     add_faults(setup, run, faults)
     fragmentation = Fragmentation()
     run.run(until or setup.duration_s * 20, fragmentation.sample)
-    return run, Row("", figures(run, fragmentation), {})
+    return run, Row("", figures(run, fragmentation), {}, {})
 
 
 def arrivals(setup: Setup, faults: tuple[str, ...]) -> list[Work]:
@@ -180,6 +196,7 @@
     base_faults = tuple(fault for fault in setup.faults if fault not in FLOODS)
     base, row = replay(setup, POLICIES[name], base_faults)
     kept = {}
+    work = {}
     broken = 0
     start, end = setup.flood_window
     for fault in setup.faults:
@@ -189,7 +206,10 @@
             before = goodput(base, flooder(setup), start, end)
             during = goodput(flooded, flooder(setup), start, end)
             kept[fault] = during / before if before else 1.0
-    return Row(name, row.figures, kept, broken)
+            before = work_done(base, flooder(setup), start, end)
+            during = work_done(flooded, flooder(setup), start, end)
+            work[fault] = during / before if before else 1.0
+    return Row(name, row.figures, kept, work, broken)
 
 
 def table(rows: list[Row]) -> str:
@@ -217,6 +237,7 @@
     line("fragmentation", lambda row: row.figures.fragmentation)
     for name in rows[0].goodput_kept:
         line(f"goodput kept {name}", _of(lambda row: row.goodput_kept, name, float))
+        line(f"work kept {name}", _of(lambda row: row.work_kept, name, float))
     for name in FIELDS:
         line(name, attrgetter(f"figures.{name}"))
     line("doubled or cut in floods", lambda row: row.broken_in_floods)
--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
+from itertools import islice
 
 from comfreyshelf.backfill import Backfill, Place, preemptible
 from comfreyshelf.config import EMPTY_CONFIG, Config
@@ -11,7 +12,7 @@
 from comfreyshelf.ids import DomainId, JobId, OrganisationId, RackId, TargetId
 from comfreyshelf.limits import QueueLimits, Retries
 from comfreyshelf.model import AttemptOutcome, Job, PartState, Shape, Urgency, WorkerInfo
-from comfreyshelf.placement import Cells
+from comfreyshelf.placement import Cells, Placements, keeps_blocks
 from comfreyshelf.quarantine import Quarantine
 from comfreyshelf.queueing import JobQueue
 from comfreyshelf.reasons import RefusalReason
@@ -32,6 +33,20 @@
 FLOOD_WAIT_S = 5.0
 FLOOD_INTERVAL_S = 1.0
 
+# Work that cannot be preempted leaves this share of the accelerators to work that can, in blocks of
+# URGENT_BLOCK outside planned cells. Otherwise urgent work that may not borrow finds nothing to
+# preempt and waits for the end of a job.
+URGENT_SHARE = 0.1
+URGENT_BLOCK = 4
+# Work that cannot be preempted of a flood above its fair share stays below this part of that share.
+FLOOD_FIRM_SHARE = 0.25
+# Other places that are tried for work that would break these rules at the tightest one.
+PLACES_TRIED = 16
+
+# A search for work to preempt visits every gang, so for work that is not urgent this time per gang
+# passes between two searches.
+SEARCH_S_PER_GANG = 1e-4
+
 _NORMAL_RANK = Urgency.NORMAL.rank
 
 
@@ -99,6 +114,7 @@
         self._reviewed_at = 0.0
         self._late_from = 0.0
         self._flood_from = 0.0
+        self._search_from = 0.0
         self._workers = 0
 
     def _overrides_holds(self, job: Job) -> bool:
@@ -222,11 +238,36 @@
             return None
         if self.quarantine.fails_everywhere(job.id, self._workers):
             return RefusalReason.FAILS_EVERYWHERE
-        self.queue.push(job, now + self._retries.delay_s(job, now))
+        self.queue.push(job, now + self._retries.delay_s(job))
         return None
 
     # Placement
 
+    def may_start(self, job: Job, placements: Placements, topology: Topology) -> bool:
+        """Whether work that cannot be preempted leaves enough that can be reclaimed.
+
+        A flood above its fair share adds such work only to workers that run some already, so that
+        wide gangs of others find whole workers to reclaim.
+        """
+        if job.may_borrow or not self.queue.reserves or self.queue.counts_as_urgent(job):
+            return True
+        organisation = job.organisation
+        if self.queue.flooding(organisation) and self.queue.organisation_share(organisation) > 1.0:
+            fair = self.queue.fair_accelerators(organisation)
+            if self.queue.firm[organisation] + job.shape.total > FLOOD_FIRM_SHARE * fair:
+                return False
+            if not all(topology.workers[place.target].firm for place in placements):
+                return False
+        least = int(URGENT_SHARE * self.queue.capacity.accelerators / URGENT_BLOCK)
+        return keeps_blocks(placements, topology, URGENT_BLOCK, least)
+
+    def choose(self, job: Job, found: Iterable[Placements], topology: Topology) -> Placements:
+        """The first of some places at which a job may start, or an empty tuple."""
+        for placements in islice(found, PLACES_TRIED):
+            if self.may_start(job, placements, topology):
+                return placements
+        return ()
+
     def tick(self, now: float) -> list[TargetId]:
         """Time passed; returns the workers to probe."""
         self.queue.release(now)
@@ -253,14 +294,23 @@
         self.queue.no_room(job)
         if not self.queue.reserves:
             return []
+        urgent = self.queue.counts_as_urgent(job)
+        if self._backfill.is_making_room(job.id) or (now < self._search_from and not urgent):
+            return []
         gangs = list(gangs)
-        if self.queue.counts_as_urgent(job):
+        if not urgent:
+            self._search_from = now + SEARCH_S_PER_GANG * len(gangs)
+        if urgent:
             victims = self._below(job, gangs, job.urgency.rank + 1)
         else:
             victims = self._victims(job, topology, gangs, place, now)
-        if not victims:
+        if not victims and not urgent:
             return []
-        return self._backfill.make_room(job, topology, victims, place, now)
+        chosen = self._backfill.make_room(job, topology, victims, place, now)
+        if not chosen and urgent and not self.queue.floods_urgent(job.organisation):
+            victims = self._below(job, gangs, job.urgency.rank + 1, beyond_guarantees=False)
+            chosen = self._backfill.make_room(job, topology, victims, place, now)
+        return chosen
 
     def _victims(
         self, job: Job, topology: Topology, gangs: list[Gang], place: Place, now: float
@@ -268,7 +318,10 @@
         """What a job that is not urgent may preempt: a flood's work or, if late, longer work."""
         fair = self.queue.organisation_share(job.organisation) <= 1.0
         if fair and not self.queue.flooding(job.organisation):
-            flood = [gang for gang in gangs if self.queue.flooding(gang.job.organisation)]
+            floods = {
+                name for name, used in self.queue.used.items() if used and self.queue.flooding(name)
+            }
+            flood = [gang for gang in gangs if gang.job.organisation in floods] if floods else []
             if flood:
                 holder = self._backfill.reserved_for
                 if holder is not None and self.queue.flooding(holder.organisation):
@@ -282,15 +335,22 @@
         candidates = self._below(job, gangs, min(job.urgency.rank, _NORMAL_RANK))
         return self._backfill.longer(job, candidates, now)
 
-    def _below(self, job: Job, gangs: list[Gang], least_rank: int) -> list[Gang]:
-        """Preemptible work; a flood preempts only work of organisations above their share."""
+    def _below(
+        self, job: Job, gangs: list[Gang], least_rank: int, beyond_guarantees: bool = True
+    ) -> list[Gang]:
+        """Preemptible work; a flood preempts only work of organisations above their share.
+
+        A gang wider than what its organisation runs beyond its guarantees is taken only for urgent
+        work that finds nothing else. It uses no cell, so the guarantee itself is kept.
+        """
         share = self.queue.organisation_share
         urgent = job.urgency is Urgency.URGENT
         floods = self.queue.floods_urgent if urgent else self.queue.flooding
         if floods(job.organisation):
             gangs = [gang for gang in gangs if share(gang.job.organisation) > 1.0]
         used = self.queue.used
-        return preemptible(gangs, job.organisation, used, self._promised, share, least_rank)
+        promised = self._promised if beyond_guarantees else {}
+        return preemptible(gangs, job.organisation, used, promised, share, least_rank)
 
     def _flooded(self, job: Job, flood: list[Gang], now: float) -> list[Gang]:
         """Work that an organisation above its fair share runs beyond its guarantees.
--- a/features/order.feature
+++ b/features/order.feature
@@ -99,10 +99,10 @@
     Then a job declared as 1000 s is expected to run 90 to 115 s
     And estimates of 10000 kinds keep at most 4096
 
-  Scenario: A token bucket never exceeds its rate and burst
+  Scenario: A rate limit never exceeds its rate and burst
     Guards against: a caller gets more than its rate after a pause or a burst.
     Given any times of requests
-    Then a token bucket of 5 a second and burst 10 grants at most burst plus rate times time
+    Then a rate limit of 5 a second and burst 10 grants at most burst plus rate times time
 
   Scenario: Order does not depend on the urgency of a flood
     Guards against: a flood of the most urgent work starves other organisations.
@@ -119,3 +119,28 @@
     Guards against: a job is lost, doubled or refused when faults coincide.
     Given a replay of 2 h with worker-loss, bad-workers, cancel-wave, log-outage
     Then every job ends once and no accelerators overlap
+
+  Scenario: A job that failed everywhere is not reported as not run
+    Guards against: a caller submits a job again that it believes never ran.
+    Given a job that failed on three workers and was refused
+    Then neither the job nor its result is reported as not run
+
+  Scenario: Urgent work that cannot borrow finds work to preempt
+    Guards against: work that cannot be preempted fills the fleet and urgent work waits for its end.
+    Given a core with 10 workers
+    And 10 jobs of organisation b that cannot be preempted and one that can
+    When an urgent job of organisation a that cannot be preempted arrives
+    Then a preemptible job is stopped for it
+
+  Scenario: A flood cannot fill the fleet with work that cannot be preempted
+    Guards against: gangs of others find no whole worker to reclaim until the flood ends.
+    Given a core with 0 workers
+    And organisation a floods with work that cannot be preempted beside organisation b
+    When 10 workers join
+    Then at most 44 of the 80 accelerators run work of organisation a
+
+  Scenario: A long queue offers new urgent work at once
+    Guards against: scores that are computed only at times hide a job that arrived in between.
+    Given a queue of 100 groups that was ranked a moment ago
+    When organisation b queues an urgent job in the long queue
+    Then the urgent job comes first and a group without room is skipped until room changes
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,7 +11,9 @@
 
 from benchmarks import policy
 from comfreyshelf.commands import AppendRecord, CommitParts, ReserveParts, StopParts
-from comfreyshelf.config import Config, Organisation
+from comfreyshelf.config import Caller, Config, Organisation
+from comfreyshelf.entry_limits import RateLimits
+from comfreyshelf.errors import Execution
 from comfreyshelf.estimates import MAX_KINDS, Estimates
 from comfreyshelf.events import (
     ConfigInForce,
@@ -35,10 +37,12 @@
     Version,
     ZoneId,
 )
-from comfreyshelf.limits import RETRY_LONGEST_S, Retries, TokenBucket
-from comfreyshelf.model import Job, PartState, Shape, Urgency, WorkerInfo
+from comfreyshelf.jobs_api import no_result, view_of
+from comfreyshelf.ledger import JobEntry
+from comfreyshelf.limits import RETRY_LONGEST_S, Retries
+from comfreyshelf.model import Job, JobState, PartState, Shape, Urgency, WorkerInfo
 from comfreyshelf.quarantine import Quarantine
-from comfreyshelf.queueing import FairQueue, Resources
+from comfreyshelf.queueing import RANKED_GROUPS, FairQueue, Resources
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import AttemptStarted, JobFinished, JobRefused
 from comfreyshelf.scheduler import Scheduler
@@ -66,6 +70,9 @@
         self.finished: list[str] = []
         self.limits: dict[str, int] = {}
         self.configure()
+        self.join(workers)
+
+    def join(self, workers: int) -> None:
         for index in range(workers):
             target = TargetId(f"w-{index}")
             info = WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1)
@@ -383,17 +390,19 @@
     context.gaps = st.lists(st.floats(0.0, 3.0), max_size=200)
 
 
-@then("a token bucket of 5 a second and burst 10 grants at most burst plus rate times time")
+@then("a rate limit of 5 a second and burst 10 grants at most burst plus rate times time")
 def bucket_bound(context: Context) -> None:
     @settings(max_examples=100, deadline=None, derandomize=True)
     @hypothesis_given(context.gaps)
     def check(gaps: list[float]) -> None:
-        bucket = TokenBucket(5.0, 10)
+        limits = RateLimits()
+        organisation = Organisation(OrganisationId("a"), rate=5.0, burst=10)
+        caller = Caller(CallerId("c"), organisation.id, "", rate=1000.0, burst=1000)
         now = 0.0
         granted = 0
         for gap in gaps:
             now += gap
-            granted += bucket.take(now)
+            granted += limits.take(organisation, caller, 1, now) is None
             assert granted <= 10 + 5.0 * now + 1e-6
 
     check()
@@ -424,7 +433,7 @@
 def given_failing(context: Context) -> None:
     def delays(seed: int) -> list[float]:
         retries = Retries(random.Random(seed))
-        return [retries.delay_s(make_job("x"), 0.0) for _ in range(30)]
+        return [retries.delay_s(make_job("x")) for _ in range(30)]
 
     context.delays = delays(1), delays(2)
 
@@ -453,3 +462,92 @@
     assert not found.refused, found.refused
     for outcome in context.replay.outcomes.values():
         assert outcome.finishes or outcome.cancelled or not outcome.work.job.idempotent
+
+
+@given("a job that failed on three workers and was refused")
+def given_refused(context: Context) -> None:
+    core = context.core = Core(3)
+    core.queue(make_job("broken", shape=Shape(1, 1)))
+    for _ in range(3):
+        core.end("broken", PartState.FAILED)
+        core.now += RETRY_LONGEST_S
+        core.feed(Tick())
+    assert [body.reason for body in core.refused] == [RefusalReason.FAILS_EVERYWHERE]
+
+
+@then("neither the job nor its result is reported as not run")
+def refused_after_run(context: Context) -> None:
+    entry = JobEntry(make_job("broken"), DomainId("d"))
+    entry.state = JobState.REFUSED
+    entry.reason = context.core.refused[0].reason
+    assert view_of(entry).execution is Execution.NOT_RUN
+    entry.attempt = Attempt(3)
+    assert view_of(entry).execution is Execution.MAY_HAVE_RUN
+    assert no_result(entry).execution is Execution.MAY_HAVE_RUN
+    assert no_result(entry).retry_after_s == 0
+
+
+@given("10 jobs of organisation b that cannot be preempted and one that can")
+def given_firm_fleet(context: Context) -> None:
+    for number in range(10):
+        context.core.queue(make_job(f"firm-{number}", organisation="b", preemptible=False))
+    context.core.queue(make_job("soft", organisation="b"))
+
+
+@when("an urgent job of organisation a that cannot be preempted arrives")
+def firm_urgent_arrives(context: Context) -> None:
+    job = make_job("urgent", shape=Shape(1, 4), urgency=Urgency.URGENT, preemptible=False)
+    context.core.queue(job)
+
+
+@then("a preemptible job is stopped for it")
+def soft_stopped(context: Context) -> None:
+    assert [stop.job for stop in context.core.stopped] == ["soft"], context.core.started
+
+
+@given("organisation a floods with work that cannot be preempted beside organisation b")
+def given_firm_flood(context: Context) -> None:
+    context.core.queue(make_job("other", organisation="b", shape=Shape(1, 1)))
+    for number in range(100):
+        context.core.queue(make_job(f"a-{number}", shape=Shape(1, 4), preemptible=False))
+
+
+@when("{count:d} workers join")
+def workers_join(context: Context, count: int) -> None:
+    context.core.join(count)
+
+
+@then("at most {most:d} of the 80 accelerators run work of organisation a")
+def bounded_flood(context: Context, most: int) -> None:
+    used = context.core.scheduler.queue.used["a"]
+    assert 0 < used <= most, used
+
+
+@given("a queue of 100 groups that was ranked a moment ago")
+def given_long_queue(context: Context) -> None:
+    context.queue = FairQueue()
+    context.queue.capacity = Resources(80.0, 640.0, 2560.0)
+    assert RANKED_GROUPS < 100
+    for number in range(100):
+        context.queue.push(make_job(f"q-{number}", organisation=f"o-{number}"))
+    context.first = next(context.queue.ordered(100.0))
+
+
+@when("organisation b queues an urgent job in the long queue")
+def b_queues_urgent(context: Context) -> None:
+    context.queue.push(
+        make_job("b-job", organisation="b", urgency=Urgency.URGENT, accepted_at=100.0)
+    )
+
+
+@then("the urgent job comes first and a group without room is skipped until room changes")
+def urgent_first(context: Context) -> None:
+    queue = context.queue
+    jobs = queue.ordered(100.1)
+    assert next(jobs).id == "b-job"
+    queue.no_room(queue.remove(JobId("b-job")))
+    assert next(jobs).id == context.first.id
+    queue.no_room(context.first)
+    assert context.first.id not in [job.id for job in queue.ordered(100.2)]
+    queue.room_changed()
+    assert next(queue.ordered(100.3)).id == context.first.id
