--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -53,6 +53,9 @@
 # A status may have been sent before the newest command arrived, so differences are only acted on
 # after this time.
 RECONCILE_AFTER_S = 6.0
+# Each epoch numbers attempts in a range of its own. During an outage of the log an attempt may run
+# without a record, so the next owner cannot know its number and must not use it again.
+ATTEMPTS_PER_EPOCH = 10_000
 
 _RETRY_OF_OUTCOME = {
     AttemptOutcome.PREEMPTED: RetryReason.PREEMPTED,
@@ -176,7 +179,8 @@
                 self._emit(StopParts(target, job, attempt))
                 self._emit(ForgetParts(target, job, attempt))
         for gang in self.gangs.on_target(target):
-            if gang.phase is Phase.RUNNING and now - gang.since > RECONCILE_AFTER_S:
+            committed = gang.phase in (Phase.RUNNING, Phase.STOPPING)
+            if committed and now - gang.since > RECONCILE_AFTER_S:
                 self._reconcile_gang(gang, target, states, now)
 
     def _reconcile_gang(
@@ -190,7 +194,10 @@
             if part.state is not None:
                 continue
             state = states.get((gang.job.id, gang.attempt, part.placement.part))
-            if state is PartState.RESERVED:
+            if state is not None and gang.phase is Phase.STOPPING:
+                # The first stop may have been lost.
+                self._emit(StopParts(target, gang.job.id, gang.attempt))
+            elif state is PartState.RESERVED:
                 self._emit(CommitParts(target, gang.job.id, gang.attempt))
             elif state is None:
                 self._end_part(gang, part, PartState.STOPPED)
@@ -311,7 +318,8 @@
 
     def _start(self, job: Job, decision: Decision, now: float) -> None:
         self.queue.remove(job.id)
-        attempt = Attempt(self._attempts.get(job.id, 0) + 1)
+        first = (self.epoch - 1) * ATTEMPTS_PER_EPOCH
+        attempt = Attempt(max(self._attempts.get(job.id, 0), first) + 1)
         self._attempts[job.id] = attempt
         parts = [Part(placement) for placement in decision.placements]
         gang = Gang(job, attempt, parts, now)
@@ -390,6 +398,9 @@
         if gang is None:
             self._emit(ForgetParts(event.target, event.job, event.attempt))
             return
+        if not 0 <= event.part < len(gang.parts):
+            self.counters["part_unknown"] += 1
+            return
         part = gang.parts[event.part]
         if part.state is not None or part.placement.target != event.target:
             return
