--- a/comfreyshelf/domains.py
+++ b/comfreyshelf/domains.py
@@ -7,7 +7,7 @@
 from comfreyshelf.config import Config
 from comfreyshelf.ids import DomainId, OrganisationId, RegionId
 from comfreyshelf.model import Adjacency, DomainSummary, Job, Shape
-from comfreyshelf.topology import Topology, Worker, block_size
+from comfreyshelf.topology import Topology, View, Worker, block_size
 
 # A queued job moves only after its own domain had this time to find room for it.
 REROUTE_AFTER_S = 15.0
@@ -50,9 +50,11 @@
 def _parts_on(worker: Worker, size: int, free: bool) -> int:
     if not free:
         return worker.capacity // size
+    # A job that moves must find room that is not planned for guarantees or on a leaving target.
     mask = (1 << size) - 1
+    open_mask = worker.mask(View.OPEN)
     positions = range(0, worker.capacity - size + 1, block_size(size))
-    return sum(1 for position in positions if worker.free >> position & mask == mask)
+    return sum(1 for position in positions if open_mask >> position & mask == mask)
 
 
 class Candidate(msgspec.Struct, frozen=True):
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -309,7 +309,11 @@
         """Keep work off targets that are withdrawn or that refused a reservation lately."""
         self._avoided = {target: until for target, until in self._avoided.items() if until > now}
         withdrawn = self._withdrawn()
-        self.topology.exclude(withdrawn | self._avoided.keys())
+        excluded = withdrawn | self._avoided.keys()
+        if self.topology.excluded - excluded:
+            # A guarantee that lost its cell meanwhile may find one there, before other work does.
+            self.plan.capacity_gained()
+        self.topology.exclude(excluded)
         self.plan.withdraw(withdrawn)
 
     def _withdrawn(self) -> frozenset[TargetId]:
--- a/features/cells.feature
+++ b/features/cells.feature
@@ -70,6 +70,20 @@
     When the workers of both jobs are scrapped
     Then one job moves and the other finishes where it is
 
+  Scenario: A guarantee takes the room that a moving gang gives up
+    # Guards against a guarantee that stays lost until other work has taken its room.
+    Given a guaranteed worker with a preemptible job and one with a firm job
+    When the preemptible job has room on the other worker, is stopped, and both jobs finish
+    Then no guarantee is lost
+    And the job of another organisation waits
+
+  Scenario: A guarantee takes a worker that is tried again after a refusal
+    # Guards against a guarantee that stays lost while other work takes the worker.
+    Given 2 workers, one with a planned cell and one that refused a job
+    When the worker of the cell is lost and the other one is tried again
+    Then no guarantee is lost
+    And the job of another organisation waits
+
   Scenario: A result that is complete before a preemption counts
     # Guards against running a finished job again because its preemption came too late.
     Given a domain whose guaranteed worker is borrowed by preemptible jobs
--- a/features/domains.feature
+++ b/features/domains.feature
@@ -33,3 +33,9 @@
     Then a job that waited 5 seconds in litoral stays
     And a job that waited 20 seconds in litoral moves to platense
     And a job that moved 3 times and waited 20 seconds in litoral stays
+
+  Scenario: Planned cells and leaving targets are no room for others
+    Guards against a job that moves to a domain where it can never start.
+
+    Given a domain of 3 workers, one of them leaving and one with a planned cell of 4
+    Then its summary has room for 3 parts of 4, one worker with room for 2
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -21,6 +21,7 @@
     JobResumed,
     PartEnded,
     Reserved,
+    ReserveRefused,
     StartRecorded,
     Tick,
     WorkerLost,
@@ -48,6 +49,7 @@
     Urgency,
     WorkerInfo,
 )
+from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import AttemptStarted, JobFinished
 from comfreyshelf.scheduler import Scheduler
 from comfreyshelf.topology import find_block
@@ -82,7 +84,10 @@
 
 
 class Fleet:
-    """Answers the core's commands at once, except checkpoints of jobs named in `stuck`."""
+    """Answers the core's commands at once, except checkpoints of jobs named in `stuck`.
+
+    Targets named in `refusing` refuse reservations.
+    """
 
     def __init__(self, guarantees: dict[str, list[Shape]], workers: Iterable[WorkerInfo]) -> None:
         self.guarantees = guarantees
@@ -94,6 +99,7 @@
         self.open: set[JobId] = set()
         self.parts: dict[tuple[JobId, int], dict[int, tuple[Placement, PartState]]] = {}
         self.stuck: set[JobId] = set()
+        self.refusing: set[TargetId] = set()
         self.starts: dict[tuple[JobId, int], AttemptStarted] = {}
         self.commands: list[Command] = []
         self.scheduler = Scheduler(DOMAIN, Epoch(1))
@@ -208,6 +214,9 @@
     def reserve(self, command: ReserveParts) -> Event:
         target = command.target
         assert target not in self.scrapped, f"new work on leaving {target}"
+        if target in self.refusing:
+            reason = RefusalReason.OCCUPIED
+            return ReserveRefused(command.job.id, command.attempt, target, reason)
         held = self.parts.setdefault((command.job.id, command.attempt), {})
         for place in command.placements:
             busy = self.used(target, self.jobs)
--- a/features/history/checkers.py
+++ b/features/history/checkers.py
@@ -2,13 +2,13 @@
 
 import hashlib
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 from comfreyshelf.config import EMPTY_CONFIG, Config, Guarantee, parse_config
 from comfreyshelf.errors import Execution
 from comfreyshelf.ids import Attempt, JobId, RackId, RequestId, TargetId, Version, ZoneId
 from comfreyshelf.model import Adjacency, Job, JobState, PartState, Shape, WorkerInfo
-from comfreyshelf.records import ConfigPublished, JobAccepted, JobFinished
+from comfreyshelf.records import AttemptStarted, ConfigPublished, JobAccepted, JobFinished
 from comfreyshelf.worker import expected_result
 from features.history.events import (
     ConfigRead,
@@ -42,8 +42,12 @@
 CONFIG_LIMIT_S = 7.0
 # A lease of 6 s, 1 s until its owner knows, and 2 s for messages.
 GANG_LIMIT_S = 9.0
-# An owner plans with a target that died until its lease lapsed, as above.
+# An owner plans with a target that died until its lease lapsed, as above, and with one that is
+# marked to leave for as long as new work may still reach it.
 LOSS_UNKNOWN_S = 9.0
+MARK_UNKNOWN_S = DRAIN_LIMIT_S
+# The report of a part that ended reaches the scheduler within this time.
+REPORT_UNKNOWN_S = 1.0
 
 
 class _Calm:
@@ -113,22 +117,37 @@
 
 
 HeldKey = tuple[TargetId, JobId, Attempt]
+# The workers in service, and masks of accelerators whose release is not known yet.
+View = tuple[dict[TargetId, WorkerInfo], dict[TargetId, int]]
 
 
 class _Fleet:
-    """What the history shows on every accelerator, and which guarantees are in use."""
+    """What the history shows on every accelerator, and which guarantees are in use.
 
-    def __init__(self) -> None:
+    The start record of an attempt tells which guarantee it uses; it counts only if the job fits it
+    and no other attempt uses it. An attempt without any record uses one if it can.
+    """
+
+    def __init__(self, history: History) -> None:
+        self._cells = {
+            (event.body.job, event.body.attempt): event.body.cell
+            for event in history
+            if isinstance(event, Recorded) and isinstance(event.body, AttemptStarted)
+        }
         self.config: Config = EMPTY_CONFIG
         self.workers: dict[TargetId, WorkerInfo] = {}
         self.held: dict[HeldKey, tuple[Job, dict[int, int]]] = {}
         self._parts: dict[int, tuple[HeldKey, int]] = {}
         self._lost: dict[TargetId, tuple[float, WorkerInfo]] = {}
+        self._marked: dict[TargetId, float] = {}
+        self._freed: list[tuple[float, TargetId, int]] = []
 
     def apply(self, event: HistoryEvent) -> None:
         match event:
             case Recorded(accepted=True, body=ConfigPublished() as body):
                 self.config = parse_config(body.text, body.version).default_value(self.config)
+                scrapped = self.config.scrapped
+                self._marked = {t: self._marked.get(t, event.time) for t in scrapped}
             case WorkerUp():
                 self.workers[event.worker.target] = event.worker
                 self._lost.pop(event.worker.target, None)
@@ -146,56 +165,81 @@
             case PartExited() if event.run in self._parts:
                 key, part = self._parts[event.run]
                 if key in self.held:
-                    self.held[key][1].pop(part, None)
+                    self._free(event.time, event.target, self.held[key][1].pop(part, 0))
             case PartsReleased():
-                self.held.pop((event.target, event.job, event.attempt), None)
-
-    def known_at(self, now: float) -> dict[TargetId, WorkerInfo]:
-        """The workers as an owner may know them: with those whose loss it cannot know yet."""
-        lost = {
-            target: worker
-            for target, (time, worker) in self._lost.items()
-            if now - time <= LOSS_UNKNOWN_S
-        }
-        return self.workers | lost
-
-    def takes_room(self, domain: str, job: JobId, known: dict[TargetId, WorkerInfo]) -> bool:
-        """Whether the unused guaranteed shapes fit into the workers without a job only."""
-        if self._reclaimable(domain, known):
-            return False
-        return self._reclaimable(domain, known, job)
-
-    def _reclaimable(
-        self, domain: str, known: dict[TargetId, WorkerInfo], ignored: JobId | None = None
-    ) -> bool:
+                held = self.held.pop((event.target, event.job, event.attempt), None)
+                for mask in held[1].values() if held else ():
+                    self._free(event.time, event.target, mask)
+
+    def _free(self, now: float, target: TargetId, mask: int) -> None:
+        self._freed = [item for item in self._freed if now - item[0] <= REPORT_UNKNOWN_S]
+        self._freed.append((now, target, mask))
+
+    def views(self, now: float) -> Iterator[View]:
+        """The fleet as it is, and as an owner may see it that has not heard the newest."""
+        old = {t: w for t, (time, w) in self._lost.items() if now - time <= LOSS_UNKNOWN_S}
+        marked = {t for t, time in self._marked.items() if now - time > MARK_UNKNOWN_S}
+        freed: dict[TargetId, int] = defaultdict(int)
+        for time, target, mask in self._freed:
+            if now - time <= REPORT_UNKNOWN_S:
+                freed[target] |= mask
+        for known in (self.workers, self.workers | old):
+            for leaving in (self.config.scrapped, marked):
+                workers = {target: w for target, w in known.items() if target not in leaving}
+                yield workers, {}
+                yield workers, freed
+
+    def takes_room(self, domain: str, job: JobId, view: View) -> bool:
+        """Whether the unused guaranteed shapes fit in a view without a job only."""
+        return not self._reclaimable(domain, view) and self._reclaimable(domain, view, job)
+
+    def _reclaimable(self, domain: str, view: View, ignored: JobId | None = None) -> bool:
         """Whether all unused guaranteed shapes of `domain` fit at once."""
+        known, freed = view
         workers = [
             worker
-            for target, worker in known.items()
-            if target not in self.config.scrapped
-            and worker.zone in self.config.zones
-            and self.config.zones[worker.zone].domain == domain
+            for worker in known.values()
+            if worker.zone in self.config.zones and self.config.zones[worker.zone].domain == domain
         ]
-        free = {worker.target: (1 << worker.accelerators) - 1 for worker in workers}
-        running: dict[tuple[JobId, Attempt], Job] = {}
-        for (target, job_id, attempt), (job, masks) in self.held.items():
-            running[job_id, attempt] = job
-            if target in free and not job.preemptible and job_id != ignored:
+        free = {w.target: ((1 << w.accelerators) - 1) & ~freed.get(w.target, 0) for w in workers}
+        unused, firm = self._split(domain, ignored)
+        for (target, job_id, attempt), (_, masks) in self.held.items():
+            if target in free and (job_id, attempt) in firm:
                 free[target] &= ~sum(masks.values())
-        shapes = [guarantee.shape for guarantee in self._unused(domain, running.values())]
-        return fits(shapes, free, workers)
+        return fits([guarantee.shape for guarantee in unused], free, workers)
+
+    def is_firm(self, job: Job, attempt: Attempt) -> bool:
+        """Whether an attempt holds accelerators that a guarantee cannot get back."""
+        return not job.preemptible or self._cells.get((job.id, attempt)) is not None
 
-    def _unused(self, domain: str, running: Iterable[Job]) -> list[Guarantee]:
-        """Guarantees without a job; a job uses the smallest of its organisation that holds it."""
+    def _split(
+        self, domain: str, ignored: JobId | None
+    ) -> tuple[list[Guarantee], set[tuple[JobId, Attempt]]]:
+        """The guarantees that nothing uses, and the attempts that are not preemptible."""
         unused = sorted(self.config.guarantees(domain), key=lambda item: item.shape.total)
-        for job in sorted(running, key=lambda item: -item.shape.total):
-            if job.preemptible:
+        running = {
+            (name, attempt): job
+            for (_, name, attempt), (job, _) in self.held.items()
+            if name != ignored
+        }
+        firm = {key for key, job in running.items() if not job.preemptible}
+        # Attempts with a record first, then the largest.
+        order = sorted(
+            running.items(), key=lambda item: (item[0] not in self._cells, -item[1].shape.total)
+        )
+        for key, job in order:
+            cell = self._cells.get(key)
+            if (key in self._cells and cell is None) or (
+                key not in self._cells and job.preemptible
+            ):
                 continue
             for guarantee in unused:
-                if guarantee.organisation == job.organisation and _holds(guarantee, job):
+                named = cell is None or cell.index == guarantee.index
+                if guarantee.organisation == job.organisation and named and _holds(guarantee, job):
                     unused.remove(guarantee)
+                    firm.add(key)
                     break
-        return unused
+        return unused, firm
 
 
 def _holds(guarantee: Guarantee, job: Job) -> bool:
@@ -225,15 +269,15 @@
     A loss of workers may do so; a reservation is an offence if all shapes fitted before it, both
     into the workers that exist and into those that its owner may still count on.
     """
-    fleet = _Fleet()
+    fleet = _Fleet(history)
     found = []
     for event in history:
         fleet.apply(event)
-        if not isinstance(event, PartsReserved) or event.job.preemptible:
+        if not isinstance(event, PartsReserved) or not fleet.is_firm(event.job, event.attempt):
             continue
         worker = fleet.workers.get(event.target)
         zone = fleet.config.zones.get(worker.zone) if worker else None
-        views = (fleet.workers, fleet.known_at(event.time))
+        views = fleet.views(event.time)
         if zone and all(fleet.takes_room(zone.domain, event.job.id, view) for view in views):
             message = f"after {event.job.id} the guaranteed shapes no longer fit"
             found.append(Violation(Promise.GUARANTEE, message, (event,)))
--- a/features/history/mutations.py
+++ b/features/history/mutations.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from comfreyshelf import agent, gangs, journal, ledger, router, scheduler
+from comfreyshelf import agent, gangs, journal, ledger, placement, router, scheduler
 from comfreyshelf.admission import Admission
 from comfreyshelf.agent import Agent
 from comfreyshelf.ledger import ACCEPTED, Ledger
@@ -121,6 +121,12 @@
 
 K = FaultKind
 MUTATIONS = (
+    Mutation(
+        "firm work stays out of planned cells",
+        Promise.GUARANTEE,
+        (),
+        ((placement.Cells, "keeps_guarantees", False),),
+    ),
     Mutation(
         "a gang finishes only with all parts",
         Promise.ANSWER,
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -34,6 +34,7 @@
 
     Examples:
       | promise       | mechanism                                              | count |
+      | guarantee     | firm work stays out of planned cells                   | 20    |
       | gang          | a failed part stops the whole gang                     | 80    |
       | answer        | a gang finishes only with all parts                    | 20    |
       | answer        | answers are matched by request id                      | 20    |
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -21,7 +21,7 @@
 from comfreyshelf.messages import RunnerLoad
 from comfreyshelf.model import Adjacency, HeldPart, PartState, Shape, Urgency
 from comfreyshelf.placement import Cells
-from comfreyshelf.scheduler import CHECKPOINT_TIMEOUT_S
+from comfreyshelf.scheduler import AVOID_AFTER_REFUSAL_S, CHECKPOINT_TIMEOUT_S
 from comfreyshelf.topology import Topology, View
 from features.fleet import Fleet, make_job, make_worker
 
@@ -350,6 +350,59 @@
     assert not context.fleet.scheduler.plan.lost()
 
 
+@given("a guaranteed worker with a preemptible job and one with a firm job")
+def guaranteed_and_firm(context: Context) -> None:
+    context.fleet = Fleet({"large": [Shape(1, 4, Adjacency.WORKER, 0, 0)]}, WORKERS[:1])
+    context.fleet.submit(make_job("moves", "none", Shape(1, 1)))
+    context.fleet.add(WORKERS[1])
+    context.fleet.submit(make_job("firm", "none", Shape(1, 1), preemptible=False))
+    assert target_of(context.fleet, "moves") == WORKERS[0].target
+    assert target_of(context.fleet, "firm") == WORKERS[1].target
+
+
+@when("the preemptible job has room on the other worker, is stopped, and both jobs finish")
+def room_given_up(context: Context) -> None:
+    context.fleet.stuck.add("moves")
+    context.fleet.configure([WORKERS[0].target])
+    context.fleet.wait(1.0)
+    assert [item for item in context.fleet.commands if isinstance(item, StopParts)]
+    assert context.fleet.scheduler.plan.lost()
+    whole = Shape(1, 4, Adjacency.WORKER, 0, 0)
+    context.fleet.submit(make_job("other", "none", whole, preemptible=False))
+    context.fleet.finish("firm")
+    context.fleet.finish("moves")
+
+
+@given("2 workers, one with a planned cell and one that refused a job")
+def refused_job(context: Context) -> None:
+    whole = Shape(1, 4, Adjacency.WORKER, 0, 0)
+    context.fleet = Fleet({"large": [whole]}, WORKERS[:2])
+    assert not context.fleet.scheduler.plan.lost()
+    (cell,) = context.fleet.scheduler.plan.cells.values()
+    context.planned = cell.placements[0].target
+    context.fleet.refusing = set(context.fleet.workers) - {context.planned}
+    context.fleet.submit(make_job("refused", "none", whole, preemptible=False))
+    assert context.fleet.running() == []
+
+
+@when("the worker of the cell is lost and the other one is tried again")
+def lose_cell(context: Context) -> None:
+    context.fleet.lose(context.planned)
+    assert context.fleet.scheduler.plan.lost()
+    context.fleet.refusing = set()
+    context.fleet.wait(AVOID_AFTER_REFUSAL_S + 1.0)
+
+
+@then("no guarantee is lost")
+def nothing_lost(context: Context) -> None:
+    assert not context.fleet.scheduler.plan.lost()
+
+
+@then("the job of another organisation waits")
+def other_waits(context: Context) -> None:
+    assert context.fleet.running() == []
+
+
 @when("the borrowed jobs finish before they are stopped")
 def finish_borrowed(context: Context) -> None:
     context.stopping = sorted(
--- a/features/steps/domains_steps.py
+++ b/features/steps/domains_steps.py
@@ -78,3 +78,19 @@
 @then("a job that moved {moves:d} times and waited {seconds:d} seconds in {domain} stays")
 def stays_after_moves(context: Context, moves: int, seconds: int, domain: str) -> None:
     assert move(context, seconds, domain, moves) is None
+
+
+@given("a domain of 3 workers, one of them leaving and one with a planned cell of 4")
+def partly_open(context: Context) -> None:
+    topology = Topology()
+    targets = [TargetId(f"t{index}") for index in range(3)]
+    for target in targets:
+        topology.add(WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1))
+    topology.exclude(frozenset(targets[:1]))
+    topology.set_cell(targets[1], 0xF, True)
+    context.summary = summarise(topology, ())
+
+
+@then("its summary has room for 3 parts of 4, one worker with room for 2")
+def summary_shows_open_room(context: Context) -> None:
+    assert context.summary.free[4] == (2, 3, 3), context.summary.free
