Plan guarantees over room held for moving gangs; mutations for requests

The plan ignores such holds now; giving one up keeps the hold of a cell that is being reclaimed there.

--- a/comfreyshelf/drain.py
+++ b/comfreyshelf/drain.py
@@ -63,12 +63,10 @@
         return placements
 
     def forget(self, job: JobId) -> None:
-        """Hold no room for a job any more; a guarantee without a cell may find one there."""
-        placements = self._rooms.pop(job, ())
-        for placement in placements:
+        """Hold no room for a job any more, but for cells that were planned there and reclaimed."""
+        for placement in self._rooms.pop(job, ()):
             self._topology.set_held(placement.target, placement.mask, False)
-        if placements:
-            self._plan.capacity_gained()
+            self._plan.hold_reclaimed(placement.target)
 
     def _make_room(self, gang: Gang, placer: Placer) -> bool:
         if any(part.state is not None for part in gang.parts):
--- a/comfreyshelf/guarantees.py
+++ b/comfreyshelf/guarantees.py
@@ -170,6 +170,12 @@
             if overlaps and (cell.job is None or cell.reclaiming):
                 self._miss(key)
 
+    def hold_reclaimed(self, target: TargetId) -> None:
+        """Hold the cells on a target that are being reclaimed, after other room was given up."""
+        for cell in self.on_target(target):
+            if cell.reclaiming:
+                self._hold(cell, True)
+
     # Reports
 
     def lost(self) -> list[Guarantee]:
--- a/comfreyshelf/topology.py
+++ b/comfreyshelf/topology.py
@@ -123,7 +123,8 @@
             return self.free & ~self.cells & ~self.held
         if view is View.BORROW:
             return self.free & ~self.held
-        return ((1 << self.capacity) - 1) & ~self.firm & ~self.cells & ~self.held
+        # Held accelerators outside of cells wait for a moving gang, which only borrows them.
+        return ((1 << self.capacity) - 1) & ~self.firm & ~self.cells
 
     def room(self, view: View) -> tuple[int, int]:
         """Cores and memory (GB) that a search in `view` may use.
--- a/features/cells.feature
+++ b/features/cells.feature
@@ -70,12 +70,13 @@
     When the workers of both jobs are scrapped
     Then one job moves and the other finishes where it is
 
-  Scenario: A guarantee takes the room that a moving gang gives up
+  Scenario: Room held for a moving gang does not keep a guarantee lost
     # Guards against a guarantee that stays lost until other work has taken its room.
     Given a guaranteed worker with a preemptible job and one with a firm job
-    When the preemptible job has room on the other worker, is stopped, and both jobs finish
+    When the preemptible job has room on the other worker, and the firm job finishes
     Then no guarantee is lost
-    And the job of another organisation waits
+    And its cell is reclaimed while the moving gang gives up its room
+    And nobody borrows the cell
 
   Scenario: A guarantee takes a worker that is tried again after a refusal
     # Guards against a guarantee that stays lost while other work takes the worker.
--- a/features/history/checkers.py
+++ b/features/history/checkers.py
@@ -141,6 +141,7 @@
         self._lost: dict[TargetId, tuple[float, WorkerInfo]] = {}
         self._marked: dict[TargetId, float] = {}
         self._freed: list[tuple[float, TargetId, int]] = []
+        self._started: set[tuple[JobId, Attempt]] = set()
 
     def apply(self, event: HistoryEvent) -> None:
         match event:
@@ -157,11 +158,13 @@
                     self._lost[event.target] = (event.time, worker)
                 self.held = {k: v for k, v in self.held.items() if k[0] != event.target}
             case PartsReserved():
+                self._drop_abandoned(event)
                 masks = {placement.part: placement.mask for placement in event.placements}
                 self.held[event.target, event.job.id, event.attempt] = (event.job, masks)
             case PartStarted():
                 key = (event.target, event.job.id, event.attempt)
                 self._parts[event.run] = (key, event.placement.part)
+                self._started.add(key[1:])
             case PartExited() if event.run in self._parts:
                 key, part = self._parts[event.run]
                 if key in self.held:
@@ -171,6 +174,13 @@
                 for mask in held[1].values() if held else ():
                     self._free(event.time, event.target, mask)
 
+    def _drop_abandoned(self, event: PartsReserved) -> None:
+        """Drop older attempts of the job that never started: they are released or expire."""
+        for key in list(self.held):
+            _, job, attempt = key
+            if job == event.job.id and attempt < event.attempt and key[1:] not in self._started:
+                del self.held[key]
+
     def _free(self, now: float, target: TargetId, mask: int) -> None:
         self._freed = [item for item in self._freed if now - item[0] <= REPORT_UNKNOWN_S]
         self._freed.append((now, target, mask))
--- a/features/history/mutations.py
+++ b/features/history/mutations.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from comfreyshelf import agent, gangs, journal, ledger, placement, router, scheduler
+from comfreyshelf import agent, gangs, journal, ledger, placement, retries, router, scheduler
 from comfreyshelf.admission import Admission
 from comfreyshelf.agent import Agent
 from comfreyshelf.ledger import ACCEPTED, Ledger
@@ -15,6 +15,7 @@
 from comfreyshelf.records import make_record_id
 from features.history.events import Promise
 from features.history.plan import FaultKind
+from features.history.world import EntrySim
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -107,6 +108,14 @@
     return verdict
 
 
+def _send_again_without_proof(self: retries.Retries, outcome: Any, *args: Any) -> Any:
+    return _NEXT(self, msgspec.structs.replace(outcome, proven=True), *args)
+
+
+def _any_key_starts(*_: Any) -> ledger.Verdict:
+    return ACCEPTED
+
+
 def _always(*_: Any) -> bool:
     return True
 
@@ -114,6 +123,7 @@
 _REFUSE: Callable[..., Any] = Admission._refuse
 _OFFER: Callable[..., Any] = Admission.offer
 _ON_WELCOME: Callable[..., Any] = Agent._on_welcome
+_NEXT: Callable[..., Any] = retries.Retries.next
 _RECORD_START: Callable[..., Any] = scheduler.Scheduler._record_start
 _FLUSH: Callable[..., Any] = journal.Appender._flush
 _PARSE: Callable[..., Any] = ledger.parse_config
@@ -169,6 +179,18 @@
         (K.MESSAGES_DOUBLED,),
         ((Admission, "offer", _offer_without_memory),),
     ),
+    Mutation(
+        "a non-idempotent request is sent again only after a proof",
+        Promise.AT_MOST_ONCE,
+        (K.BAD_WORKER,),
+        ((retries.Retries, "next", _send_again_without_proof),),
+    ),
+    Mutation(
+        "the first start record of a client key wins",
+        Promise.AT_MOST_ONCE,
+        (),
+        ((Ledger, "_request", _any_key_starts),),
+    ),
     Mutation(
         "a non-idempotent job waits for its start record",
         Promise.AT_MOST_ONCE,
@@ -209,6 +231,12 @@
         (),
         ((Agent, "idle", property(_always)),),
     ),
+    Mutation(
+        "a stopping entry waits for its calls",
+        Promise.GRACEFUL,
+        (K.STOP_ENTRY,),
+        ((EntrySim, "_drain", _always),),
+    ),
     Mutation(
         "an older configuration version is refused by targets",
         Promise.CONFIGURATION,
--- a/features/history/scenario.py
+++ b/features/history/scenario.py
@@ -87,6 +87,8 @@
 # A takeover takes 3 s, waiting for statuses 2.5 s and finding a lost target 7 s.
 RECOVERY_S = 14.0
 HOUR_S = 3600.0
+# In this time a snapshot is appended: a quarter of the retention and the turns of three entries.
+SNAPSHOT_S = 20.0
 # Faults that are no excuse for missing a limit in seconds.
 HARMLESS = (FaultKind.OPERATORS_RACE, FaultKind.CANCEL_WAVE, FaultKind.BAD_WORKER)
 
@@ -333,7 +335,11 @@
 
     @staticmethod
     def _seconds(fault: Fault) -> float:
-        return HOUR_S if fault.kind is FaultKind.LOG_DOWN_HOUR else fault.seconds
+        if fault.kind is FaultKind.LOG_DOWN_HOUR:
+            return HOUR_S
+        if fault.kind is FaultKind.LOG_EXPIRES:
+            return max(fault.seconds, SNAPSHOT_S)
+        return fault.seconds
 
     def _begin(self, fault: Fault) -> None:  # noqa: PLR0912, PLR0915
         world = self.world
@@ -370,7 +376,7 @@
             case FaultKind.LOG_EXPIRES:
                 # One entry falls behind what is kept, another one is replaced.
                 self._cut([f"{entry}-log"], seconds)
-                world.after(seconds / 2, world.log.expire)
+                world.after(seconds - 0.1, world.log.expire)
                 self._strike(entries[fault.victim % len(entries)], fault)
             case FaultKind.STOP_ENTRY:
                 self._stop(entry)
--- a/features/history/world.py
+++ b/features/history/world.py
@@ -624,8 +624,8 @@
         name = RequestId(request.rpartition(".")[0])
         self.world.note(RunnerStarted(self.world.now, TargetId(self.name), name))
         delay = self.world.rng.choice((0.05, 0.5, 2.5))
-        ok = delay <= argument.timeout_s
-        body = argument.request.body[::-1] if ok else b"timeout"
+        ok = delay <= argument.timeout_s and self.name not in self.world.bad_workers
+        body = argument.request.body[::-1] if ok else b"failed"
         ended = RequestEnded(request, ok, body)
         self.world.after(min(delay, argument.timeout_s), lambda: self._answer(name, ended))
 
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -43,11 +43,14 @@
       | refusal       | a lost answer of the log is resolved by reading back   | 20    |
       | refusal       | refused requests leave a tombstone                     | 40    |
       | at-most-once  | a repeated request does not start again                | 40    |
+      | at-most-once  | a non-idempotent request is sent again only after a proof | 40 |
+      | at-most-once  | the first start record of a client key wins            | 20    |
       | at-most-once  | a non-idempotent job waits for its start record        | 80    |
       | at-most-once  | a non-idempotent job that may have run is not requeued | 40    |
       | at-most-once  | the first finish wins, under one record id             | 40    |
       | drain         | scrapped targets take no new work                      | 20    |
       | graceful      | a planned stop waits until the target is idle          | 20    |
+      | graceful      | a stopping entry waits for its calls                   | 20    |
       | configuration | an older configuration version is refused by targets   | 20    |
       | configuration | a publication wins only on the version in force        | 20    |
 
--- a/features/steps/cells_steps.py
+++ b/features/steps/cells_steps.py
@@ -360,8 +360,8 @@
     assert target_of(context.fleet, "firm") == WORKERS[1].target
 
 
-@when("the preemptible job has room on the other worker, is stopped, and both jobs finish")
-def room_given_up(context: Context) -> None:
+@when("the preemptible job has room on the other worker, and the firm job finishes")
+def room_is_held(context: Context) -> None:
     context.fleet.stuck.add("moves")
     context.fleet.configure([WORKERS[0].target])
     context.fleet.wait(1.0)
@@ -370,7 +370,27 @@
     whole = Shape(1, 4, Adjacency.WORKER, 0, 0)
     context.fleet.submit(make_job("other", "none", whole, preemptible=False))
     context.fleet.finish("firm")
-    context.fleet.finish("moves")
+
+
+@then("its cell is reclaimed while the moving gang gives up its room")
+def reclaim_over_room(context: Context) -> None:
+    fleet = context.fleet
+    # Borrowed work that does not stop at once keeps the cell in the state of being reclaimed.
+    fleet.stuck.add("borrower")
+    fleet.submit(make_job("borrower", "none", Shape(1, 1, Adjacency.WORKER, 0, 0)))
+    assert "borrower" in fleet.running()
+    whole = Shape(1, 4, Adjacency.WORKER, 0, 0)
+    fleet.submit(make_job("owed", "large", whole, preemptible=False))
+    assert [cell.reclaiming for cell in fleet.scheduler.plan.cells.values()] == [True]
+    fleet.finish("moves")
+
+
+@then("nobody borrows the cell")
+def nobody_borrows(context: Context) -> None:
+    context.fleet.submit(make_job("late", "none", Shape(1, 1, Adjacency.WORKER, 0, 0)))
+    assert context.fleet.running() == ["borrower"]
+    context.fleet.finish("borrower")
+    assert context.fleet.running() == ["owed"]
 
 
 @given("2 workers, one with a planned cell and one that refused a job")
