Count only work that may run again as reclaimable in the guarantee checker

Cause: the checker took preemptible non-idempotent work for reclaimable, but the core never stops it: a reclaim may cut a checkpoint, and then the job could not be run again.

Ruled out: reclaiming such work, which would break at-most-once. The rule is the stricter one for placement, since more work counts as firm.

Conclusion: the allowed case is named in the checker by the same property as in the core.

--- a/features/history/checkers.py
+++ b/features/history/checkers.py
@@ -220,19 +220,19 @@
 
     def is_firm(self, job: Job, attempt: Attempt) -> bool:
         """Whether an attempt holds accelerators that a guarantee cannot get back."""
-        return not job.preemptible or self._cells.get((job.id, attempt)) is not None
+        return not job.may_borrow or self._cells.get((job.id, attempt)) is not None
 
     def _split(
         self, domain: str, ignored: JobId | None
     ) -> tuple[list[Guarantee], set[tuple[JobId, Attempt]]]:
-        """The guarantees that nothing uses, and the attempts that are not preemptible."""
+        """The guarantees that nothing uses, and the attempts that nobody may reclaim."""
         unused = sorted(self.config.guarantees(domain), key=lambda item: item.shape.total)
         running = {
             (name, attempt): job
             for (_, name, attempt), (job, _) in self.held.items()
             if name != ignored
         }
-        firm = {key for key, job in running.items() if not job.preemptible}
+        firm = {key for key, job in running.items() if not job.may_borrow}
         # Attempts with a record first, then the largest.
         order = sorted(
             running.items(), key=lambda item: (item[0] not in self._cells, -item[1].shape.total)
@@ -240,7 +240,7 @@
         for key, job in order:
             cell = self._cells.get(key)
             if (key in self._cells and cell is None) or (
-                key not in self._cells and job.preemptible
+                key not in self._cells and job.may_borrow
             ):
                 continue
             for guarantee in unused:
