--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -1,7 +1,9 @@
 """Measures the fold, snapshots and recovery: `python -m benchmarks.recovery --jobs N`."""
 
+import gc
 import resource
 import time
+import tracemalloc
 from typing import Annotated
 
 import msgspec
@@ -38,6 +40,23 @@
 RESULT_BYTES = 1024
 
 
+def ledger_memory(jobs: int, parts: int) -> float:
+    """Bytes of a folded ledger a job; each second job finished with RESULT_BYTES of result."""
+    data = [
+        encode_record(Record(make_record_id("w", index + 1), "w", 1e9, body))
+        for index, body in enumerate(make_bodies(jobs, parts))
+    ]
+    gc.collect()
+    tracemalloc.start()
+    ledger = Ledger()
+    for offset, item in enumerate(data):
+        ledger.apply(Offset(offset), decode_record(item))
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return used / jobs
+
+
 class Row(msgspec.Struct):
     """Figures for one size: counts, seconds, bytes, and records a second."""
 
@@ -138,6 +157,8 @@
             f"{row.rss_mb:.0f}",
         )
         print("  ".join(f"{figure:>11}" for figure in figures))
+    count = (jobs or [1_000])[0]
+    print(f"ledger memory a job, half of them finished: {ledger_memory(count, parts):.0f} bytes")
 
 
 if __name__ == "__main__":
--- a/features/history/checkers.py
+++ b/features/history/checkers.py
@@ -239,9 +239,7 @@
         )
         for key, job in order:
             cell = self._cells.get(key)
-            if (key in self._cells and cell is None) or (
-                key not in self._cells and job.may_borrow
-            ):
+            if (key in self._cells and cell is None) or (key not in self._cells and job.may_borrow):
                 continue
             for guarantee in unused:
                 named = cell is None or cell.index == guarantee.index
