Try a job again where it failed when it fits nowhere else

Cause: a job kept off the workers where it failed for 600 s; the delay of 15 s only put it back into the queue, where the same workers were excluded again.

Ruled out: a shorter time of avoidance for all jobs, since others have room elsewhere.

The new scenario of features/order.feature fails without the rule.

Conclusion: waiting for a bounded time and then trying again costs one more failure at most each 15 s.

--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -111,6 +111,7 @@
         self._fresh: dict[JobId, Job] = {}
         self._refused: set[JobId] = set()
         self._ran_before: set[JobId] = set()
+        self._insisting: set[JobId] = set()
         self._reviewed_at = 0.0
         self._late_from = 0.0
         self._flood_from = 0.0
@@ -183,6 +184,7 @@
         self._refused.discard(job)
         self._backfill.forget(job)
         self._ran_before.discard(job)
+        self._insisting.discard(job)
         self._retries.forget(job)
         self.quarantine.forget_job(job)
 
@@ -232,6 +234,7 @@
         job = gang.job
         if outcome is not AttemptOutcome.NEVER_STARTED:
             self._ran_before.add(job.id)
+        self._insisting.discard(job.id)
         self._limits.added(job)
         if outcome is not AttemptOutcome.FAILED:
             self.queue.push(job)
@@ -243,6 +246,15 @@
 
     # Placement
 
+    def avoided(self, job: Job, now: float) -> frozenset[TargetId]:
+        """Workers to keep a job off because it failed there.
+
+        A job without room elsewhere waits AVOIDING_DELAY_S, and then may use them again.
+        """
+        if job.id in self._insisting:
+            return frozenset()
+        return self.quarantine.avoided(job.id, now)
+
     def may_start(self, job: Job, placements: Placements, topology: Topology) -> bool:
         """Whether work that cannot be preempted leaves enough that can be reclaimed.
 
@@ -287,7 +299,8 @@
         self, job: Job, topology: Topology, gangs: Iterable[Gang], place: Place, now: float
     ) -> list[Gang]:
         """A job found no room; returns the gangs to preempt for it."""
-        if self.quarantine.avoided(job.id, now):
+        if self.avoided(job, now):
+            self._insisting.add(job.id)
             self.queue.remove(job.id)
             self.queue.push(job, now + AVOIDING_DELAY_S)
             return []
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -342,7 +342,7 @@
         self.plan.refresh()
         with (
             self.order.holding(job, self.topology, now),
-            self.topology.excluding(self.order.quarantine.avoided(job.id, now)),
+            self.topology.excluding(self.order.avoided(job, now)),
         ):
             if self._placer.keeps_guarantees:
                 decision = self.plan.decide(job, self._place, self.gangs)
--- a/features/order.feature
+++ b/features/order.feature
@@ -144,3 +144,9 @@
     Given a queue of 100 groups that was ranked a moment ago
     When organisation b queues an urgent job in the long queue
     Then the urgent job comes first and a group without room is skipped until room changes
+
+  Scenario: A job that fits only where it failed is tried there again
+    # Guards against a wide gang that waits ten minutes after one bad worker has recovered.
+    Given a core with 2 workers
+    And a job of 8 accelerators that failed on both workers that it needs
+    Then it is not tried again at once, but within 60 s
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -551,3 +551,21 @@
     assert context.first.id not in [job.id for job in queue.ordered(100.2)]
     queue.room_changed()
     assert next(queue.ordered(100.3)).id == context.first.id
+
+
+@given("a job of 8 accelerators that failed on both workers that it needs")
+def failed_where_it_fits(context: Context) -> None:
+    context.core.queue(make_job("wide", shape=Shape(2, 8)))
+    context.core.end("wide", PartState.FAILED)
+    # One commit for each of the two workers.
+    assert context.core.started == ["wide"] * 2
+
+
+@then("it is not tried again at once, but within 60 s")
+def tried_again(context: Context) -> None:
+    context.core.feed(Tick())
+    assert context.core.started == ["wide"] * 2
+    while context.core.now < 60.0:
+        context.core.now += 1.0
+        context.core.feed(Tick())
+    assert context.core.started == ["wide"] * 4, context.core.started
