Add a history harness, eight checkers and mechanisms to switch off

The real ledger, reader, appender, ownership core, router and target task run together in virtual time under faults. Found and fixed: Appender.tick resolved a record that was tried and overdue twice, raised InvalidStateError, and left the callers of the other overdue records waiting for ever.

--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -173,7 +173,10 @@
             overdue = [item for item in self._waiting.values() if item.until and now > item.until]
             for item in overdue:
                 del self._waiting[item.record.id]
-        overdue += [item for item in self._unsent if item.until and now > item.until]
+        # A record that was tried is only resolved through `_waiting`, so that it is resolved once.
+        overdue += [
+            item for item in self._unsent if not item.tried and item.until and now > item.until
+        ]
         self._unsent = [item for item in self._unsent if not item.until or now <= item.until]
         for item in overdue:
             item.future.set_result(AppendResult(None, item.tried))
--- /dev/null
+++ b/features/history/__init__.py
@@ -0,0 +1,1 @@
+"""History checks: the pure cores run together in virtual time under faults."""
--- /dev/null
+++ b/features/history/checkers.py
@@ -0,0 +1,454 @@
+"""One checker for each promise: reads a history and names the offending events."""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
+
+from comfreyshelf.config import EMPTY_CONFIG, Config, Guarantee, parse_config
+from comfreyshelf.errors import Execution
+from comfreyshelf.ids import Attempt, JobId, RequestId, TargetId, Version
+from comfreyshelf.model import Adjacency, Job, JobState, PartState, Shape, WorkerInfo
+from comfreyshelf.records import ConfigPublished, JobAccepted, JobFinished
+from comfreyshelf.worker import expected_result
+from features.history.events import (
+    ConfigRead,
+    Crashed,
+    Disturbed,
+    HistoryEvent,
+    JobAnswered,
+    JobLost,
+    JobSubmitted,
+    PartExited,
+    PartsReleased,
+    PartsReserved,
+    PartStarted,
+    Promise,
+    Published,
+    Recorded,
+    RequestAnswered,
+    RequestSent,
+    ResultRead,
+    RunnerEnded,
+    RunnerStarted,
+    Violation,
+    WorkerDown,
+    WorkerUp,
+)
+
+History = list[HistoryEvent]
+
+DRAIN_LIMIT_S = 3.0
+CONFIG_LIMIT_S = 7.0
+# Lease, detection of a lost target, reservation timeout and the 6 s before a reconciliation.
+GANG_LIMIT_S = 25.0
+
+
+class _Calm:
+    """Tells since when no fault has acted."""
+
+    def __init__(self, history: History) -> None:
+        self._faults = [event for event in history if isinstance(event, Disturbed)]
+
+    def since(self, time: float) -> float:
+        """End of the faults that began before `time`; infinity while one acts."""
+        latest = max((e.until for e in self._faults if e.time <= time), default=0.0)
+        return latest if latest <= time else float("inf")
+
+
+# Guarantee
+
+
+def blocks(accelerators: int, capacity: int) -> Iterator[int]:
+    """Masks of adjacent accelerators that start at a multiple of the next power of two."""
+    step = 1
+    while step < accelerators:
+        step *= 2
+    for start in range(0, capacity, step):
+        if start + accelerators <= capacity:
+            yield ((1 << accelerators) - 1) << start
+
+
+def _unit(worker: WorkerInfo, adjacency: Adjacency) -> str:
+    if adjacency is Adjacency.WORKER:
+        return worker.target
+    return worker.rack if adjacency is Adjacency.RACK else worker.zone
+
+
+def fits(shapes: list[Shape], free: dict[TargetId, int], workers: list[WorkerInfo]) -> bool:
+    """Whether all shapes fit at once into the free masks, by exhaustive search."""
+    ordered = sorted(shapes, key=lambda s: (-s.accelerators, -s.total))
+    todo = [(index, shape) for index, shape in enumerate(ordered) for _ in range(shape.parts)]
+    unit_of: dict[int, str] = {}
+    seen: set[tuple[object, ...]] = set()
+
+    def search(position: int) -> bool:
+        if position == len(todo):
+            return True
+        state = (position, tuple(sorted(free.items())), tuple(sorted(unit_of.items())))
+        if state in seen:
+            return False
+        seen.add(state)
+        index, shape = todo[position]
+        for worker in workers:
+            unit = _unit(worker, shape.adjacency)
+            if unit_of.get(index, unit) != unit:
+                continue
+            for mask in blocks(shape.accelerators, worker.accelerators):
+                if free[worker.target] & mask != mask:
+                    continue
+                before = unit_of.get(index)
+                free[worker.target] &= ~mask
+                unit_of[index] = unit
+                if search(position + 1):
+                    return True
+                free[worker.target] |= mask
+                if before is None:
+                    del unit_of[index]
+        return False
+
+    return search(0)
+
+
+class _Fleet:
+    """What the history shows on every accelerator, and which guarantees are in use."""
+
+    def __init__(self) -> None:
+        self.config: Config = EMPTY_CONFIG
+        self.workers: dict[TargetId, WorkerInfo] = {}
+        self.held: dict[tuple[TargetId, JobId, Attempt], tuple[Job, int]] = {}
+
+    def apply(self, event: HistoryEvent) -> None:
+        match event:
+            case Recorded(accepted=True, body=ConfigPublished() as body):
+                self.config = parse_config(body.text, body.version).default_value(self.config)
+            case WorkerUp():
+                self.workers[event.worker.target] = event.worker
+            case WorkerDown():
+                self.workers.pop(event.target, None)
+                self.held = {k: v for k, v in self.held.items() if k[0] != event.target}
+            case PartsReserved():
+                mask = sum(placement.mask for placement in event.placements)
+                self.held[event.target, event.job.id, event.attempt] = (event.job, mask)
+            case PartsReleased():
+                self.held.pop((event.target, event.job, event.attempt), None)
+
+    def reclaimable(self, domain: str, ignored: JobId | None = None) -> bool:
+        """Whether all unused guaranteed shapes of `domain` fit at once."""
+        workers = [
+            worker
+            for target, worker in self.workers.items()
+            if target not in self.config.scrapped
+            and worker.zone in self.config.zones
+            and self.config.zones[worker.zone].domain == domain
+        ]
+        free = {worker.target: (1 << worker.accelerators) - 1 for worker in workers}
+        running: dict[tuple[JobId, Attempt], Job] = {}
+        for (target, job_id, attempt), (job, mask) in self.held.items():
+            running[job_id, attempt] = job
+            if target in free and not job.preemptible and job_id != ignored:
+                free[target] &= ~mask
+        shapes = [guarantee.shape for guarantee in self._unused(domain, running.values())]
+        return fits(shapes, free, workers)
+
+    def _unused(self, domain: str, running: Iterable[Job]) -> list[Guarantee]:
+        """Guarantees without a job; a job uses the smallest of its organisation that holds it."""
+        unused = sorted(self.config.guarantees(domain), key=lambda item: item.shape.total)
+        for job in sorted(running, key=lambda item: -item.shape.total):
+            if job.preemptible:
+                continue
+            for guarantee in unused:
+                if guarantee.organisation == job.organisation and _holds(guarantee, job):
+                    unused.remove(guarantee)
+                    break
+        return unused
+
+
+def _holds(guarantee: Guarantee, job: Job) -> bool:
+    shape = guarantee.shape
+    return shape.parts >= job.shape.parts and shape.accelerators >= job.shape.accelerators
+
+
+def check_guarantee(history: History) -> list[Violation]:
+    """No reservation may take away room that unused guaranteed shapes need.
+
+    A loss of workers may do so; a reservation is an offence if all shapes fitted before it.
+    """
+    fleet = _Fleet()
+    found = []
+    for event in history:
+        fleet.apply(event)
+        if not isinstance(event, PartsReserved) or event.job.preemptible:
+            continue
+        worker = fleet.workers.get(event.target)
+        zone = fleet.config.zones.get(worker.zone) if worker else None
+        if zone is None or fleet.reclaimable(zone.domain):
+            continue
+        if fleet.reclaimable(zone.domain, ignored=event.job.id):
+            message = f"after {event.job.id} the guaranteed shapes no longer fit"
+            found.append(Violation(Promise.GUARANTEE, message, (event,)))
+    return found
+
+
+# Gang
+
+
+def check_gang(history: History) -> list[Violation]:
+    """Every attempt runs all parts inside its unit of adjacency, or stops them all in time."""
+    found = []
+    calm = _Calm(history)
+    workers = {e.worker.target: e.worker for e in history if isinstance(e, WorkerUp)}
+    attempts: dict[tuple[JobId, Attempt], list[PartStarted]] = defaultdict(list)
+    ends: dict[int, HistoryEvent] = {}
+    for event in history:
+        match event:
+            case PartStarted():
+                attempts[event.job.id, event.attempt].append(event)
+            case PartExited():
+                ends[event.run] = event
+            case WorkerDown():
+                for starts in attempts.values():
+                    for start in starts:
+                        if start.target == event.target:
+                            ends.setdefault(start.run, event)
+    for starts in attempts.values():
+        found += _check_attempt(history[-1].time, calm, starts, ends, workers)
+    return found
+
+
+def _check_attempt(
+    over: float,
+    calm: _Calm,
+    starts: list[PartStarted],
+    ends: dict[int, HistoryEvent],
+    workers: dict[TargetId, WorkerInfo],
+) -> list[Violation]:
+    job = starts[0].job
+    name = f"attempt {starts[0].attempt} of {job.id}"
+    units = {_unit(workers[s.target], job.shape.adjacency) for s in starts}
+    found = []
+    if len(units) > 1:
+        message = f"{name} runs in {len(units)} units of {job.shape.adjacency.value}"
+        found.append(Violation(Promise.GANG, message, tuple(starts)))
+    whole = {s.placement.part for s in starts if not _broken(ends.get(s.run))}
+    if len(whole) == job.shape.parts:
+        return found
+    broken = [end.time for s in starts if _broken(end := ends.get(s.run))]
+    since = min(broken, default=max(s.time for s in starts))
+    for start in starts:
+        end = ends.get(start.run)
+        until = end.time if end else over
+        if until - max(since, calm.since(until)) > GANG_LIMIT_S:
+            message = f"{name} runs without all parts for {until - since:.1f} s"
+            found.append(Violation(Promise.GANG, message, (start, *([end] if end else []))))
+    return found
+
+
+def _broken(end: HistoryEvent | None) -> bool:
+    return isinstance(end, WorkerDown) or (
+        isinstance(end, PartExited) and end.state is not PartState.FINISHED
+    )
+
+
+# Answer
+
+
+def check_answer(history: History) -> list[Violation]:
+    """Every caller reads the whole result of its own job or request, and no job is lost."""
+    found = []
+    jobs = {e.job.id: e.job for e in history if isinstance(e, JobSubmitted)}
+    requests = {e.request: e for e in history if isinstance(e, RequestSent)}
+    for event in history:
+        match event:
+            case JobLost():
+                found.append(Violation(Promise.ANSWER, f"{event.job} never ended", (event,)))
+            case ResultRead(state=JobState.FINISHED):
+                whole = expected_result(jobs[event.job])
+                digest = hashlib.sha256(event.result).hexdigest()
+                if event.result != whole or event.digest != digest:
+                    message = f"the result of {event.job} is not its own whole result"
+                    found.append(Violation(Promise.ANSWER, message, (event,)))
+            case RequestAnswered() if event.body is not None:
+                sent = requests[event.request]
+                if event.body != sent.body[::-1]:
+                    message = f"{event.request} has the answer to another request"
+                    found.append(Violation(Promise.ANSWER, message, (sent, event)))
+    return found
+
+
+# Refusal
+
+
+def check_refusal(history: History) -> list[Violation]:
+    """What was refused as "not run" neither ran nor runs later, nor is a job accepted."""
+    refused: dict[str, HistoryEvent] = {}
+    for event in history:
+        if isinstance(event, JobAnswered) and event.execution is Execution.NOT_RUN:
+            refused[event.job] = event
+        elif isinstance(event, RequestAnswered) and event.execution is Execution.NOT_RUN:
+            refused[event.request] = event
+    found = []
+    for event in history:
+        name = ""
+        match event:
+            case RunnerStarted():
+                name = event.request
+            case PartStarted():
+                name = event.job.id
+            case Recorded(accepted=True, body=JobAccepted() as body):
+                name = body.job.id
+        if name in refused:
+            message = f"{name} was refused as not run, but was accepted or ran"
+            found.append(Violation(Promise.REFUSAL, message, (refused[name], event)))
+    return found
+
+
+# At most once
+
+
+def check_at_most_once(history: History) -> list[Violation]:
+    """Non-idempotent work starts once, unless all of it stopped at a checkpoint; one finish."""
+    found = _check_runs(history)
+    started: dict[RequestId, HistoryEvent] = {}
+    once = {e.request for e in history if isinstance(e, RequestSent) and not e.idempotent}
+    finished: dict[JobId, HistoryEvent] = {}
+    for event in history:
+        match event:
+            case RunnerStarted() if event.request in once:
+                if event.request in started:
+                    message = f"{event.request} ran twice"
+                    events = (started[event.request], event)
+                    found.append(Violation(Promise.AT_MOST_ONCE, message, events))
+                started[event.request] = event
+            case Recorded(accepted=True, body=JobFinished() as body):
+                if body.job in finished:
+                    message = f"{body.job} finished twice"
+                    events = (finished[body.job], event)
+                    found.append(Violation(Promise.AT_MOST_ONCE, message, events))
+                finished[body.job] = event
+    return found
+
+
+def _check_runs(history: History) -> list[Violation]:
+    runs: dict[tuple[JobId, int], PartStarted] = {}
+    checkpointed: set[int] = set()
+    found = []
+    for event in history:
+        match event:
+            case PartExited(checkpointed=True):
+                checkpointed.add(event.run)
+            case PartStarted() if not event.job.idempotent:
+                key = (event.job.id, event.placement.part)
+                earlier = runs.get(key)
+                if earlier is not None and earlier.run not in checkpointed:
+                    message = f"part {key[1]} of {key[0]} ran twice"
+                    found.append(Violation(Promise.AT_MOST_ONCE, message, (earlier, event)))
+                runs[key] = event
+    return found
+
+
+# Drain
+
+
+def check_drain(history: History) -> list[Violation]:
+    """A scrapped target takes no new work later than 3 s after the configuration is accepted."""
+    calm = _Calm(history)
+    since: dict[TargetId, float] = {}
+    found = []
+    for event in history:
+        match event:
+            case Published():
+                since = {t: since.get(t, event.time) for t in event.scrapped}
+            case PartsReserved() | RunnerStarted() if event.target in since:
+                late = event.time - max(since[event.target], calm.since(event.time))
+                if late > DRAIN_LIMIT_S:
+                    message = f"{event.target} took new work {late:.1f} s after the change"
+                    found.append(Violation(Promise.DRAIN, message, (event,)))
+    return found
+
+
+# Graceful
+
+
+def check_graceful(history: History) -> list[Violation]:
+    """A planned stop ends no part and no request that still runs there."""
+    parts: dict[int, PartStarted] = {}
+    requests: dict[tuple[TargetId, RequestId], RunnerStarted] = {}
+    found = []
+    for event in history:
+        match event:
+            case PartStarted():
+                parts[event.run] = event
+            case PartExited():
+                parts.pop(event.run, None)
+            case RunnerStarted():
+                requests[event.target, event.request] = event
+            case RunnerEnded():
+                requests.pop((event.target, event.request), None)
+            case WorkerDown():
+                ended = [start for start in parts.values() if start.target == event.target]
+                ended += [start for start in requests.values() if start.target == event.target]
+                parts = {k: v for k, v in parts.items() if v.target != event.target}
+                requests = {k: v for k, v in requests.items() if v.target != event.target}
+                if event.planned and ended:
+                    message = f"the planned stop of {event.target} interrupted {len(ended)}"
+                    found.append(Violation(Promise.GRACEFUL, message, (*ended, event)))
+    return found
+
+
+# Configuration
+
+
+def check_configuration(history: History) -> list[Violation]:
+    """No version reverts or has two texts, and each reaches every process within seconds."""
+    found = []
+    texts: dict[Version, str] = {}
+    newest: dict[str, ConfigRead] = {}
+    calm = _Calm(history)
+    published = [event for event in history if isinstance(event, Published)]
+    for event in history:
+        match event:
+            case Published() | ConfigRead() if event.text:
+                if texts.setdefault(event.version, event.text) != event.text:
+                    message = f"version {event.version} has two texts"
+                    found.append(Violation(Promise.CONFIGURATION, message, (event,)))
+        if isinstance(event, ConfigRead):
+            before = newest.get(event.process)
+            if before is not None and event.version < before.version:
+                message = f"{event.process} reverted to version {event.version}"
+                found.append(Violation(Promise.CONFIGURATION, message, (before, event)))
+            newest[event.process] = event
+            found += _check_delay(published, calm, event)
+    return found
+
+
+def _check_delay(published: list[Published], calm: _Calm, read: ConfigRead) -> list[Violation]:
+    for event in published:
+        if event.time >= read.time or read.version >= event.version:
+            continue
+        if read.time - max(event.time, calm.since(read.time)) > CONFIG_LIMIT_S:
+            message = f"{read.process} does not have version {event.version} in time"
+            return [Violation(Promise.CONFIGURATION, message, (event, read))]
+    return []
+
+
+def check_crashes(history: History) -> list[Violation]:
+    """No process raises an exception that nothing handles."""
+    crashes = [event for event in history if isinstance(event, Crashed)]
+    return [Violation(None, f"{e.process} raised {e.error}", (e,)) for e in crashes]
+
+
+CHECKERS: dict[Promise, Callable[[History], list[Violation]]] = {
+    Promise.GUARANTEE: check_guarantee,
+    Promise.GANG: check_gang,
+    Promise.ANSWER: check_answer,
+    Promise.REFUSAL: check_refusal,
+    Promise.AT_MOST_ONCE: check_at_most_once,
+    Promise.DRAIN: check_drain,
+    Promise.GRACEFUL: check_graceful,
+    Promise.CONFIGURATION: check_configuration,
+}
+
+
+def check_all(history: History) -> list[Violation]:
+    """Violations of all promises, and crashes."""
+    return [v for check in (*CHECKERS.values(), check_crashes) for v in check(history)]
--- /dev/null
+++ b/features/history/mutations.py
@@ -0,0 +1,225 @@
+"""Mechanisms that can be switched off, to show that the checkers notice what they prevent."""
+
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from comfreyshelf import agent, gangs, journal, ledger, router, scheduler
+from comfreyshelf.agent import Agent
+from comfreyshelf.ids import RecordId
+from comfreyshelf.ledger import ACCEPTED, Ledger
+from comfreyshelf.model import AttemptOutcome, JobState, PartState
+from features.history.events import Promise
+from features.history.plan import FaultKind
+
+
+class Mutation(msgspec.Struct, frozen=True):
+    """A mechanism, the promise that breaks without it, and faults under which that shows."""
+
+    name: str
+    promise: Promise
+    faults: tuple[FaultKind, ...]
+    patches: tuple[tuple[Any, str, Any], ...]
+
+    def switch_off(self, stack: Any) -> None:
+        """Switch the mechanism off until the exit stack closes."""
+        for owner, name, replacement in self.patches:
+            stack.enter_context(mock.patch.object(owner, name, replacement))
+
+
+def _any_part_finished(gang: gangs.Gang) -> bool:
+    return any(part.state is PartState.FINISHED for part in gang.parts)
+
+
+def _receive_by_order(self: router.Router, message: Any) -> None:
+    if self._waiting:
+        future: Future[Any] = self._waiting.pop(next(iter(self._waiting)))
+        future.set_result(message)
+
+
+class _UntriedResult(journal.AppendResult, frozen=True):
+    def __post_init__(self) -> None:
+        msgspec.structs.force_setattr(self, "tried", False)
+
+
+def _without_tombstones(self: Agent, message: Any, now: float) -> list[Any]:
+    actions = _ON_REQUEST(self, message, now)
+    answer = self._answered.get(message.request)
+    if answer is not None and not answer[1].started:
+        del self._answered[message.request]
+    return actions
+
+
+def _without_memory(self: Agent, message: Any, now: float) -> list[Any]:
+    self._answered.pop(message.request, None)
+    self._running.pop(message.request, None)
+    return _ON_REQUEST(self, message, now)
+
+
+def _commit_without_record(self: scheduler.Scheduler, gang: gangs.Gang, now: float) -> None:
+    _RECORD_START(self, gang, now)
+    if gang.phase is gangs.Phase.RECORDING:
+        self._commit(gang, now)
+
+
+def _requeue_always(gang: gangs.Gang) -> AttemptOutcome:
+    return gang.outcome or AttemptOutcome.FAILED
+
+
+def _every_finish_counts(self: Ledger, record: Any, body: Any) -> ledger.Verdict:
+    entry = self.state.jobs[body.job]
+    entry.result, entry.digest = body.result, body.digest
+    self._close(record, entry, JobState.FINISHED)
+    return ACCEPTED
+
+
+def _flush_under_new_ids(self: journal.Appender) -> None:
+    for item in self._unsent:
+        if item.tried:
+            new_id = RecordId(journal.uuid.uuid4().hex)
+            item.record = msgspec.structs.replace(item.record, id=new_id)
+    _FLUSH(self)
+
+
+def _parse_without_scrap(text: str, version: Any) -> Any:
+    parsed = _PARSE(text, version)
+    return parsed.map(lambda config: msgspec.structs.replace(config, scrapped=frozenset()))
+
+
+def _welcome_any_version(self: Agent, message: Any) -> list[Any]:
+    self.version = message.version
+    return _ON_WELCOME(self, message)
+
+
+def _publish_any_base(self: Ledger, record: Any, body: Any) -> ledger.Verdict:
+    current = self.config.version
+    own = msgspec.structs.replace(body, base=current, version=current + 1)
+    verdict = _PUBLISH(self, record, own)
+    self.config = msgspec.structs.replace(self.config, version=body.version)
+    return verdict
+
+
+def _handle_any_epoch(self: Agent, message: Any, now: float) -> list[Any]:
+    if hasattr(message, "epoch") and message.epoch < self.epoch:
+        message = msgspec.structs.replace(message, epoch=self.epoch)
+    return _HANDLE(self, message, now)
+
+
+def _always(*_: Any) -> bool:
+    return True
+
+
+_ON_REQUEST: Callable[..., Any] = Agent._on_request
+_ON_WELCOME: Callable[..., Any] = Agent._on_welcome
+_HANDLE: Callable[..., Any] = Agent.handle
+_RECORD_START: Callable[..., Any] = scheduler.Scheduler._record_start
+_FLUSH: Callable[..., Any] = journal.Appender._flush
+_PARSE: Callable[..., Any] = ledger.parse_config
+_PUBLISH: Callable[..., Any] = Ledger._publish
+
+K = FaultKind
+MUTATIONS = (
+    Mutation(
+        "a gang finishes only with all parts",
+        Promise.ANSWER,
+        (K.KILL_ENTRY,),
+        ((gangs.Gang, "whole", property(_any_part_finished)),),
+    ),
+    Mutation(
+        "a gang commits only when all targets reserved",
+        Promise.GANG,
+        (K.MESSAGES_LOST,),
+        ((gangs.Gang, "fully_reserved", property(_always)),),
+    ),
+    Mutation(
+        "a failed part stops the whole gang",
+        Promise.GANG,
+        (K.KILL_TARGET, K.BAD_WORKER),
+        ((scheduler.Scheduler, "_stop_gang", lambda *_: None),),
+    ),
+    Mutation(
+        "answers are matched by request id",
+        Promise.ANSWER,
+        (K.MESSAGES_DELAYED,),
+        ((router.Router, "receive", _receive_by_order),),
+    ),
+    Mutation(
+        "results are sent again until they are recorded",
+        Promise.ANSWER,
+        (K.MESSAGES_LOST,),
+        ((agent, "RESEND_RESULT_S", 1e9),),
+    ),
+    Mutation(
+        "an append without an answer counts as tried",
+        Promise.REFUSAL,
+        (K.LOG_ANSWERS_LOST, K.LOG_DOWN),
+        ((journal, "AppendResult", _UntriedResult),),
+    ),
+    Mutation(
+        "refused requests leave a tombstone",
+        Promise.REFUSAL,
+        (K.MESSAGES_DOUBLED, K.MESSAGES_DELAYED),
+        ((Agent, "_on_request", _without_tombstones),),
+    ),
+    Mutation(
+        "a repeated request does not start again",
+        Promise.AT_MOST_ONCE,
+        (K.MESSAGES_DOUBLED,),
+        ((Agent, "_on_request", _without_memory),),
+    ),
+    Mutation(
+        "a non-idempotent job waits for its start record",
+        Promise.AT_MOST_ONCE,
+        (K.LOG_DOWN, K.KILL_ENTRY),
+        ((scheduler.Scheduler, "_record_start", _commit_without_record),),
+    ),
+    Mutation(
+        "a non-idempotent job that may have run is not requeued",
+        Promise.AT_MOST_ONCE,
+        (K.KILL_TARGET,),
+        ((gangs.Gang, "final_outcome", _requeue_always),),
+    ),
+    Mutation(
+        "the first finish wins, and lost answers are read back",
+        Promise.AT_MOST_ONCE,
+        (K.LOG_ANSWERS_LOST,),
+        (
+            (Ledger, "_finish", _every_finish_counts),
+            (journal.Appender, "_flush", _flush_under_new_ids),
+            (journal.Appender, "_is_settled", lambda *_: False),
+        ),
+    ),
+    Mutation(
+        "old epochs are refused by the fold and by targets",
+        Promise.AT_MOST_ONCE,
+        (K.FREEZE_ENTRY, K.CUT_LOG),
+        ((Agent, "handle", _handle_any_epoch), (Ledger, "_is_owner", _always)),
+    ),
+    Mutation(
+        "scrapped targets take no new work",
+        Promise.DRAIN,
+        (),
+        ((ledger, "parse_config", _parse_without_scrap),),
+    ),
+    Mutation(
+        "a planned stop waits until the target is idle",
+        Promise.GRACEFUL,
+        (),
+        ((Agent, "idle", property(_always)),),
+    ),
+    Mutation(
+        "an older configuration version is refused by targets",
+        Promise.CONFIGURATION,
+        (K.MESSAGES_DELAYED, K.OPERATORS_RACE),
+        ((Agent, "_on_welcome", _welcome_any_version),),
+    ),
+    Mutation(
+        "a publication wins only on the version in force",
+        Promise.CONFIGURATION,
+        (K.OPERATORS_RACE,),
+        ((Ledger, "_publish", _publish_any_base),),
+    ),
+)
--- /dev/null
+++ b/features/history/plan.py
@@ -0,0 +1,91 @@
+"""What one example runs: a seed for the workload and the faults, drawn by hypothesis."""
+
+from enum import Enum
+
+import msgspec
+from hypothesis import strategies as st
+
+
+class FaultKind(Enum):
+    """Faults that an example can inject."""
+
+    KILL_ENTRY = "kill-entry"
+    KILL_TARGET = "kill-target"
+    CUT_LINK = "cut-link"
+    CUT_LOG = "cut-log"
+    FREEZE_ENTRY = "freeze-entry"
+    FREEZE_TARGET = "freeze-target"
+    LOG_DOWN = "log-down"
+    LOG_DOWN_HOUR = "log-down-hour"
+    LOG_SLOW = "log-slow"
+    LOG_ANSWERS_LOST = "log-answers-lost"
+    LOG_LATE_RECORDS = "log-late-records"
+    LOG_EXPIRES = "log-expires"
+    MESSAGES_LOST = "messages-lost"
+    MESSAGES_DOUBLED = "messages-doubled"
+    MESSAGES_DELAYED = "messages-delayed"
+    OPERATORS_RACE = "operators-race"
+    CANCEL_WAVE = "cancel-wave"
+    BAD_WORKER = "bad-worker"
+
+
+# Snapshots are not part of this branch, and one hour of virtual time is slow.
+SPECIAL = (FaultKind.LOG_EXPIRES, FaultKind.LOG_DOWN_HOUR)
+USUAL = tuple(kind for kind in FaultKind if kind not in SPECIAL)
+
+
+class When(Enum):
+    """What a kill or freeze waits for after its time has come."""
+
+    AT_ONCE = "at-once"
+    APPEND = "after-append"
+    SEND = "before-send"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A fault from `at` for `seconds`; `victim` picks a process, `count` the append or send."""
+
+    kind: FaultKind
+    at: float
+    seconds: float = 8.0
+    victim: int = 0
+    when: When = When.AT_ONCE
+    count: int = 1
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """One example."""
+
+    seed: int
+    faults: tuple[Fault, ...] = ()
+
+    def encode(self) -> str:
+        """The plan as JSON, for `python -m features.history --plan`."""
+        return msgspec.json.encode(self).decode()
+
+
+def decode_plan(text: str) -> Plan:
+    """Read a plan back from JSON."""
+    return msgspec.json.decode(text, type=Plan)
+
+
+def faults(kinds: tuple[FaultKind, ...]) -> st.SearchStrategy[Fault]:
+    """Faults of some kinds, while the workload of the first 30 s runs."""
+    return st.builds(
+        Fault,
+        kind=st.sampled_from(kinds),
+        at=st.integers(20, 300).map(lambda tenths: tenths / 10),
+        seconds=st.sampled_from((1.5, 4.0, 9.0, 14.0)),
+        victim=st.integers(0, 11),
+        when=st.sampled_from(When),
+        count=st.integers(1, 6),
+    )
+
+
+def plans(kinds: tuple[FaultKind, ...] = USUAL, most: int = 2) -> st.SearchStrategy[Plan]:
+    """Plans with up to `most` faults."""
+    return st.builds(
+        Plan,
+        seed=st.integers(0, 10**6),
+        faults=st.lists(faults(kinds), max_size=most).map(tuple),
+    )
--- /dev/null
+++ b/features/history/world.py
@@ -0,0 +1,522 @@
+"""Virtual time, the log model, the network and the processes that run the real cores."""
+
+import heapq
+import random
+import uuid
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future
+from contextlib import ExitStack
+from unittest import mock
+
+from comfreyshelf import journal, membership, target
+from comfreyshelf.agent import HeldAttempt
+from comfreyshelf.errors import LogUnavailableError
+from comfreyshelf.ids import Attempt, JobId, Offset, RequestId, TargetId, Version, ZoneId
+from comfreyshelf.journal import Appender, AppendResult, LedgerReader
+from comfreyshelf.ledger import Ledger
+from comfreyshelf.log import READ_LIMIT, LogClient, Page
+from comfreyshelf.membership import Roster
+from comfreyshelf.messages import (
+    AnyMessage,
+    RequestAnswer,
+    RunRequest,
+    StartDisproved,
+    Status,
+    decode_message,
+    encode_message,
+)
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.model import Job, PartState, Placement
+from comfreyshelf.ownership import (
+    Append,
+    Folded,
+    FromTarget,
+    Input,
+    LogChanged,
+    Ownership,
+    SendMessage,
+    TimePassed,
+)
+from comfreyshelf.records import AnyBody, decode_record
+from comfreyshelf.router import Router
+from comfreyshelf.settings import EntrySettings, TargetSettings
+from comfreyshelf.target import AgentTask, FromEntry, RequestEnded
+from comfreyshelf.worker import PartExit, Worker, part_result
+from features.history.events import (
+    ConfigRead,
+    Crashed,
+    HistoryEvent,
+    PartExited,
+    PartsReleased,
+    PartsReserved,
+    PartStarted,
+    Recorded,
+    RunnerEnded,
+    RunnerStarted,
+    WorkerDown,
+    WorkerUp,
+)
+from features.history.plan import When
+
+START = 1_000_000.0
+TICK_S = 0.2
+STATUS_S = 2.0
+
+
+class Killed(BaseException):
+    """Unwinds the step in which a process is killed."""
+
+
+class World:
+    """An event loop in virtual time; also stands in for the modules `time` and `uuid`."""
+
+    def __init__(self, seed: int) -> None:
+        self.now = START
+        self.rng = random.Random(seed)
+        self.history: list[HistoryEvent] = []
+        self.counts: Counter[str] = Counter()
+        self.processes: dict[str, Process] = {}
+        self.log = LogModel(self)
+        self.tick_s = TICK_S
+        self.cut: set[str] = set()
+        self.lost = 0.0
+        self.doubled = 0.0
+        self.delayed = 0.0
+        self.bad_workers: set[str] = set()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = 0
+        self._runs = 0
+        self._stack = ExitStack()
+
+    def __enter__(self) -> "World":
+        clock = mock.Mock(monotonic=lambda: self.now, time=lambda: self.now)
+        clock.time_ns = self.serial
+        for module in (journal, membership, target):
+            self._stack.enter_context(mock.patch.object(module, "time", clock))
+        ids = mock.Mock(uuid4=lambda: uuid.UUID(int=self.serial()))
+        self._stack.enter_context(mock.patch.object(journal, "uuid", ids))
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
+    def serial(self) -> int:
+        """A new number."""
+        self._runs += 1
+        return self._runs
+
+    def note(self, event: HistoryEvent) -> None:
+        """Add an event to the history."""
+        self.history.append(event)
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Run `action` after `delay` seconds."""
+        self._order += 1
+        heapq.heappush(self._heap, (self.now + delay, self._order, action))
+
+    def run_until(self, end: float) -> None:
+        """Run everything that is due before `end`."""
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = end
+
+    def transmit(self, sender: str, receiver: str, message: AnyMessage) -> None:
+        """Carry a message between an entry and a target, with the faults of the moment."""
+        if f"{sender}-{receiver}" in self.cut or f"{receiver}-{sender}" in self.cut:
+            return
+        if self.rng.random() < self.lost:
+            return
+        data = encode_message(message)
+        for _ in range(2 if self.rng.random() < self.doubled else 1):
+            delay = self.rng.uniform(0.001, 0.004)
+            if self.rng.random() < self.delayed:
+                delay += self.rng.uniform(0.0, 6.0)
+            self.after(delay, lambda: self._deliver(sender, receiver, data))
+
+    def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        process = self.processes.get(receiver)
+        if process is not None and sender in self.processes:
+            process.step(lambda: process.receive(sender, decode_message(data)))
+
+    def finish(self) -> None:
+        """Add the records of the log as a fold without faults judges them."""
+        ledger = Ledger()
+        for offset, (time, data) in enumerate(self.log.records):
+            record = decode_record(data)
+            verdict = ledger.apply(Offset(offset), record)
+            if verdict.reason != "repeated":
+                self.note(Recorded(time, verdict.accepted, record.body))
+        self.history.sort(key=lambda event: event.time)
+
+
+class LogModel:
+    """The records with the times from which readers see them, and the faults of the log."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.records: list[tuple[float, bytes]] = []
+        self.oldest = 0
+        self.down = False
+        self.lag = 0.0
+        self.lose_answers = 0.0
+        self.late = 0.0
+
+    def append(self, batch: Sequence[bytes]) -> None:
+        """Append; a lost answer raises after the effect, or before it when the batch was lost."""
+        world = self.world
+        if self.down:
+            raise LogUnavailableError("the log is down", "wait")
+        lost = world.rng.random() < self.lose_answers
+        if lost and world.rng.random() < 0.3:
+            raise LogUnavailableError("the batch was lost", "wait")
+        self._add(batch)
+        if world.rng.random() < self.late:
+            copy = list(batch)
+            world.after(world.rng.uniform(0.5, 6.0), lambda: self._add(copy))
+        if lost:
+            raise LogUnavailableError("the answer was lost", "wait")
+
+    def _add(self, batch: Sequence[bytes]) -> None:
+        self.records += [(self.world.now + self.lag, data) for data in batch]
+
+    def read(self, offset: int) -> Page:
+        """Read what is visible now."""
+        if self.down:
+            raise LogUnavailableError("the log is down", "wait")
+        first = max(offset, self.oldest)
+        items = []
+        for index in range(first, min(len(self.records), first + READ_LIMIT)):
+            time, data = self.records[index]
+            if time > self.world.now:
+                break
+            items.append((index, data))
+        return Page(items, first + len(items), self.oldest)
+
+
+class Process:
+    """A process that can be killed or frozen, also between two of its effects."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.alive = True
+        self.frozen_until = 0.0
+        self.trap: tuple[When, int, float] | None = None
+        self.label = f"{name}/{world.serial()}"
+        self._config_read = (-1, 0.0)
+        world.processes[name] = self
+
+    def step(self, action: Callable[[], None]) -> None:
+        """Run one step unless the process is dead; a frozen process runs it when it resumes."""
+        if not self.alive:
+            return
+        if self.world.now < self.frozen_until:
+            self.world.after(self.frozen_until - self.world.now, lambda: self.step(action))
+            return
+        try:
+            action()
+        except Killed:
+            self.end(planned=False)
+        except Exception as exc:  # Any other exception is a finding.
+            self.world.note(Crashed(self.world.now, self.name, f"{type(exc).__name__}: {exc}"))
+
+    def set_trap(self, when: When, count: int, freeze_s: float) -> None:
+        """Kill, or freeze for `freeze_s`, at the `count`-th append or send from now."""
+        if when is When.AT_ONCE:
+            self.spring(freeze_s)
+        else:
+            self.trap = (when, count, freeze_s)
+
+    def spring(self, freeze_s: float) -> None:
+        """Freeze for `freeze_s` seconds, or be killed if that is 0."""
+        if freeze_s > 0:
+            self.frozen_until = self.world.now + freeze_s
+        else:
+            self.end(planned=False)
+
+    def passes(self, when: When) -> None:
+        """Note an append or a send; springs the trap when its count is reached."""
+        if self.trap is None or self.trap[0] is not when:
+            return
+        _, count, freeze_s = self.trap
+        if count > 1:
+            self.trap = (when, count - 1, freeze_s)
+            return
+        self.trap = None
+        if freeze_s <= 0:
+            raise Killed
+        self.spring(freeze_s)
+
+    def transmit(self, receiver: str, message: AnyMessage) -> bool:
+        """Send a message; one that a freeze caught leaves when the process resumes."""
+        self.passes(When.SEND)
+        if not self.alive:
+            return False
+        delay = max(0.0, self.frozen_until - self.world.now)
+        if delay:
+            name = self.name
+            self.world.after(delay, lambda: self.world.transmit(name, receiver, message))
+        else:
+            self.world.transmit(self.name, receiver, message)
+        return True
+
+    def every_tick(self, action: Callable[[], None]) -> None:
+        """Run `action` in each tick."""
+
+        def run() -> None:
+            action()
+            self.world.after(self.world.tick_s, lambda: self.step(run))
+
+        self.world.after(self.world.rng.uniform(0, self.world.tick_s), lambda: self.step(run))
+
+    def note_config(self, version: int, text: str) -> None:
+        """Note the version in force, on change and every second."""
+        known, at = self._config_read
+        if version != known or self.world.now - at >= 1.0:
+            self._config_read = (version, self.world.now)
+            self.world.note(ConfigRead(self.world.now, self.label, Version(version), text))
+
+    def end(self, planned: bool) -> None:
+        """End the process."""
+        self.alive = False
+        if self.world.processes.get(self.name) is self:
+            del self.world.processes[self.name]
+
+    def receive(self, sender: str, message: AnyMessage) -> None:
+        """Take a message."""
+
+
+class ProcessLog(LogClient):
+    """The log as one process reaches it."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+
+    def _check_reachable(self) -> None:
+        if f"{self._process.name}-log" in self._process.world.cut:
+            raise LogUnavailableError("the log is out of reach", "wait")
+
+    def append(self, batch: Sequence[bytes]) -> list[Offset]:
+        self._check_reachable()
+        try:
+            self._process.world.log.append(batch)
+        finally:
+            self._process.passes(When.APPEND)
+        return []
+
+    def read(self, offset: Offset, wait_s: float = 0.0) -> Page:
+        self._check_reachable()
+        return self._process.world.log.read(offset)
+
+
+class EntrySim(Process):
+    """An entry: the real reader, appender, ownership core, roster and router without threads."""
+
+    def __init__(self, world: World, name: str, zone: str) -> None:
+        super().__init__(world, name)
+        cfg = EntrySettings(name, zone, name, name, "")
+        metrics = Metrics()
+        log = ProcessLog(self)
+        writer = self.label
+        self.reader = LedgerReader(log, metrics)
+        self.reader.wait = lambda seconds: None  # type: ignore[method-assign]
+        self.appender = Appender(writer, log, self.reader, metrics)
+        self.core = Ownership(cfg, writer, self.reader.ledger)
+        self.roster = Roster()
+        self.router = Router(ZoneId(zone), self.roster, metrics)
+        self._inbox: list[Input] = []
+        self.reader.on_record(lambda record, verdict: self._inbox.append(Folded(record, verdict)))
+        self.reader.on_state(lambda up: self._inbox.append(LogChanged(up)))
+        self.every_tick(self._tick)
+
+    def submit(self, body: AnyBody, give_up_s: float = 0.0) -> "Future[AppendResult]":
+        """Append a record."""
+        future = self.appender.submit(body, give_up_s)
+        self._pump()
+        return future
+
+    def receive(self, sender: str, message: AnyMessage) -> None:
+        """Take a message from a target."""
+        if isinstance(message, RequestAnswer | StartDisproved):
+            self.router.receive(message)
+            return
+        if isinstance(message, Status):
+            self.roster.update(message)
+        self._feed(FromTarget(TargetId(sender), message))
+
+    def _tick(self) -> None:
+        self.reader.poll()
+        self._note_config()
+        # The owner's task may lag behind the fold.
+        if self.world.rng.random() < 0.8:
+            inbox, self._inbox = self._inbox, []
+            for event in inbox:
+                self._feed(event)
+        self._feed(TimePassed())
+        self.appender.tick()
+
+    def _note_config(self) -> None:
+        ledger = self.reader.ledger
+        text = ledger.state.config.text if ledger.state.config else ""
+        if self.reader.caught_up.is_set():
+            self.note_config(ledger.config.version, text)
+
+    def _feed(self, event: Input) -> None:
+        for output in self.core.handle(event, self.world.now):
+            match output:
+                case SendMessage():
+                    self.transmit(output.target, output.message)
+                case Append():
+                    self.submit(output.body, output.give_up_s)
+
+    def _pump(self) -> None:
+        while not self.appender._inbox.empty():
+            self.appender.handle(self.appender._inbox.get_nowait())
+
+
+class SimLink:
+    """A target's link to the entry at one address, which is the entry's name here."""
+
+    def __init__(self, process: Process, address: str) -> None:
+        self._process = process
+        self._address = address
+
+    def send(self, message: AnyMessage) -> bool:
+        return self._process.transmit(self._address, message)
+
+    def stop(self) -> None:
+        """Nothing to close."""
+
+
+class SimAgentTask(AgentTask):
+    """The real task of the target process on simulated links."""
+
+    process: "TargetSim"
+
+    def _link(self, address: str) -> None:
+        self._links.setdefault(address, SimLink(self.process, address))  # type: ignore[arg-type]
+
+
+class TargetSim(Process, Worker):
+    """A target process with its worker and its runner."""
+
+    def __init__(
+        self, world: World, name: str, zone: str, rack: str, entries: tuple[str, ...]
+    ) -> None:
+        super().__init__(world, name)
+        cfg = TargetSettings(name, zone, rack, entries, services=("permit",))
+        self._parts: dict[tuple[JobId, Attempt, int], int] = {}
+        self._held: dict[tuple[JobId, Attempt], HeldAttempt] = {}
+        self.task = SimAgentTask(cfg, self, {}, Metrics())
+        self.task.process = self
+        self.task._pool.shutdown()
+        self.task._pool = self  # type: ignore[assignment]
+        self.place = (zone, rack, entries)
+        for address in entries:
+            self.task._link(address)
+        world.note(WorkerUp(world.now, self.task.agent.worker))
+        self.every_tick(self._tick)
+
+    def _tick(self) -> None:
+        self.task.tick()
+        self._observe()
+
+    def receive(self, sender: str, message: AnyMessage) -> None:
+        """Take a message from an entry."""
+        self.task.handle(FromEntry(sender, message))
+        self._observe()
+
+    def _observe(self) -> None:
+        """Note what the core holds and which version it has."""
+        now = self.world.now
+        held = self.task.agent._held
+        for key in held.keys() - self._held.keys():
+            item = held[key]
+            reserved = PartsReserved(
+                now, TargetId(self.name), item.job, item.attempt, item.placements
+            )
+            self.world.note(reserved)
+        for key in self._held.keys() - held.keys():
+            self.world.note(PartsReleased(now, TargetId(self.name), *key))
+        self._held = dict(held)
+        self.note_config(self.task.agent.version, "")
+
+    # The worker
+
+    def start_part(self, job: Job, attempt: Attempt, placement: Placement) -> None:
+        """Start a part that ends after the run time in its payload."""
+        run = self.world.serial()
+        key = (job.id, attempt, placement.part)
+        self._parts[key] = run
+        self.world.note(
+            PartStarted(self.world.now, TargetId(self.name), job, attempt, placement, run)
+        )
+        bad = self.name in self.world.bad_workers
+        state = PartState.FAILED if bad else PartState.FINISHED
+        result = b"" if bad else part_result(job, placement.part)
+        run_s = 0.2 if bad else float(job.payload.partition(b" ")[0])
+        exit_ = PartExit(*key, state, result, run_s)
+        self.world.after(run_s, lambda: self._exit(run, exit_))
+
+    def stop_part(self, job: JobId, attempt: Attempt, part: int, checkpoint: bool) -> None:
+        """Stop a part after 0.3 s, with a checkpoint if asked for."""
+        run = self._parts.get((job, attempt, part))
+        if run is not None:
+            exit_ = PartExit(job, attempt, part, PartState.STOPPED, checkpointed=checkpoint)
+            self.world.after(0.3, lambda: self._exit(run, exit_))
+
+    def _exit(self, run: int, exit_: PartExit) -> None:
+        key = (exit_.job, exit_.attempt, exit_.part)
+        if not self.alive or self._parts.get(key) != run:
+            return
+        del self._parts[key]
+        event = PartExited(
+            self.world.now, TargetId(self.name), run, exit_.state, exit_.checkpointed
+        )
+        self.world.note(event)
+        self.step(lambda: self.task.handle(exit_))
+
+    def probe(self) -> bool:
+        """Pass unless the worker fails everything."""
+        return self.name not in self.world.bad_workers
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+    # The runner
+
+    def submit(self, _call: object, request: RunRequest, address: str) -> None:
+        """Answer a request after a while, in place of the pool of threads."""
+        self.world.note(RunnerStarted(self.world.now, TargetId(self.name), request.request))
+        delay = self.world.rng.choice((0.05, 0.5, 2.5))
+        self.world.after(delay, lambda: self._answer(request, address))
+
+    def _answer(self, request: RunRequest, address: str) -> None:
+        if not self.alive:
+            return
+        self.world.note(RunnerEnded(self.world.now, TargetId(self.name), request.request))
+        ended = RequestEnded(address, RequestId(request.request), True, request.body[::-1])
+        self.step(lambda: self.task.handle(ended))
+
+    # Planned stops
+
+    def stop_when_idle(self, grace_s: float = 30.0) -> None:
+        """Refuse new work and end when nothing is left, as the target's shell does."""
+        self.task.agent.stopping = True
+        until = self.world.now + grace_s
+
+        def poll() -> None:
+            if self.task.agent.idle or self.world.now > until:
+                self.end(planned=True)
+            else:
+                self.world.after(0.2, lambda: self.step(poll))
+
+        self.step(poll)
+
+    def end(self, planned: bool) -> None:
+        """End the process and everything on its worker."""
+        if self.alive:
+            self.world.note(WorkerDown(self.world.now, TargetId(self.name), planned))
+        super().end(planned)
