--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -244,9 +244,10 @@
         return ACCEPTED
 
     def _claim(self, record: Record, body: DomainClaimed) -> Verdict:
-        domain = self.state.domains.setdefault(body.domain, DomainEntry())
+        domain = self.state.domains.get(body.domain) or DomainEntry()
         if body.base_epoch != domain.epoch or body.epoch != domain.epoch + 1:
             return Verdict(False, f"epoch {domain.epoch} is current")
+        self.state.domains[body.domain] = domain
         domain.epoch = body.epoch
         domain.owner = body.entry
         domain.renewed_at = record.time
--- a/comfreyshelf/model.py
+++ b/comfreyshelf/model.py
@@ -1,6 +1,7 @@
 """Value types of jobs, workers and requests."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -16,6 +17,7 @@
 )
 
 MAX_PARTS = 512
+MAX_ACCELERATORS = 64
 MAX_RESULT_BYTES = 64 * 1024
 MAX_PAYLOAD_BYTES = 64 * 1024
 
@@ -134,14 +136,14 @@
 class WorkerInfo(msgspec.Struct, frozen=True):
     """A worker as its target process announces it.
 
-    `accelerators` is a count of at most 64. `incarnation` grows each time the target process
-    starts, so parts of an earlier one are known to be gone.
+    `accelerators` is a count of at most 64, checked on decoding. `incarnation` grows each time the
+    target process starts, so parts of an earlier one are known to be gone.
     """
 
     target: TargetId
     zone: ZoneId
     rack: RackId
-    accelerators: int
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
     cores: int
     memory_gb: int
     incarnation: int
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -312,6 +312,9 @@
         if gang is None:
             self._emit(ForgetParts(event.target, event.job, event.attempt))
             return
+        if not 0 <= event.part < len(gang.parts):
+            self.counters["part_unknown"] += 1
+            return
         part = gang.parts[event.part]
         if part.state is not None or part.placement.target != event.target:
             return
