--- a/features/history/__main__.py
+++ b/features/history/__main__.py
@@ -1,13 +1,22 @@
 """Command line: `python -m features.history --seed N --examples N` or `--plan JSON`."""
 
 import argparse
+import itertools
 import sys
 import time
 
 from absl import logging
 
 from features.environment import known_red_names
-from features.history.plan import FaultKind, decode_plan, examples, plans, plans_of
+from features.history.plan import (
+    USUAL,
+    FaultKind,
+    Plan,
+    decode_plan,
+    examples,
+    plans_of,
+    with_kinds,
+)
 from features.history.report import Report
 
 # Every fault alone has this share of the examples, the rest are pairs.
@@ -39,16 +48,29 @@
     return 1 if broken else 0
 
 
-def _plans(args: argparse.Namespace) -> list:
+def _plans(args: argparse.Namespace) -> list[Plan]:
     if args.plan is not None:
         return [args.plan]
     if args.faults:
         kinds = tuple(FaultKind(name) for name in args.faults.split(","))
         return examples(plans_of(kinds), args.seed, args.examples)
     alone = int(args.examples * ALONE)
+    pairs = tuple(itertools.combinations_with_replacement(USUAL, 2))
     return [
-        *examples(plans(most=1), args.seed, alone),
-        *examples(plans(least=2), args.seed, args.examples - alone),
+        *_spread(args.seed, alone, tuple((kind,) for kind in USUAL)),
+        *_spread(args.seed, args.examples - alone, pairs),
+    ]
+
+
+def _spread(seed: int, count: int, choices: tuple[tuple[FaultKind, ...], ...]) -> list[Plan]:
+    """Drawn plans with the choices of faults in turn, from a place that the seed decides."""
+    if count == 0:
+        return []
+    drawn = examples(plans_of(choices[0]), seed, count)
+    first = seed * count
+    return [
+        with_kinds(plan, choices[(first + index) % len(choices)])
+        for index, plan in enumerate(drawn)
     ]
 
 
--- a/features/history/mutations.py
+++ b/features/history/mutations.py
@@ -185,6 +185,12 @@
             (journal.Appender, "_is_settled", lambda *_: False),
         ),
     ),
+    Mutation(
+        "the fold refuses records of old epochs",
+        Promise.ANSWER,
+        (K.CUT_LOG,),
+        ((Ledger, "_is_owner", _always),),
+    ),
     Mutation(
         "scrapped targets take no new work",
         Promise.DRAIN,
--- a/features/history/plan.py
+++ b/features/history/plan.py
@@ -101,6 +101,15 @@
     return Plan(seed, tuple(faults))
 
 
+def with_kinds(plan: Plan, kinds: tuple[FaultKind, ...]) -> Plan:
+    """The plan with other kinds of faults at the same times."""
+    changed = [
+        msgspec.structs.replace(fault, kind=kind)
+        for fault, kind in zip(plan.faults, kinds, strict=True)
+    ]
+    return msgspec.structs.replace(plan, faults=tuple(changed))
+
+
 def examples(strategy: st.SearchStrategy[Plan], seed: int, count: int) -> list[Plan]:
     """`count` plans; `seed` decides which."""
     found: list[Plan] = []
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -38,6 +38,7 @@
       | answer        | a gang finishes only with all parts                    | 20    |
       | answer        | answers are matched by request id                      | 20    |
       | answer        | results are sent again until they are recorded         | 40    |
+      | answer        | the fold refuses records of old epochs                 | 40    |
       | refusal       | a lost answer of the log is resolved by reading back   | 20    |
       | refusal       | refused requests leave a tombstone                     | 40    |
       | at-most-once  | a repeated request does not start again                | 40    |
