--- a/features/history/scenario.py
+++ b/features/history/scenario.py
@@ -32,7 +32,7 @@
     ResultRead,
 )
 from features.history.plan import Fault, FaultKind, Plan
-from features.history.world import START, EntrySim, TargetSim, World
+from features.history.world import START, TRAP_S, EntrySim, TargetSim, World
 
 KEY_HASH = hashlib.sha256(b"operator").hexdigest()
 TEXT = f"""[deployment]
@@ -315,8 +315,7 @@
     def _begin(self, fault: Fault) -> None:  # noqa: PLR0912
         world = self.world
         seconds = self._seconds(fault)
-        waits = 6.0 if fault.when.value != "at-once" else 0.0
-        until = world.now + seconds + RECOVERY_S + waits
+        until = world.now + seconds + TRAP_S + REPLACED_AFTER_S + RECOVERY_S
         if fault.kind not in HARMLESS:
             world.note(Disturbed(world.now, until, fault.kind.value))
         entries, targets = list(ENTRIES), list(TARGETS)
@@ -369,7 +368,7 @@
         kill = fault.kind in (FaultKind.KILL_ENTRY, FaultKind.KILL_TARGET, FaultKind.LOG_EXPIRES)
         process.set_trap(fault.when, fault.count, 0.0 if kill else fault.seconds)
         if kill:
-            self.world.after(REPLACED_AFTER_S + 4.0, lambda: self._replace(name))
+            self.world.after(TRAP_S + REPLACED_AFTER_S, lambda: self._replace(name))
 
     def _replace(self, name: str) -> None:
         if name in self.world.processes or name == self._scrap:
--- a/features/history/world.py
+++ b/features/history/world.py
@@ -60,6 +60,8 @@
 
 START = 1_000_000.0
 TICK_S = 0.2
+# A trap that no append or send springs in this time springs by itself.
+TRAP_S = 6.0
 # An example takes about 10,000 steps and an hour without the log about 100,000.
 MOST_STEPS = 400_000
 
@@ -234,11 +236,17 @@
             self.world.note(Crashed(self.world.now, self.name, f"{type(exc).__name__}: {exc}"))
 
     def set_trap(self, when: When, count: int, freeze_s: float) -> None:
-        """Kill, or freeze for `freeze_s`, at the `count`-th append or send from now."""
+        """Kill, or freeze for `freeze_s`, at the `count`-th append or send within TRAP_S."""
         if when is When.AT_ONCE:
             self.spring(freeze_s)
-        else:
-            self.trap = (when, count, freeze_s)
+            return
+        self.trap = (when, count, freeze_s)
+        self.world.after(TRAP_S, lambda: self._expire_trap(freeze_s))
+
+    def _expire_trap(self, freeze_s: float) -> None:
+        if self.alive and self.trap is not None:
+            self.trap = None
+            self.spring(freeze_s)
 
     def spring(self, freeze_s: float) -> None:
         """Freeze for `freeze_s` seconds, or be killed if that is 0."""
