Split the text's parser from the configuration's types and answer operators in one place

Ruled out: a base class for the resources, which would hide their paths.

Conclusion: no behaviour changes but the field that is gone.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -13,7 +13,7 @@
 
 from benchmarks import target_cost
 from comfreyshelf.commands import ReserveParts
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.demo import DEMO_TEXT, free_address
 from comfreyshelf.events import JobQueued, Reserved, StartRecorded
 from comfreyshelf.ids import (
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -17,7 +17,8 @@
 from benchmarks.figures import Figures, Fragmentation, figures, goodput, work_done
 from benchmarks.load import ACCELERATORS, Load, Work, kinds_of, mean_work
 from benchmarks.replay import Replay
-from comfreyshelf.config import Config, parse_config
+from comfreyshelf.config import Config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.ids import DomainId, Epoch, OrganisationId, RackId, TargetId, Version
 from comfreyshelf.model import Urgency, WorkerInfo
 from comfreyshelf.placement import Cells, FirstFit, Placer
--- a/comfreyshelf/ledger.py
+++ b/comfreyshelf/ledger.py
@@ -2,7 +2,8 @@
 
 from collections import Counter, OrderedDict
 
-from comfreyshelf.config import EMPTY_CONFIG, Config, parse_config
+from comfreyshelf.config import EMPTY_CONFIG, Config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.ids import CallerId, DomainId, Epoch, JobId, Offset, OrganisationId, RecordId
 from comfreyshelf.ledger_state import (
     ACCEPTED,
--- a/comfreyshelf/membership.py
+++ b/comfreyshelf/membership.py
@@ -27,11 +27,6 @@
     seen_at: float
     sequence: int = 0
 
-    @property
-    def idle(self) -> bool:
-        """Whether nothing holds the target."""
-        return not self.parts and not any(load.running or load.waiting for load in self.runners)
-
 
 class Roster:
     """Thread-safe table of targets by id.
--- a/comfreyshelf/operators_api.py
+++ b/comfreyshelf/operators_api.py
@@ -1,5 +1,6 @@
 """Operators' resources over HTTP: the configuration and the targets."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Annotated
 
@@ -9,11 +10,20 @@
 from msgspec import Meta
 
 from comfreyshelf.auth import KeyIndex
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.errors import Refusal, not_run
 from comfreyshelf.front import Front
 from comfreyshelf.holders import AnyHolder, DrainView, LostGuarantee
-from comfreyshelf.ids import DomainId, EntryId, OperatorId, TargetId, Version
+from comfreyshelf.ids import (
+    DomainId,
+    EntryId,
+    JobId,
+    OperatorId,
+    RackId,
+    TargetId,
+    Version,
+    ZoneId,
+)
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import ConfigPublished, DomainReported
 
@@ -53,6 +63,18 @@
     text: str
 
 
+def answer_operator(front: Front, build: Callable[[], object], *other_methods: str) -> bytes:
+    """Answer an operator's GET with what `build` returns; others are refused."""
+    if cherrypy.request.method not in ("GET", "HEAD"):
+        return front.wrong_method("GET", *other_methods)
+
+    def work() -> Result[object, Refusal]:
+        operator = front.operator()
+        return Error(operator.error) if operator.is_error() else Ok(build())
+
+    return front.answer(work)
+
+
 class Configuration:
     """`/v1/config`: read what is in force and publish; `/v1/config/history`."""
 
@@ -64,28 +86,14 @@
         """Dispatch on method."""
         if cherrypy.request.method == "POST":
             return self._front.answer(self._front.working("publish", self._publish))
-        if cherrypy.request.method in ("GET", "HEAD"):
-            return self._front.answer(self._show)
-        return self._front.wrong_method("GET", "POST")
+        return answer_operator(self._front, self._show, "POST")
 
     @cherrypy.expose
     def history(self) -> bytes:
         """The newest accepted texts, oldest first."""
-        if cherrypy.request.method not in ("GET", "HEAD"):
-            return self._front.wrong_method("GET")
-
-        def work() -> Result[object, Refusal]:
-            operator = self._front.operator()
-            if operator.is_error():
-                return Error(operator.error)
-            return Ok(self._front.reader.ledger.state.history)
+        return answer_operator(self._front, lambda: self._front.reader.ledger.state.history)
 
-        return self._front.answer(work)
-
-    def _show(self) -> Result[object, Refusal]:
-        operator = self._front.operator()
-        if operator.is_error():
-            return Error(operator.error)
+    def _show(self) -> ConfigView:
         with self._front.reader.lock:
             ledger = self._front.reader.ledger
             state = ledger.state
@@ -93,15 +101,13 @@
             reports = {
                 name: domain.report for name, domain in state.domains.items() if domain.report
             }
-        return Ok(
-            ConfigView(
-                self._front.config.version,
-                state.config.operator if state.config else OperatorId(""),
-                self._front.name,
-                entries,
-                {name: DomainView.of(report) for name, report in reports.items()},
-                state.config.text if state.config else "",
-            )
+        return ConfigView(
+            self._front.config.version,
+            state.config.operator if state.config else OperatorId(""),
+            self._front.name,
+            entries,
+            {name: DomainView.of(report) for name, report in reports.items()},
+            state.config.text if state.config else "",
         )
 
     def _publish(self) -> Result[object, Refusal]:
@@ -148,14 +154,9 @@
     @cherrypy.expose
     def index(self) -> bytes:
         """List the leaving targets."""
-        if cherrypy.request.method not in ("GET", "HEAD"):
-            return self._front.wrong_method("GET")
-        return self._front.answer(self._list)
+        return answer_operator(self._front, self._list)
 
-    def _list(self) -> Result[object, Refusal]:
-        operator = self._front.operator()
-        if operator.is_error():
-            return Error(operator.error)
+    def _list(self) -> list["LeavingTarget"]:
         scrapped = self._front.config.scrapped
         with self._front.reader.lock:
             domains = self._front.reader.ledger.state.domains.values()
@@ -165,7 +166,7 @@
         current = bool(reports) and all(
             report.version >= self._front.config.version for report in reports
         )
-        return Ok([_leaving(target, known.get(target), current) for target in sorted(scrapped)])
+        return [_leaving(target, known.get(target), current) for target in sorted(scrapped)]
 
 
 def _leaving(target: TargetId, view: DrainView | None, current: bool) -> "LeavingTarget":
@@ -198,8 +199,21 @@
     holders: tuple[AnyHolder, ...]
 
 
+class TargetView(msgspec.Struct, frozen=True):
+    """A target as it announced itself to the entry that answers; `requests` run there now."""
+
+    target: TargetId
+    zone: ZoneId
+    rack: RackId
+    version: Version
+    scrap: bool
+    draining: bool
+    held_by: list[JobId]
+    requests: int
+
+
 class Targets:
-    """`/v1/targets`: targets and what still holds those that are leaving."""
+    """`/v1/targets`: the targets that announced themselves to this entry."""
 
     def __init__(self, front: Front) -> None:
         self._front = front
@@ -207,28 +221,20 @@
     @cherrypy.expose
     def index(self) -> bytes:
         """List all targets."""
-        if cherrypy.request.method not in ("GET", "HEAD"):
-            return self._front.wrong_method("GET")
-        return self._front.answer(self._list)
+        return answer_operator(self._front, self._list)
 
-    def _list(self) -> Result[object, Refusal]:
-        operator = self._front.operator()
-        if operator.is_error():
-            return Error(operator.error)
+    def _list(self) -> list[TargetView]:
         scrapped = self._front.config.scrapped
-        return Ok(
-            [
-                {
-                    "target": view.worker.target,
-                    "zone": view.worker.zone,
-                    "rack": view.worker.rack,
-                    "version": view.version,
-                    "scrap": view.worker.target in scrapped,
-                    "draining": view.draining,
-                    "empty": view.draining and view.idle,
-                    "held_by": sorted({part.job for part in view.parts}),
-                    "requests": sum(load.running for load in view.runners),
-                }
-                for view in self._front.roster.views()
-            ]
-        )
+        return [
+            TargetView(
+                view.worker.target,
+                view.worker.zone,
+                view.worker.rack,
+                view.version,
+                view.worker.target in scrapped,
+                view.draining,
+                sorted({part.job for part in view.parts}),
+                sum(load.running for load in view.runners),
+            )
+            for view in self._front.roster.views()
+        ]
--- a/comfreyshelf/ui/operators.py
+++ b/comfreyshelf/ui/operators.py
@@ -7,7 +7,7 @@
 import typer
 
 from comfreyshelf.auth import hash_key, new_key
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.errors import UserError
 from comfreyshelf.ids import Version
 from comfreyshelf.ui.connection import (
@@ -201,6 +201,4 @@
 
 
 def _state(view: dict[str, object]) -> str:
-    if view["empty"]:
-        return "empty"
     return "leaving" if view["scrap"] else "in service"
--- a/features/history/checkers.py
+++ b/features/history/checkers.py
@@ -4,7 +4,8 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 
-from comfreyshelf.config import EMPTY_CONFIG, Config, Guarantee, parse_config
+from comfreyshelf.config import EMPTY_CONFIG, Config, Guarantee
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.errors import Execution
 from comfreyshelf.ids import Attempt, JobId, RackId, RequestId, TargetId, Version, ZoneId
 from comfreyshelf.model import Adjacency, Job, JobState, PartState, Shape, WorkerInfo
--- a/features/steps/command_line_steps.py
+++ b/features/steps/command_line_steps.py
@@ -14,7 +14,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, Deployment, wait_for_targets
 from comfreyshelf.events import (
     ConfigInForce,
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -6,7 +6,7 @@
 from behave import then
 from behave.runner import Context
 
-from comfreyshelf.config import OPTIONS
+from comfreyshelf.config_text import OPTIONS
 from comfreyshelf.reasons import RefusalReason, RetryReason
 from comfreyshelf.settings import (
     EntrySettings,
--- a/features/steps/fuzz_steps.py
+++ b/features/steps/fuzz_steps.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from comfreyshelf.agent import Agent
-from comfreyshelf.config import OPTIONS, parse_config
+from comfreyshelf.config_text import OPTIONS, parse_config
 from comfreyshelf.errors import RecordError, SettingsError
 from comfreyshelf.ids import Attempt, Offset, Version
 from comfreyshelf.ledger import REPEATED, Ledger, WriterMark
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -12,7 +12,7 @@
 
 from comfreyshelf.agent import Agent, CallRunner
 from comfreyshelf.client import RefusedError
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.demo import CALLER_KEY, DEMO_TEXT, OPERATOR_KEY, free_address
 from comfreyshelf.errors import Execution, not_run
 from comfreyshelf.heartbeats import StatusSender
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -9,7 +9,7 @@
 from comfreyshelf import journal
 from comfreyshelf.agent import Agent, StartPart
 from comfreyshelf.commands import ReserveParts, StopParts
-from comfreyshelf.config import parse_config
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.errors import LogUnavailableError
 from comfreyshelf.events import ConfigInForce, JobClosed, JobQueued, JobResumed, WorkerSeen
 from comfreyshelf.ids import (
--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -10,7 +10,8 @@
 from behave.runner import Context
 
 from comfreyshelf.agent import Agent, CallRunner, Reply
-from comfreyshelf.config import Caller, Organisation, parse_config
+from comfreyshelf.config import Caller, Organisation
+from comfreyshelf.config_text import parse_config
 from comfreyshelf.entry_limits import QueueLimits, RateLimits
 from comfreyshelf.errors import Execution, may_have_run, not_run
 from comfreyshelf.ids import CallerId, OrganisationId, RequestId, ServiceId, Version, ZoneId
