Read back versions that a heartbeat confirms, and log changes of state with fields

Cause: a heartbeat names the version that a target has in force, but the owner's report read it from the last full status, which is not sent again when nothing else changed. Seen with separate processes: `show` said "domain platense: 0 of 2 targets have version 1" for 15 s and more after all had it.

Ruled out: the targets' side, since the same entry's target list showed version 1.

Before: the new scenario of features/ownership.feature fails. The eight log lines of state changes go through logs.change, which nothing used before.

Conclusion: a heartbeat updates what its sequence number does not cover: epoch and version.

--- a/comfreyshelf/entry.py
+++ b/comfreyshelf/entry.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from comfreyshelf import logs
 from comfreyshelf.api import Front, Root
 from comfreyshelf.hop import Forwarder
 from comfreyshelf.ids import EntryId, TargetId, ZoneId
@@ -84,7 +85,7 @@
     def start(self) -> None:
         """Start all services."""
         self.kernel.start()
-        logging.info("entry %s listens on %s", self._cfg.name, self._cfg.http_address)
+        logs.change("entry started", http=self._cfg.http_address, pipe=self._cfg.pipe_address)
 
     def stop(self) -> None:
         """Finish the requests under way, leave the domains to others, and stop; once.
@@ -105,7 +106,7 @@
         self.kernel.stop()
         self.forwarder.close()
         self._log.close()
-        logging.info("entry %s stopped", self._cfg.name)
+        logs.change("entry stopped")
 
     def wait_ready(self, timeout_s: float) -> bool:
         """Wait until the log has been read to its end."""
--- a/comfreyshelf/journal.py
+++ b/comfreyshelf/journal.py
@@ -9,6 +9,7 @@
 import msgspec
 from absl import logging
 
+from comfreyshelf import logs
 from comfreyshelf.errors import LogUnavailableError, RecordError
 from comfreyshelf.ids import Offset, RecordId
 from comfreyshelf.ledger import Ledger, Verdict
@@ -149,7 +150,7 @@
         if up == self.log_up:
             return
         self.log_up = up
-        logging.info("log service is %s", "reachable" if up else "unreachable")
+        logs.change("log service reachable" if up else "log service unreachable")
         self._metrics.gauge("log_up", float(up))
         for listener in self._state_listeners:
             listener(up)
--- a/comfreyshelf/owner.py
+++ b/comfreyshelf/owner.py
@@ -2,8 +2,7 @@
 
 import time
 
-from absl import logging
-
+from comfreyshelf import logs
 from comfreyshelf.ids import DomainId, Epoch
 from comfreyshelf.journal import Appender, LedgerReader
 from comfreyshelf.membership import Roster
@@ -107,4 +106,4 @@
             case Noted():
                 self._metrics.count(output.counter)
                 if output.line:
-                    logging.info("%s", output.line)
+                    logs.change(output.line)
--- a/comfreyshelf/ownership.py
+++ b/comfreyshelf/ownership.py
@@ -505,6 +505,11 @@
         if known is None or known.status.sequence != beat.sequence:
             self._emit(SendMessage(beat.target, StatusWanted()))
             return
+        if (beat.epoch, beat.version) != (known.status.epoch, known.status.version):
+            # Operators read back from the status which targets have a version in force.
+            known.status = msgspec.structs.replace(
+                known.status, epoch=beat.epoch, version=beat.version
+            )
         # An unchanged status is compared again: a difference counts only after a while.
         self._on_alive(known.status, now)
         content = self._content_for(known.status)
--- a/comfreyshelf/snapshotter.py
+++ b/comfreyshelf/snapshotter.py
@@ -2,8 +2,7 @@
 
 import time
 
-from absl import logging
-
+from comfreyshelf import logs
 from comfreyshelf.ids import EntryId
 from comfreyshelf.journal import Appender, LedgerReader
 from comfreyshelf.ledger import Verdict
@@ -52,7 +51,7 @@
         if confirmed:
             self._schedule.seen(time.monotonic())
             self._metrics.count("snapshots")
-            logging.info("appended a snapshot of %d bytes", size)
+            logs.change("snapshot appended", bytes=size, chunks=len(chunks))
 
     def _rank(self) -> int:
         with self._reader.lock:
--- a/comfreyshelf/target.py
+++ b/comfreyshelf/target.py
@@ -10,6 +10,7 @@
 import msgspec
 from absl import logging
 
+from comfreyshelf import logs
 from comfreyshelf.agent import (
     Action,
     Agent,
@@ -209,7 +210,7 @@
         current = (message.domain, message.epoch) == (self.agent.domain, self.agent.epoch)
         actions: list[Action] = []
         if message.owner and current and self._owner != address:
-            logging.info("entry %s owns domain %s", message.entry, message.domain)
+            logs.change("owner changed", domain=message.domain, entry=message.entry)
             self._owner = address
             actions = self.agent.owner_changed(now)
         self._links[address].end = FarEnd(message.zone, message.cross_region)
@@ -378,7 +379,7 @@
     def start(self) -> None:
         """Start all services."""
         self.kernel.start()
-        logging.info("target %s started in zone %s", self._cfg.name, self._cfg.zone)
+        logs.change("target started", zone=self._cfg.zone, rack=self._cfg.rack)
 
     def stop(self) -> None:
         """Drain within the grace time, then stop all services."""
@@ -387,7 +388,7 @@
         # Requests sent before the entries saw that the target leaves are still refused, not lost.
         time.sleep(STOP_LINGER_S)
         self.kernel.stop()
-        logging.info("target %s stopped", self._cfg.name)
+        logs.change("target stopped")
 
 
 def standin_worker(cfg: TargetSettings) -> StandinWorker:
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -57,3 +57,12 @@
     Given an appender whose log takes records but is never read
     When two records are overdue after a lost answer
     Then both are resolved as unknown
+
+  Scenario: A version that only a heartbeat confirms is read back
+    # Guards against operators being told for ever that a target is behind.
+    Given an entry that owns a domain with one target
+    And the wait for statuses is over
+    When version 2 is published
+    Then the report names the target as behind
+    When a heartbeat of the target names version 2
+    Then the report names no target as behind
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -30,10 +30,20 @@
 )
 from comfreyshelf.journal import Appender, LedgerReader
 from comfreyshelf.ledger import Ledger
-from comfreyshelf.messages import Commit, Release, Reserve, ReserveAnswer, Status, Stop, Welcome
+from comfreyshelf.messages import (
+    Commit,
+    Heartbeat,
+    Release,
+    Reserve,
+    ReserveAnswer,
+    Status,
+    Stop,
+    Welcome,
+)
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.model import HeldPart, Job, PartState, Placement, Shape, WorkerInfo
 from comfreyshelf.ownership import (
+    Append,
     Folded,
     FromTarget,
     LogChanged,
@@ -47,6 +57,7 @@
     AttemptStarted,
     ConfigPublished,
     DomainClaimed,
+    DomainReported,
     EntryUp,
     JobAccepted,
     JobFinished,
@@ -146,6 +157,7 @@
     context.driver.fold(JobAccepted(JOB, DOMAIN))
 
 
+@given("the wait for statuses is over")
 @when("the wait for statuses is over")
 def wait_is_over(context: Context) -> None:
     context.driver.pass_time(3.0)
@@ -303,3 +315,34 @@
     results: list[Future] = [future for future in context.futures if future.done()]
     assert len(results) == 2
     assert all(future.result().verdict is None for future in results)
+
+
+@when("version 2 is published")
+def publish_second(context: Context) -> None:
+    context.driver.fold(ConfigPublished(Version(2), Version(1), TEXT, OperatorId("operations")))
+    context.driver.pass_time(1.1)
+
+
+@when("a heartbeat of the target names version 2")
+def heartbeat_with_version(context: Context) -> None:
+    driver = context.driver
+    beat = Heartbeat(TARGET, driver.now, 0, Epoch(1), Version(2))
+    driver.feed(FromTarget(TARGET, beat))
+    driver.now += 1.1
+    driver.feed(TimePassed())
+
+
+def newest_report(context: Context) -> DomainReported:
+    bodies = [output.body for output in context.driver.outputs if isinstance(output, Append)]
+    return [body for body in bodies if isinstance(body, DomainReported)][-1]
+
+
+@then("the report names the target as behind")
+def is_behind(context: Context) -> None:
+    assert newest_report(context).behind == (TARGET,)
+
+
+@then("the report names no target as behind")
+def is_not_behind(context: Context) -> None:
+    report = newest_report(context)
+    assert (report.version, report.behind) == (2, ()), report
