End the hold of a gang that is not offered again

Cause: a gang that holds a place and an equal job share one entry in the set of shapes without room. The equal job came first in the order, the hold kept it off, its shape was marked as without room, and so the gang itself was never offered: free workers stayed idle for good.

Ruled out: letting equal jobs pass the hold, which would let a stream of them starve the gang.

The new scenario of features/order.feature fails without the change.

Conclusion: a hold has to be refreshed by its own job within 30 s once its time has come.

--- a/comfreyshelf/backfill.py
+++ b/comfreyshelf/backfill.py
@@ -20,6 +20,8 @@
 # Smaller jobs get one after they waited this long.
 SMALL_WAIT_S = 900.0
 REFRESH_S = 15.0
+# A hold that was not refreshed for this long, and whose time has come, is dropped.
+HOLD_LONGEST_S = 2 * REFRESH_S
 # Longest time from a request to preempt until the urgent job has its accelerators: a checkpoint
 # of a few seconds and the messages around it.
 PREEMPT_WAIT_S = 12.0
@@ -116,10 +118,17 @@
         return [gang for _, gang in left]
 
     def expire(self, now: float) -> None:
-        """Drop holds of jobs whose room did not become free in time."""
+        """Drop holds of jobs whose room did not become free in time.
+
+        A gang that was not offered for a while stops holding its place as well: an equal job may
+        come first in the queue, be kept off by this very hold, and so keep the gang from its turn.
+        """
         for job, hold in list(self._making.items()):
             if hold.at <= now:
                 del self._making[job]
+        large = self._large
+        if large is not None and large.at <= now and now - large.made_at > HOLD_LONGEST_S:
+            self._large = None
 
     def reserve(
         self,
--- a/features/order.feature
+++ b/features/order.feature
@@ -150,3 +150,8 @@
     Given a core with 2 workers
     And a job of 8 accelerators that failed on both workers that it needs
     Then it is not tried again at once, but within 60 s
+
+  Scenario: A hold of a gang that is never offered again ends
+    # Guards against free workers that stay held for a gang while an equal job keeps it from its turn.
+    Given a gang that holds two free workers for later
+    Then an equal job finds no room at once, but does 40 s after the hold's time
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from benchmarks import policy
+from comfreyshelf.backfill import Backfill
 from comfreyshelf.commands import AppendRecord, CommitParts, ReserveParts, StopParts
 from comfreyshelf.config import Caller, Config, Organisation
 from comfreyshelf.entry_limits import RateLimits
@@ -41,11 +42,13 @@
 from comfreyshelf.ledger import JobEntry
 from comfreyshelf.limits import RETRY_LONGEST_S, Retries
 from comfreyshelf.model import Job, JobState, PartState, Shape, Urgency, WorkerInfo
+from comfreyshelf.placement import Cells
 from comfreyshelf.quarantine import Quarantine
 from comfreyshelf.queueing import RANKED_GROUPS, FairQueue, Resources
 from comfreyshelf.reasons import RefusalReason
 from comfreyshelf.records import AttemptStarted, JobFinished, JobRefused
 from comfreyshelf.scheduler import Scheduler
+from comfreyshelf.topology import Topology, View
 
 PATIENCE_OVER_S = 10_000.0
 
@@ -569,3 +572,25 @@
         context.core.now += 1.0
         context.core.feed(Tick())
     assert context.core.started == ["wide"] * 4, context.core.started
+
+
+@given("a gang that holds two free workers for later")
+def hold_two_workers(context: Context) -> None:
+    context.topology = Topology()
+    for index in range(2):
+        target = TargetId(f"w-{index}")
+        context.topology.add(WorkerInfo(target, ZoneId("z"), RackId("r"), 8, 64, 256, 1))
+    context.place = lambda job: Cells().place(job.shape, context.topology, View.BORROW)
+    context.backfill = Backfill(Estimates(), lambda job: False)
+    gang = make_job("gang", shape=Shape(2, 8), accepted_at=-PATIENCE_OVER_S)
+    context.backfill.reserve(gang, context.topology, [], context.place, 0.0)
+    assert context.backfill.reserved_for == gang
+
+
+@then("an equal job finds no room at once, but does 40 s after the hold's time")
+def hold_ends(context: Context) -> None:
+    equal = make_job("equal", shape=Shape(2, 8))
+    for now, has_room in ((1.0, False), (40.0, True)):
+        context.backfill.expire(now)
+        with context.backfill.holding(equal, context.topology, now):
+            assert bool(context.place(equal)) == has_room, now
