--- /dev/null
+++ b/comfreyshelf/fleet/__main__.py
@@ -0,0 +1,47 @@
+"""Runs a process of the fleet: ``python -m comfreyshelf.fleet entry|target``."""
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from comfreyshelf.errors import SettingsError, UserError
+from comfreyshelf.fleet.entry import EntryProcess
+from comfreyshelf.fleet.target_process import TargetProcess
+from comfreyshelf.logs import change, configure_daemon
+from comfreyshelf.platform.runner import HttpRunner
+from comfreyshelf.platform.settings import SETTINGS_VARIABLE, read_settings
+from comfreyshelf.platform.store import LogStore
+from comfreyshelf.platform.wire import PlatformCodec
+
+
+def main(role: str) -> None:
+    """Run one process until SIGTERM."""
+    settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    configure_daemon(settings.name)
+    stop = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.set())
+    signal.signal(signal.SIGINT, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    process: EntryProcess | TargetProcess
+    if role == "entry":
+        process = EntryProcess(settings, PlatformCodec(), LogStore)
+    elif role == "target":
+        process = TargetProcess(settings, PlatformCodec(), LogStore, HttpRunner)
+    else:
+        raise SettingsError(f"no role '{role}'", "use entry or target")
+    change("process starting", role=role)
+    with process.kernel:
+        change("process started", role=role)
+        stop.wait()
+        change("process stopping", role=role)
+        process.prepare_stop()
+    change("process stopped", role=role)
+
+
+if __name__ == "__main__":
+    try:
+        main(sys.argv[1] if len(sys.argv) > 1 else "")
+    except UserError as exc:
+        sys.exit(str(exc))
--- /dev/null
+++ b/comfreyshelf/fleet/book.py
@@ -0,0 +1,103 @@
+"""The fold of the job records that every entry keeps."""
+
+import threading
+
+import msgspec
+
+from comfreyshelf.fleet.jobs import Job, JobPhase, Progress
+from comfreyshelf.fleet.store import KeyedRecord
+from comfreyshelf.ids import JobId
+
+_JOB = "j/"
+_CANCEL = "c/"
+_PROGRESS = "p/"
+
+_decode_job = msgspec.msgpack.Decoder(Job).decode
+_decode_progress = msgspec.msgpack.Decoder(Progress).decode
+
+
+def job_record(job: Job) -> KeyedRecord:
+    """The record that makes a job accepted."""
+    return KeyedRecord(_JOB + job.id, msgspec.msgpack.encode(job))
+
+
+def cancel_record(job: JobId, now: float) -> KeyedRecord:
+    """The record that cancels a job."""
+    return KeyedRecord(_CANCEL + job, msgspec.msgpack.encode(now))
+
+
+def progress_record(job: JobId, progress: Progress) -> KeyedRecord:
+    """The record of how far a job has come."""
+    return KeyedRecord(_PROGRESS + job, msgspec.msgpack.encode(progress))
+
+
+def removal_records(job: JobId) -> list[KeyedRecord]:
+    """Records that make the store forget a job."""
+    return [KeyedRecord(prefix + job, b"") for prefix in (_JOB, _CANCEL, _PROGRESS)]
+
+
+class Entry(msgspec.Struct):
+    """What is known of one job; `job` is None until its own record has been read."""
+
+    job: Job | None = None
+    cancelled: bool = False
+    progress: Progress = msgspec.field(default_factory=Progress)
+    offsets: dict[str, int] = {}
+
+    @property
+    def phase(self) -> JobPhase:
+        """The state that callers are shown."""
+        if self.cancelled and not self.progress.phase.final:
+            return JobPhase.CANCELLED
+        return self.progress.phase
+
+
+class JobBook:
+    """Jobs by id, folded from records; safe for use by several threads.
+
+    A record counts only if its offset is higher than that of the last one of its key, so records
+    may be applied more than once and in any order.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.RLock()
+        self._entries: dict[JobId, Entry] = {}
+
+    def apply(self, record: KeyedRecord) -> JobId | None:
+        """Fold one record; returns the job that changed, None if nothing did."""
+        prefix, job_id = record.key[:2], JobId(record.key[2:])
+        with self.lock:
+            entry = self._entries.get(job_id) or Entry()
+            if entry.offsets.get(prefix, -1) >= record.offset:
+                return None
+            entry.offsets[prefix] = record.offset
+            if not record.value:
+                self._entries.pop(job_id, None)
+                return None
+            self._entries[job_id] = entry
+            if prefix == _JOB:
+                entry.job = entry.job or _decode_job(record.value)
+            elif prefix == _CANCEL:
+                entry.cancelled = True
+            elif prefix == _PROGRESS:
+                entry.progress = _decode_progress(record.value)
+        return job_id
+
+    def get(self, job: JobId) -> Entry | None:
+        """What is known of an accepted job."""
+        with self.lock:
+            entry = self._entries.get(job)
+            return entry if entry is not None and entry.job is not None else None
+
+    def entries(self) -> list[Entry]:
+        """All accepted jobs."""
+        with self.lock:
+            return [entry for entry in self._entries.values() if entry.job is not None]
+
+    def waiting(self, queue: str) -> int:
+        """Accepted jobs of a queue for which no task has started."""
+        return sum(
+            1
+            for entry in self.entries()
+            if entry.job is not None and entry.job.queue == queue and entry.phase is JobPhase.QUEUED
+        )
--- /dev/null
+++ b/comfreyshelf/fleet/codec.py
@@ -0,0 +1,41 @@
+"""The interface to the formats of callers, targets and operators."""
+
+from abc import ABC, abstractmethod
+
+from comfreyshelf.fleet.jobs import Announcement, FleetConfig, Job, JobPhase, QueueName
+from comfreyshelf.ids import JobId, OrganisationId
+
+
+class Codec(ABC):
+    """Decodes what others send, and encodes answers; decoding raises a UserError."""
+
+    config_topic: str
+    config_key: str
+    # Headers are spelled as WSGI environment keys.
+    key_header: str
+
+    @abstractmethod
+    def job(
+        self, body: bytes, job: JobId, organisation: OrganisationId, queue: QueueName, now: float
+    ) -> Job:
+        """A caller's job."""
+
+    @abstractmethod
+    def announcement(self, target: str, body: bytes) -> Announcement:
+        """A target's heartbeat."""
+
+    @abstractmethod
+    def config(self, value: bytes) -> FleetConfig:
+        """The operators' configuration."""
+
+    @abstractmethod
+    def phase(self, phase: JobPhase) -> bytes:
+        """The body that tells a job's state."""
+
+    @abstractmethod
+    def waiting(self, count: int) -> bytes:
+        """The body that tells how many jobs of a queue wait."""
+
+    @abstractmethod
+    def target_of(self, path: str) -> str:
+        """The target that a heartbeat's path names, empty if it names none."""
--- /dev/null
+++ b/comfreyshelf/fleet/entry.py
@@ -0,0 +1,429 @@
+"""The entry process: serves callers, keeps the book, and owns the schedule while it leads."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from comfreyshelf.errors import UserError
+from comfreyshelf.fleet.book import JobBook, progress_record, removal_records
+from comfreyshelf.fleet.bounds import monotonic
+from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.front import Front
+from comfreyshelf.fleet.hub import Hub
+from comfreyshelf.fleet.jobs import FleetConfig, Token
+from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
+from comfreyshelf.fleet.settings import FleetSettings
+from comfreyshelf.fleet.store import (
+    ExpiredError,
+    FencedError,
+    KeyedRecord,
+    Membership,
+    Store,
+    StoreBusyError,
+    StoreSilentError,
+    Writer,
+)
+from comfreyshelf.fleet.target import OWNER_GROUP
+from comfreyshelf.fleet.web import Call, Reply, WebServer
+from comfreyshelf.ids import JobId
+from comfreyshelf.kernel import Kernel
+from comfreyshelf.logs import change
+from comfreyshelf.metrics import Metrics
+from comfreyshelf.tasks import Poller, Task
+
+JOBS_TOPIC = "keyed.jobs"
+OWNER_TOPIC = "owner"
+WRITER = "owner"
+READ_WAIT_MS = 1000
+RETRY_S = 0.2
+# A member that sends nothing for this long loses the schedule to another one.
+MEMBER_TTL_MS = 1500
+JOIN_INTERVAL_S = 0.4
+# An owner whose membership is not confirmed for this long stops giving orders.
+UNCONFIRMED_S = 10.0
+TICK_S = 0.25
+REMOVAL_INTERVAL_S = 10.0
+# Knowledge of jobs older than this makes an entry report itself not ready.
+STALE_S = 6.0
+NOTICE_S = 2.6
+FRONT_THREADS = 8
+CONTROL_THREADS = 4
+READY_THREADS = 1
+MAX_RELAYED_BYTES = 4 * 1024 * 1024
+
+
+class Keeper:
+    """Keeps the book in step with the store, for readers and writers in any thread."""
+
+    def __init__(self, store: Store, book: JobBook, changed: Callable[[JobId], None]) -> None:
+        self._store = store
+        self._book = book
+        self._changed = changed
+        self._lock = threading.Lock()
+        self._next = -1
+        self.read_at = float("-inf")
+
+    def append(self, records: list[KeyedRecord], writer: Writer | None = None) -> None:
+        """Write records and fold them."""
+        first = self._store.append(JOBS_TOPIC, records, writer)
+        self._fold(
+            [
+                KeyedRecord(record.key, record.value, first + number)
+                for number, record in enumerate(records)
+            ]
+        )
+
+    def catch_up(self) -> None:
+        """Read up to the present end."""
+        self.read(0)
+
+    def read(self, wait_ms: int) -> None:
+        """Read once, waiting for a record for at most `wait_ms`."""
+        with self._lock:
+            offset = self._next
+        try:
+            if offset < 0:
+                batch = self._store.newest(JOBS_TOPIC)
+            else:
+                batch = self._store.read(JOBS_TOPIC, offset, wait_ms)
+        except ExpiredError as exc:
+            change("records expired", why=str(exc))
+            batch = self._store.newest(JOBS_TOPIC)
+        self._fold(list(batch.records))
+        with self._lock:
+            self._next = max(self._next, batch.next_offset)
+            self.read_at = monotonic()
+
+    def _fold(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            try:
+                job = self._book.apply(record)
+            except msgspec.DecodeError as exc:
+                change("record cannot be decoded", key=record.key, why=str(exc))
+                continue
+            if job is not None:
+                self._changed(job)
+
+
+class JobReader(Poller):
+    """Follows the job records."""
+
+    def __init__(self, keeper: Keeper) -> None:
+        super().__init__("job-reader")
+        self._keeper = keeper
+
+    def poll(self) -> None:
+        try:
+            self._keeper.read(READ_WAIT_MS)
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self.wait(RETRY_S)
+
+
+class ConfigReader(Poller):
+    """Follows the operators' configuration; a version is never replaced by an older one."""
+
+    def __init__(self, store: Store, codec: Codec, changed: Callable[[FleetConfig], None]) -> None:
+        super().__init__("config-reader")
+        self._store = store
+        self._codec = codec
+        self._changed = changed
+        self._next = -1
+        self.config: FleetConfig | None = None
+
+    def poll(self) -> None:
+        topic = self._codec.config_topic
+        try:
+            if self._next < 0:
+                batch = self._store.newest(topic)
+            else:
+                batch = self._store.read(topic, self._next, READ_WAIT_MS)
+        except ExpiredError as exc:
+            change("configuration records expired", why=str(exc))
+            self._next = -1
+            return
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self.wait(RETRY_S)
+            return
+        self._next = batch.next_offset
+        newest = [r for r in batch.records if r.key == self._codec.config_key and r.value]
+        if newest:
+            self._take(newest[-1].value)
+        elif self.config is None:
+            # The operators' first configuration has not been written yet.
+            self._next = -1
+            self.wait(RETRY_S)
+
+    def _take(self, value: bytes) -> None:
+        try:
+            config = self._codec.config(value)
+        except UserError as exc:
+            change("configuration refused", why=str(exc))
+            return
+        if self.config is not None and config.version <= self.config.version:
+            return
+        change(
+            "configuration in force",
+            version=config.version,
+            before=self.config.version if self.config else 0,
+        )
+        self.config = config
+        self._changed(config)
+
+
+class Member(Poller):
+    """Stays in the group whose leader owns the schedule."""
+
+    def __init__(self, store: Store, member: str, told: Callable[[Membership], None]) -> None:
+        super().__init__("member")
+        self._store = store
+        self._member = member
+        self._told = told
+        self._generation = 0
+
+    def poll(self) -> None:
+        try:
+            membership = self._store.join(
+                OWNER_GROUP, self._member, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
+            )
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self.wait(RETRY_S)
+            return
+        self._generation = membership.generation
+        self._told(membership)
+        self.wait(JOIN_INTERVAL_S)
+
+    def stop(self) -> None:
+        """End the thread and leave the group, so that another member leads at once."""
+        super().stop()
+        try:
+            self._store.leave(OWNER_GROUP, self._member)
+        except (StoreBusyError, StoreSilentError) as exc:
+            change("group not left", why=str(exc))
+
+
+class ReportIn(msgspec.Struct, frozen=True):
+    """A target's report, and when it arrived."""
+
+    report: Report
+    at: float
+
+
+class JobChanged(msgspec.Struct, frozen=True):
+    """A job was accepted, cancelled or stored anew."""
+
+    job: JobId
+
+
+class Owner(Task[ReportIn | JobChanged | Membership | FleetConfig]):
+    """Runs the owner's decisions while this entry leads."""
+
+    def __init__(self, settings: FleetSettings, book: JobBook, metrics: Metrics) -> None:
+        super().__init__("owner", TICK_S)
+        self._settings = settings
+        self._book = book
+        self._metrics = metrics
+        self._keeper: Keeper | None = None
+        self._store: Store | None = None
+        self._hub: Hub | None = None
+        self._config: FleetConfig | None = None
+        self._core: OwnerCore | None = None
+        self._generation = 0
+        self._sequence = 0
+        self._confirmed_at = float("-inf")
+        self._removed_at = 0.0
+
+    def connect(self, keeper: Keeper, store: Store, hub: Hub) -> None:
+        """Set what the owner works with; called once, before start."""
+        self._keeper, self._store, self._hub = keeper, store, hub
+
+    def handle(self, message: ReportIn | JobChanged | Membership | FleetConfig) -> None:
+        """Take in one event; decisions follow once the inbox is empty."""
+        match message:
+            case Membership():
+                self._member(message)
+            case FleetConfig():
+                self._config = message
+                if self._core is not None:
+                    self._core.configure(message)
+            case ReportIn(report, at):
+                if self._core is not None:
+                    self._core.report(report, at, time.time())
+                    view = self._core.targets.get(report.announcement.id)
+                    if view is not None:
+                        view.changed = True
+            case JobChanged(job):
+                entry = self._book.get(job)
+                if self._core is not None and entry is not None:
+                    self._core.load(entry, monotonic())
+        if self._inbox.empty():
+            self._decide()
+
+    def tick(self) -> None:
+        """Give up, move and place what has become due."""
+        self._decide()
+
+    def _member(self, membership: Membership) -> None:
+        self._confirmed_at = monotonic()
+        self._generation = membership.generation
+        if not membership.leads and self._core is not None:
+            self._resign("another member leads")
+        elif membership.leads and self._core is None and self._config is not None:
+            self._take_over()
+
+    def _take_over(self) -> None:
+        assert self._keeper is not None and self._store is not None and self._config is not None
+        epoch = self._generation
+        try:
+            self._store.append(JOBS_TOPIC, [], Writer(WRITER, epoch, 0))
+            self._keeper.catch_up()
+        except FencedError as exc:
+            change("takeover fenced", epoch=epoch, why=str(exc))
+            return
+        except (StoreBusyError, StoreSilentError, ExpiredError) as exc:
+            change("takeover failed", epoch=epoch, why=str(exc))
+            return
+        self._sequence = 1
+        now = monotonic()
+        self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
+        self._core.note = change
+        for entry in self._book.entries():
+            self._core.load(entry, now)
+        change("owner elected", epoch=epoch, jobs=len(self._core.jobs))
+
+    def _resign(self, why: str) -> None:
+        change("owner resigned", why=why)
+        self._core = None
+        if self._hub is not None:
+            self._hub.drop_all()
+
+    def _decide(self) -> None:
+        core = self._core
+        if core is None or self._hub is None:
+            return
+        if monotonic() - self._confirmed_at > UNCONFIRMED_S:
+            self._resign("membership is not confirmed")
+            return
+        core.plan(monotonic(), time.time())
+        if self._write(core):
+            self._send(core)
+
+    def _write(self, core: OwnerCore) -> bool:
+        changes = core.changes()
+        records = [progress_record(job, progress) for job, progress in changes]
+        now = monotonic()
+        if now - self._removed_at > REMOVAL_INTERVAL_S:
+            self._removed_at = now
+            records += self._removals()
+        if not records:
+            core.stored()
+            return True
+        assert self._keeper is not None
+        try:
+            self._keeper.append(records, Writer(WRITER, core.token, self._sequence))
+        except FencedError as exc:
+            self._resign(str(exc))
+            return False
+        except (StoreBusyError, StoreSilentError) as exc:
+            self._metrics.count("owner_writes_failed")
+            change("progress not stored", why=str(exc), jobs=len(changes))
+            # Orders that were stored before may still be repeated.
+            return True
+        self._sequence += 1
+        core.stored()
+        return True
+
+    def _removals(self) -> list[KeyedRecord]:
+        horizon = time.time() - 2 * self._settings.remember_s
+        removals: list[KeyedRecord] = []
+        for entry in self._book.entries():
+            if entry.job is not None and 0 < entry.progress.ended_at < horizon:
+                removals += removal_records(entry.job.id)
+        return removals
+
+    def _send(self, core: OwnerCore) -> None:
+        assert self._hub is not None
+        for view in core.targets.values():
+            if view.changed:
+                self._hub.send(view.id, core.orders(view))
+
+
+class EntryProcess:
+    """Puts the services of an entry together."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        codec: Codec,
+        make_store: Callable[[Relay], Store],
+    ) -> None:
+        self._settings = settings
+        self._stopping = False
+        self.metrics = Metrics()
+        self._relay = Relay(settings.store_address, self._peers, self.metrics)
+        store = make_store(self._relay)
+        book = JobBook()
+        self._owner = Owner(settings, book, self.metrics)
+        self._hub = Hub(settings.pipe_address, self._receive)
+        self._keeper = Keeper(store, book, lambda job: self._owner.send(JobChanged(job)))
+        self._owner.connect(self._keeper, store, self._hub)
+        self._configs = ConfigReader(store, codec, self._owner.send)
+        front = Front(
+            codec,
+            book,
+            lambda: self._configs.config,
+            self._keeper.append,
+            self._keeper.catch_up,
+            self.metrics,
+        )
+        self._front = WebServer(settings.front_address, FRONT_THREADS, front.handle, front.max_body)
+        member = Member(store, f"{settings.name}@{settings.pipe_address}", self._owner.send)
+        self._member = member
+        self.kernel = Kernel()
+        register = self.kernel.register
+        register("metrics", self.metrics)
+        register("hub", self._hub)
+        register("owner", self._owner)
+        register("configuration", self._configs)
+        register("jobs", JobReader(self._keeper))
+        register("control", self._server(settings.control_address, CONTROL_THREADS, self._control))
+        register("ready", self._server(settings.ready_address, READY_THREADS, self._ready))
+        register("front", self._front)
+        register("member", member)
+
+    def _server(self, address: str, threads: int, handle: Callable[[Call], Reply]) -> WebServer:
+        return WebServer(address, threads, handle, lambda: MAX_RELAYED_BYTES)
+
+    def _peers(self) -> list[str]:
+        return [peer for peer in self._settings.peers if peer != self._settings.control_address]
+
+    def _receive(self, report: Report) -> None:
+        self._owner.send(ReportIn(report, monotonic()))
+
+    def _ready(self, call: Call) -> Reply:
+        fresh = monotonic() - self._keeper.read_at < STALE_S
+        ready = fresh and self._configs.config is not None and not self._stopping
+        return Reply(200 if ready else 503, b"{}")
+
+    def _control(self, call: Call) -> Reply:
+        if call.path == "/metrics":
+            return Reply(200, self.metrics.render().encode(), kind="text/plain")
+        if call.path == RELAY_PATH:
+            headers = {
+                key.removeprefix("HTTP_").replace("_", "-").lower(): value
+                for key, value in call.headers.items()
+            }
+            status, body = relay_for_peer(self._relay, headers, call.body)
+            return Reply(status, body, kind="application/octet-stream")
+        return Reply(404, b"{}")
+
+    def prepare_stop(self) -> None:
+        """Report not ready and hand over the schedule, but still serve callers for a while."""
+        self._stopping = True
+        self._front.closing = True
+        self._member.stop()
+        self._owner.send(Membership(0, False))
+        time.sleep(NOTICE_S)
--- /dev/null
+++ b/comfreyshelf/fleet/front.py
@@ -0,0 +1,130 @@
+"""Answers callers: submissions, states and cancels."""
+
+import re
+import time
+from collections.abc import Callable
+
+from comfreyshelf.errors import UserError
+from comfreyshelf.fleet.book import JobBook, cancel_record, job_record
+from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.jobs import FleetConfig, Queue
+from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.web import Call, Reply
+from comfreyshelf.ids import JobId, OrganisationId
+from comfreyshelf.logs import change
+from comfreyshelf.metrics import Metrics
+
+RETRY_AFTER_S = 1
+_JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
+DEFAULT_MAX_BODY = 262_144
+
+
+class Front:
+    """Handles a caller's request; `append` writes records and folds them into the book."""
+
+    def __init__(
+        self,
+        codec: Codec,
+        book: JobBook,
+        config: Callable[[], FleetConfig | None],
+        append: Callable[[list[KeyedRecord]], None],
+        catch_up: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        self._codec = codec
+        self._book = book
+        self._config = config
+        self._append = append
+        self._catch_up = catch_up
+        self._metrics = metrics
+
+    def max_body(self) -> int:
+        """The most bytes that a body may have."""
+        config = self._config()
+        return config.max_body_bytes if config else DEFAULT_MAX_BODY
+
+    def handle(self, call: Call) -> Reply:
+        """Answer one request."""
+        began = time.monotonic()
+        reply = self._answer(call)
+        self._metrics.record_latency(f"request_{call.method.lower()}", time.monotonic() - began)
+        return reply
+
+    def _answer(self, call: Call) -> Reply:
+        config = self._config()
+        if config is None:
+            return self._refuse(call, 503, "no configuration yet")
+        host = call.headers.get("HTTP_HOST", "").partition(":")[0]
+        queue = config.queue_of(host, call.path)
+        if queue is None:
+            return self._refuse(call, 404, f"no queue, version {config.version}")
+        organisation = config.organisation_of(call.headers.get(self._codec.key_header, ""))
+        if organisation is None and not queue.open:
+            return self._refuse(call, 401, f"unknown key, version {config.version}")
+        name = call.path[len(queue.prefix) :]
+        if not name and call.method == "GET":
+            return Reply(200, self._codec.waiting(self._book.waiting(queue.name)))
+        if not _JOB_ID.match(name):
+            return self._refuse(call, 404, "not a job id")
+        job = JobId(name)
+        try:
+            match call.method:
+                case "POST":
+                    owner = organisation.id if organisation else OrganisationId("")
+                    return self._submit(call, job, queue, owner)
+                case "GET":
+                    return self._state(call, job)
+                case "DELETE":
+                    return self._cancel(call, job)
+        except StoreBusyError as exc:
+            return self._refuse(call, 503, str(exc))
+        except StoreSilentError as exc:
+            return self._refuse(call, 504, str(exc))
+        return self._refuse(call, 405, "method not supported")
+
+    def _refuse(self, call: Call, status: int, why: str) -> Reply:
+        self._metrics.count(f'refusals{{status="{status}"}}')
+        change("refused", method=call.method, path=call.path, status=status, why=why)
+        return Reply(status, b"{}", RETRY_AFTER_S if status == 503 else 0)
+
+    def _submit(self, call: Call, job: JobId, queue: Queue, organisation: OrganisationId) -> Reply:
+        if self._book.get(job) is not None:
+            change("accepted again", job=job)
+            return Reply(200, b"{}")
+        if call.too_large:
+            return self._refuse(call, 413, "body too large")
+        try:
+            decoded = self._codec.job(call.body, job, organisation, queue.name, time.time())
+        except UserError as exc:
+            return self._refuse(call, 400, str(exc))
+        self._append([job_record(decoded)])
+        self._metrics.count("accepted")
+        change(
+            "accepted",
+            job=job,
+            queue=queue.name,
+            organisation=organisation,
+            tasks=sum(step.count for step in decoded.steps),
+        )
+        return Reply(200, b"{}")
+
+    def _state(self, call: Call, job: JobId) -> Reply:
+        entry = self._book.get(job)
+        if entry is None:
+            self._catch_up()
+            entry = self._book.get(job)
+        if entry is None:
+            return self._refuse(call, 410, "no such job")
+        return Reply(200, self._codec.phase(entry.phase))
+
+    def _cancel(self, call: Call, job: JobId) -> Reply:
+        entry = self._book.get(job)
+        if entry is None:
+            self._catch_up()
+            entry = self._book.get(job)
+        if entry is None:
+            return self._refuse(call, 410, "no such job")
+        if not entry.phase.final:
+            self._append([cancel_record(job, time.time())])
+            change("cancelled", job=job)
+        return Reply(200, b"{}")
--- /dev/null
+++ b/comfreyshelf/fleet/http.py
@@ -0,0 +1,59 @@
+"""HTTP calls to one address, for the store, the runner and peers."""
+
+from collections.abc import Mapping
+
+import msgspec
+import urllib3
+
+from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
+
+CONNECT_TIMEOUT_S = 0.6
+JSON = {"Content-Type": "application/json"}
+_BUSY = (429, 503, 507)
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Status, body and headers of a call that was answered."""
+
+    status: int
+    body: bytes
+
+
+class Caller:
+    """Calls one address over kept connections, which are silent when the far end is cut off."""
+
+    def __init__(self, address: str, connections: int) -> None:
+        host, _, port = address.partition(":")
+        self.address = address
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=connections, retries=False, block=False
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Send one call; raises StoreBusyError or StoreSilentError."""
+        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            response = self._pool.request(
+                method, path, body=body, headers=dict(headers or {}), timeout=timeout
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            raise StoreBusyError(f"{self.address} takes no connection: {exc}", "wait") from exc
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise StoreSilentError(f"{self.address} gave no answer: {exc}", "ask again") from exc
+        if response.status in _BUSY:
+            raise StoreBusyError(f"{self.address} answered {response.status}", "wait")
+        return Answer(response.status, response.data)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
--- /dev/null
+++ b/comfreyshelf/fleet/hub.py
@@ -0,0 +1,68 @@
+"""The owner's end of the pipes to the target processes."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+import pynng
+
+from comfreyshelf.fleet import messages
+from comfreyshelf.fleet.messages import Orders, Report
+from comfreyshelf.ids import TargetId
+from comfreyshelf.kernel import Service
+from comfreyshelf.logs import change
+
+_SEND_TIMEOUT_MS = 200
+
+
+class Hub(Service):
+    """Listens for target processes; the newest pipe of a target is the one that is used."""
+
+    def __init__(self, address: str, receive: Callable[[Report], None]) -> None:
+        self._address = address
+        self._receive = receive
+        self._pipes: dict[TargetId, pynng.Pipe] = {}
+        self._socket: pynng.Pair1 | None = None
+
+    def start(self) -> None:
+        """Listen."""
+        self._socket = pynng.Pair1(polyamorous=True, send_timeout=_SEND_TIMEOUT_MS)
+        self._socket.listen(f"tcp://{self._address}")
+        threading.Thread(target=self._run, args=(self._socket,), daemon=True).start()
+
+    def stop(self) -> None:
+        """Close all pipes."""
+        if self._socket is not None:
+            self._socket.close()
+
+    def _run(self, socket: pynng.Pair1) -> None:
+        while True:
+            try:
+                message = socket.recv_msg()
+                report = messages.decode_report(message.bytes)
+            except pynng.exceptions.Closed:
+                return
+            except (pynng.exceptions.NNGException, msgspec.DecodeError) as exc:
+                change("report cannot be read", why=str(exc))
+                continue
+            self._pipes[report.announcement.id] = message.pipe
+            self._receive(report)
+
+    def send(self, target: TargetId, orders: Orders) -> None:
+        """Send orders; they are sent again until they show, so a lost message is not an error."""
+        pipe = self._pipes.get(target)
+        if pipe is None:
+            return
+        try:
+            pipe.send(messages.encode(orders))
+        except pynng.exceptions.NNGException as exc:
+            change("orders not sent", target=target, why=str(exc))
+
+    def drop_all(self) -> None:
+        """Close the pipes of all targets, so that they look for the owner again."""
+        for pipe in list(self._pipes.values()):
+            try:
+                pipe.close()
+            except pynng.exceptions.NNGException as exc:
+                change("pipe was closed already", why=str(exc))
+        self._pipes.clear()
--- /dev/null
+++ b/comfreyshelf/fleet/owner.py
@@ -0,0 +1,505 @@
+"""The owner of the schedule: decides what runs where, from reports and accepted jobs."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from comfreyshelf.fleet.book import Entry
+from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.jobs import (
+    EndKind,
+    FleetConfig,
+    JobPhase,
+    Progress,
+    RunNumber,
+    Token,
+    full_name,
+    split_name,
+    step_of,
+)
+from comfreyshelf.fleet.messages import Orders, Report, StartOrder, StopOrder
+from comfreyshelf.fleet.placing import Choice, Fleet, Slot
+from comfreyshelf.fleet.targets import TargetView, view_of
+from comfreyshelf.fleet.work import Active, JobWork, Unit
+from comfreyshelf.ids import JobId, OrganisationId, TargetId
+
+# An accelerator counts as this many cores in work that a stop throws away.
+ACCELERATOR_CORES = 8
+# A job that needs nothing stopped within its guarantee may still stop runs that lose less than
+# this many core-seconds for each core-second of its own work.
+PREEMPT_LOSS_SHARE = 0.15
+# Blocked units, most urgent first, for which room is kept while they wait.
+KEPT_UNITS = 3
+# A run whose progress stands still for this long, and well past its estimate, is moved.
+STALL_S = 4.0
+
+Note = Callable[..., None]
+
+
+def _silent(event: str, **fields: object) -> None:
+    """Stands in for a log where none is wanted."""
+
+
+class OwnerCore:
+    """Decisions of one term of ownership; pure, so that tests drive it with a made-up clock.
+
+    Times called `now` are on the owner's steady clock, `date` is in seconds since the epoch. After
+    each batch of events the caller takes `changes()`, stores them, calls `stored()`, and only then
+    sends `orders()`.
+    """
+
+    def __init__(self, config: FleetConfig, bounds: Bounds, token: Token, now: float) -> None:
+        self.config = config
+        self.bounds = bounds
+        self.token = token
+        self.targets: dict[TargetId, TargetView] = {}
+        self.jobs: dict[JobId, JobWork] = {}
+        self.note: Note = _silent
+        self._since = now
+        # Runs on targets that have not reported to this owner yet.
+        self._unseen: dict[TargetId, list[Active]] = {}
+        self._dirty: set[JobId] = set()
+
+    # Jobs
+
+    def load(self, entry: Entry, now: float) -> None:
+        """Take over a job, or take note that it was accepted or cancelled."""
+        job = entry.job
+        if job is None:
+            return
+        work = self.jobs.get(job.id)
+        if work is None:
+            if entry.progress.phase.final:
+                return
+            progress = Progress(
+                entry.progress.phase, dict(entry.progress.tasks), entry.progress.ended_at
+            )
+            work = JobWork(job, progress, self.config.queue(job.queue))
+            self.jobs[job.id] = work
+            for name, task in progress.tasks.items():
+                if task.target and not task.done:
+                    self._adopt(work, name, now)
+        if entry.cancelled and not work.progress.phase.final:
+            self._finish(work, JobPhase.CANCELLED, now, "cancelled by its caller")
+
+    def _adopt(self, work: JobWork, name: str, now: float) -> None:
+        task = work.progress.tasks[name]  # type: ignore[index]
+        _, number, _ = step_of(name)  # type: ignore[arg-type]
+        active = Active(
+            work,
+            name,  # type: ignore[arg-type]
+            task.run,
+            task.target,
+            task.incarnation,
+            work.job.steps[number].demand,
+            now,
+            written=True,
+        )
+        view = self.targets.get(task.target)
+        if view is None:
+            self._unseen.setdefault(task.target, []).append(active)
+        else:
+            view.active[active.name] = active
+
+    def configure(self, config: FleetConfig) -> None:
+        """Put a newer configuration in force."""
+        self.config = config
+        for work in self.jobs.values():
+            work.queue = config.queue(work.job.queue) or work.queue
+
+    # Reports
+
+    def report(self, report: Report, now: float, date: float) -> None:
+        """Take in what a target process knows."""
+        target = report.announcement.id
+        view = self.targets.get(target)
+        if view is not None and report.incarnation < view.incarnation:
+            return
+        if view is None or view.incarnation != report.incarnation:
+            old = view
+            view = view_of(report, now)
+            self.targets[target] = view
+            if old is not None:
+                self._lose(old, date, "its target started again")
+            for active in self._unseen.pop(target, []):
+                view.active[active.name] = active
+            for active in list(view.active.values()):
+                if active.incarnation != report.incarnation:
+                    self._end(view, active, EndKind.LOST, "", now, date)
+            self.note("target joined", target=target, incarnation=report.incarnation)
+        if report.announcement.draining and not view.drain_until:
+            view.drain_until = now + report.announcement.drain_left_ms / 1000
+            view.changed = True
+            self.note("target drains", target=target, left_ms=report.announcement.drain_left_ms)
+        elif not report.announcement.draining:
+            view.drain_until = 0.0
+        view.announcement = report.announcement
+        view.seen_at = now
+        view.report_sent_at = report.sent_at
+        if report.gone:
+            self._lose(view, date, "its target left")
+            del self.targets[target]
+            return
+        if report.lists_known:
+            view.lists_known = True
+            self._read_lists(view, report, now, date)
+
+    def _read_lists(self, view: TargetView, report: Report, now: float, date: float) -> None:
+        for end in sorted(report.ended, key=lambda row: row.number):
+            if end.number > view.processed:
+                view.processed = end.number
+                view.changed = True
+                self._ended(view, end.task, end.run, end.kind, end.checkpoint, now, date)
+        for rejection in report.rejected:
+            active = view.active.get(rejection.task)
+            if active is not None and active.run == rejection.run:
+                self.note(
+                    "start rejected",
+                    task=rejection.task,
+                    run=rejection.run,
+                    reason=rejection.reason,
+                )
+                self._end(view, active, EndKind.REJECTED, "", now, date)
+        listed = set()
+        for row in report.running:
+            listed.add(row.task)
+            active = view.active.get(row.task)
+            if active is None or active.run != row.run:
+                view.note_unasked(row)
+                continue
+            if not active.confirmed:
+                active.started_at = now
+            active.confirmed = True
+            if row.percent != active.percent or not active.percent_at:
+                active.percent, active.percent_at = row.percent, now
+            if row.checkpoint:
+                for member in active.work.members(active.task):
+                    active.work.task(member).checkpoint = row.checkpoint
+        for name in [name for name in view.unasked if name not in listed]:
+            del view.unasked[name]
+
+    def _ended(
+        self,
+        view: TargetView,
+        name: str,
+        run: int,
+        kind: EndKind,
+        checkpoint: str,
+        now: float,
+        date: float,
+    ) -> None:
+        active = view.active.get(name)
+        if active is not None and active.run == run:
+            self._end(view, active, kind, checkpoint, now, date)
+            return
+        job, task = split_name(name)
+        work = self.jobs.get(job)
+        if work is None or kind is not EndKind.DONE or work.progress.phase.final:
+            return
+        # The run had been given up, but it finished; whatever replaced it stops.
+        self.note("late end counts", task=name, run=run, target=view.id)
+        self._done(work, task, run, date)
+
+    def _end(
+        self,
+        view: TargetView,
+        active: Active,
+        kind: EndKind,
+        checkpoint: str,
+        now: float,
+        date: float,
+    ) -> None:
+        view.active.pop(active.name, None)
+        view.changed = True
+        work, task = active.work, active.work.task(active.task)
+        task.target = TargetId("")
+        self._dirty.add(work.job.id)
+        self.note(
+            "run ended",
+            task=active.name,
+            run=active.run,
+            target=view.id,
+            how=kind.value,
+            ran_s=round(now - active.started_at, 2),
+        )
+        if checkpoint:
+            for member in work.members(active.task):
+                work.task(member).checkpoint = checkpoint
+        lasting = work.job.steps[step_of(active.task)[1]].lasting
+        if kind is EndKind.DONE:
+            view.succeeded()
+            if not lasting:
+                self._done(work, active.task, active.run, date)
+        elif kind is EndKind.FAILED:
+            view.failed(work.job.id, now)
+            work.avoid.add(view.id)
+            if not lasting:
+                self._count_failure(work, active, date)
+        if kind is not EndKind.DONE and not work.progress.phase.final:
+            self._break_gang(active)
+
+    def _count_failure(self, work: JobWork, active: Active, date: float) -> None:
+        occurrence, number, _ = step_of(active.task)
+        gang_run = (occurrence, number, active.run)
+        if work.job.steps[number].gang:
+            if gang_run in work.counted:
+                return
+            work.counted.add(gang_run)
+        failures = max(work.task(name).failures for name in work.members(active.task)) + 1
+        for name in work.members(active.task):
+            work.task(name).failures = failures
+        if work.queue is not None and failures >= work.queue.attempts:
+            self._finish(work, JobPhase.FAILED, date, f"{active.name} failed {failures} times")
+
+    def _break_gang(self, active: Active) -> None:
+        """Stop the other members of a gang that has lost one."""
+        for name in active.work.members(active.task):
+            if name != active.task:
+                self._stop_task(active.work, name, None)
+
+    def _done(self, work: JobWork, task: str, run: int, date: float) -> None:
+        self._dirty.add(work.job.id)
+        for name in work.members(task):  # type: ignore[arg-type]
+            progress = work.task(name)
+            progress.done = True
+            progress.checkpoint = ""
+            # Members of the same run end by themselves; a run that replaced it has to stop.
+            if progress.run != run:
+                self._stop_task(work, name, None)
+        if work.all_done():
+            self._finish(work, JobPhase.COMPLETED, date, "all tasks are done")
+
+    def _finish(self, work: JobWork, phase: JobPhase, date: float, why: str) -> None:
+        work.settle(phase, date)
+        self._dirty.add(work.job.id)
+        self.note(
+            "job ended",
+            job=work.job.id,
+            phase=phase.value,
+            why=why,
+            took_s=round(date - work.job.accepted_at, 2),
+        )
+        for name in list(work.progress.tasks):
+            self._stop_task(work, name, None)
+
+    def _stop_task(self, work: JobWork, name: str, now: float | None) -> None:
+        """Order the task's run, if there is one, to stop."""
+        full = full_name(work.job.id, name)  # type: ignore[arg-type]
+        for view in self.targets.values():
+            active = view.active.get(full)
+            if active is not None and active.stop_since is None:
+                active.stop_since = now if now is not None else view.seen_at
+                view.changed = True
+
+    def _lose(self, view: TargetView, date: float, why: str) -> None:
+        """Give up all runs of a target, which can no longer run them."""
+        for active in list(view.active.values()):
+            self.note("run lost", task=active.name, run=active.run, target=view.id, why=why)
+            self._end(view, active, EndKind.LOST, "", view.seen_at, date)
+
+    # Planning
+
+    def plan(self, now: float, date: float) -> None:
+        """Give up what has lapsed, move what has to leave, and place what may start."""
+        self._give_up(now, date)
+        self._move(now)
+        fleet = Fleet(self._slots(now))
+        used: Counter[OrganisationId] = Counter()
+        kept = 0
+        for work in sorted(self.jobs.values(), key=lambda w: (w.priority, w.deadline)):
+            sure = self._within_guarantee(work, used)
+            for unit in work.pending(date, self.bounds.early_s):
+                placed = self._place(fleet, work, unit, sure, now)
+                if not placed and kept < KEPT_UNITS and work.priority <= 1:
+                    kept += self._keep_room(fleet, work, unit)
+
+    def _within_guarantee(self, work: JobWork, used: Counter[OrganisationId]) -> bool:
+        if work.priority != 0 or work.progress.phase.final:
+            return False
+        organisation = work.job.organisation
+        used[organisation] += work.accelerators()
+        return used[organisation] <= self.config.guaranteed(organisation)
+
+    def _give_up(self, now: float, date: float) -> None:
+        for view in list(self.targets.values()):
+            if now - view.seen_at > self.bounds.give_up_s:
+                self._lose(view, date, f"no report for {now - view.seen_at:.1f} s")
+                del self.targets[view.id]
+        if now - self._since > self.bounds.give_up_s:
+            for target, runs in self._unseen.items():
+                for active in runs:
+                    active.work.task(active.task).target = TargetId("")
+                    self._dirty.add(active.work.job.id)
+                    self.note(
+                        "run lost", task=active.name, target=target, why="its target never reported"
+                    )
+            self._unseen.clear()
+
+    def _move(self, now: float) -> None:
+        """Stop runs that cannot end before their target leaves, and those that stand still."""
+        for view in self.targets.values():
+            for active in view.active.values():
+                if active.stop_since is not None or not active.confirmed:
+                    continue
+                if view.drain_until:
+                    left = view.drain_until - now
+                    needs = self._estimate(active) * (100 - active.percent) / 100
+                    if needs > left:
+                        self._stop(active, now, "target drains")
+                elif self._stalled(active, now):
+                    active.work.avoid.add(view.id)
+                    view.failed(active.work.job.id, now)
+                    self._stop(active, now, "no progress")
+
+    def _estimate(self, active: Active) -> float:
+        return active.work.job.steps[step_of(active.task)[1]].estimate_ms / 1000
+
+    def _stalled(self, active: Active, now: float) -> bool:
+        step = active.work.job.steps[step_of(active.task)[1]]
+        return not step.lasting and now - active.percent_at > max(
+            STALL_S, self._estimate(active) * 0.3
+        )
+
+    def _stop(self, active: Active, now: float, why: str) -> None:
+        self.note("run stopped", task=active.name, run=active.run, target=active.target, why=why)
+        self._stop_task(active.work, active.task, now)
+
+    def _slots(self, now: float) -> dict[TargetId, Slot]:
+        slots = {}
+        for view in self.targets.values():
+            if not view.placeable(now):
+                continue
+            slot = Slot(view.announcement, view.announcement.room)
+            for active in view.active.values():
+                slot.free -= active.demand
+                if active.stop_since is not None:
+                    slot.leaving += active.demand
+                elif active.work.priority > 0:
+                    slot.victims.append((self._loss(active, now), active))
+            slot.victims.sort(key=lambda pair: pair[0])
+            slots[view.id] = slot
+        return slots
+
+    def _loss(self, active: Active, now: float) -> float:
+        """Core-seconds that stopping a run throws away, its whole gang included."""
+        step = active.work.job.steps[step_of(active.task)[1]]
+        ran = now - active.started_at
+        if step.checkpoints:
+            ran = min(ran, self.bounds.checkpoint_s)
+        cores = step.demand.cpu / 1000 + ACCELERATOR_CORES * step.demand.accelerators
+        return max(0.1, ran) * cores * len(active.work.members(active.task))
+
+    def _place(self, fleet: Fleet, work: JobWork, unit: Unit, sure: bool, now: float) -> bool:
+        choice = fleet.place(unit, work.avoid, self._used_of(work, unit), work.priority == 0)
+        if choice is None or (not sure and not self._worth(unit, choice)):
+            return False
+        fleet.take(unit, choice)
+        if choice.ready:
+            self._order(work, unit, choice, now)
+            return True
+        for victim in choice.victims:
+            slot = fleet.slots[victim.target]
+            slot.leaving += victim.demand
+            slot.victims = [pair for pair in slot.victims if pair[1] is not victim]
+            self._stop(victim, now, f"makes room for {work.job.id}")
+        return True
+
+    def _worth(self, unit: Unit, choice: Choice) -> bool:
+        if not choice.victims:
+            return True
+        demand = unit.step.demand
+        cores = demand.cpu / 1000 + ACCELERATOR_CORES * demand.accelerators
+        gain = cores * len(unit.tasks) * unit.step.estimate_ms / 1000
+        return choice.cost <= PREEMPT_LOSS_SHARE * gain
+
+    def _used_of(self, work: JobWork, unit: Unit) -> Callable[[TargetId], int]:
+        if not unit.step.per_target:
+            return lambda target: 0
+        counts: Counter[TargetId] = Counter()
+        for name in work.step_tasks(unit.occurrence, unit.number):
+            task = work.progress.tasks.get(name)
+            if task is not None and task.target:
+                counts[task.target] += 1
+        return lambda target: counts[target]
+
+    def _keep_room(self, fleet: Fleet, work: JobWork, unit: Unit) -> int:
+        """Keep the emptiest targets free for a unit that fits nowhere yet."""
+        demand = unit.step.demand
+        fits = [
+            slot
+            for slot in fleet.slots.values()
+            if slot.announcement.room.holds(demand)
+            and (not unit.step.label or unit.step.label in slot.announcement.labels)
+        ]
+        fits.sort(key=lambda slot: -slot.free.accelerators)
+        for slot in fits[: len(unit.tasks)]:
+            slot.free -= demand
+        return 1 if fits else 0
+
+    def _order(self, work: JobWork, unit: Unit, choice: Choice, now: float) -> None:
+        run = RunNumber(max(work.task(name).run for name in unit.tasks) + 1)
+        # All members of a gang have to resume from the same checkpoint.
+        checkpoint = work.task(unit.tasks[0]).checkpoint
+        for name, target in zip(unit.tasks, choice.targets, strict=True):
+            view = self.targets[target]
+            task = work.task(name)
+            task.run, task.target, task.incarnation = run, target, view.incarnation
+            task.resumed_from = checkpoint
+            active = Active(work, name, run, target, view.incarnation, unit.step.demand, now)
+            view.active[active.name] = active
+            view.changed = True
+        work.settle(JobPhase.RUNNING, 0.0)
+        self._dirty.add(work.job.id)
+        self.note(
+            "unit placed",
+            job=work.job.id,
+            step=unit.number,
+            occurrence=unit.occurrence,
+            run=run,
+            targets=sorted(set(choice.targets)),
+            gang=unit.step.gang,
+        )
+
+    # Output
+
+    def changes(self) -> list[tuple[JobId, Progress]]:
+        """Progress to store; the caller has to report success with `stored`."""
+        return [(job, self.jobs[job].progress) for job in self._dirty]
+
+    def stored(self) -> None:
+        """All changes are in the store: starts may be ordered and ends acknowledged."""
+        self._dirty.clear()
+        for view in self.targets.values():
+            view.acknowledged = view.processed
+            for active in view.active.values():
+                active.written = True
+        for job in [w.job.id for w in self.jobs.values() if w.progress.phase.final]:
+            if not self._runs_of(job):
+                del self.jobs[job]
+
+    def _runs_of(self, job: JobId) -> bool:
+        return any(
+            active.work.job.id == job
+            for view in self.targets.values()
+            for active in view.active.values()
+        ) or any(a.work.job.id == job for runs in self._unseen.values() for a in runs)
+
+    def orders(self, view: TargetView) -> Orders:
+        """Everything that is still open on a target."""
+        view.changed = False
+        starts, stops = [], list(view.unasked.values())
+        for active in view.active.values():
+            if active.stop_since is not None:
+                stops.append(StopOrder(active.name, active.run))
+            elif active.written and not active.confirmed:
+                task = active.work.task(active.task)
+                starts.append(
+                    StartOrder(active.name, active.run, active.work.job.payload, task.resumed_from)
+                )
+        return Orders(
+            self.token,
+            view.incarnation,
+            view.report_sent_at,
+            view.acknowledged,
+            tuple(starts),
+            tuple(stops),
+        )
--- /dev/null
+++ b/comfreyshelf/fleet/placing.py
@@ -0,0 +1,163 @@
+"""Choice of targets for a unit: tight fits first, one rack where it matters, victims if allowed."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from comfreyshelf.fleet.jobs import Announcement, Room
+from comfreyshelf.fleet.work import Active, Unit
+from comfreyshelf.ids import RackId, TargetId
+
+
+class Slot(msgspec.Struct):
+    """A target that may be given work, with what is free there and what could be freed.
+
+    `free` counts what is really free; `leaving` is held by runs that are being stopped. `victims`
+    are sorted by their cost, cheapest first.
+    """
+
+    announcement: Announcement
+    free: Room
+    leaving: Room = Room()
+    victims: list[tuple[float, Active]] = []
+    placed: int = 0
+
+
+class Choice(msgspec.Struct):
+    """A target for each task of a unit; `victims` have to stop first."""
+
+    targets: list[TargetId]
+    victims: list[Active]
+    ready: bool
+    cost: float
+
+
+class Fleet:
+    """The slots of one planning pass; what is chosen is taken from them."""
+
+    def __init__(self, slots: dict[TargetId, Slot]) -> None:
+        self.slots = slots
+
+    def place(
+        self, unit: Unit, avoid: set[TargetId], used: Callable[[TargetId], int], preempt: bool
+    ) -> Choice | None:
+        """The cheapest choice for a unit, or None; nothing is taken yet."""
+        usable = self._usable(unit, set(), used) if not avoid else self._usable(unit, avoid, used)
+        choice = self._best(unit, usable, used, preempt)
+        if choice is None and avoid:
+            choice = self._best(unit, self._usable(unit, set(), used), used, preempt)
+        return choice
+
+    def take(self, unit: Unit, choice: Choice) -> None:
+        """Take the room of a choice, so that no later unit gets it."""
+        for target in choice.targets:
+            self.slots[target].free -= unit.step.demand
+
+    def _usable(
+        self, unit: Unit, avoid: set[TargetId], used: Callable[[TargetId], int]
+    ) -> list[Slot]:
+        step = unit.step
+        return [
+            slot
+            for slot in self.slots.values()
+            if slot.announcement.id not in avoid
+            and (not step.label or step.label in slot.announcement.labels)
+            and slot.announcement.room.holds(step.demand)
+            and (not step.per_target or used(slot.announcement.id) < step.per_target)
+        ]
+
+    def _best(
+        self,
+        unit: Unit,
+        usable: list[Slot],
+        used: Callable[[TargetId], int],
+        preempt: bool,
+    ) -> Choice | None:
+        step = unit.step
+        groups: list[list[Slot]] = []
+        if step.rack:
+            groups.append([s for s in usable if s.announcement.rack == step.rack])
+        elif step.same_rack and len(unit.tasks) > 1:
+            racks: dict[RackId, list[Slot]] = {}
+            for slot in usable:
+                racks.setdefault(slot.announcement.rack, []).append(slot)
+            groups += list(racks.values())
+        near = [c for c in (self._fill(unit, g, used, preempt) for g in groups) if c is not None]
+        if near:
+            return min(near, key=lambda choice: (not choice.ready, choice.cost))
+        if groups and any(self._capacity(unit, group) >= len(unit.tasks) for group in groups):
+            return None
+        return self._fill(unit, usable, used, preempt)
+
+    @staticmethod
+    def _capacity(unit: Unit, group: list[Slot]) -> int:
+        """How many tasks of the unit the empty targets of a group would hold."""
+        demand = unit.step.demand
+        return sum(_copies(slot.announcement.room, demand) for slot in group)
+
+    def _fill(
+        self, unit: Unit, group: list[Slot], used: Callable[[TargetId], int], preempt: bool
+    ) -> Choice | None:
+        demand, most = unit.step.demand, unit.step.per_target
+        free = {slot.announcement.id: slot.free for slot in group}
+        count = {slot.announcement.id: used(slot.announcement.id) for slot in group}
+        stopped: dict[str, Active] = {}
+        choice = Choice([], [], True, 0.0)
+        for _ in unit.tasks:
+            best: tuple[float, Slot, list[tuple[float, Active]], bool] | None = None
+            for slot in group:
+                target = slot.announcement.id
+                if most and count[target] >= most:
+                    continue
+                option = _option(slot, free[target], demand, stopped, preempt)
+                if option is not None and (best is None or option[0] < best[0]):
+                    best = (option[0], slot, option[1], option[2])
+            if best is None:
+                return None
+            cost, slot, victims, ready = best
+            target = slot.announcement.id
+            for _, victim in victims:
+                stopped[victim.name] = victim
+                free[target] += victim.demand
+            free[target] -= demand
+            count[target] += 1
+            choice.targets.append(target)
+            choice.cost += cost
+            choice.ready = choice.ready and ready
+        choice.victims = list(stopped.values())
+        return choice
+
+
+def _copies(room: Room, demand: Room) -> int:
+    counts = [
+        have // want
+        for have, want in (
+            (room.cpu, demand.cpu),
+            (room.memory_mb, demand.memory_mb),
+            (room.accelerators, demand.accelerators),
+        )
+        if want > 0
+    ]
+    return min(counts, default=1000)
+
+
+def _option(
+    slot: Slot, free: Room, demand: Room, stopped: dict[str, Active], preempt: bool
+) -> tuple[float, list[tuple[float, Active]], bool] | None:
+    """Cost, victims and readiness of one more task on a slot; None if it cannot fit."""
+    if free.holds(demand):
+        # The tightest fit keeps wide gaps for wide tasks.
+        return ((free - demand).accelerators * 0.01 + (free - demand).cpu * 1e-7, [], True)
+    if not preempt:
+        return None
+    room = free + slot.leaving
+    victims: list[tuple[float, Active]] = []
+    for cost, victim in slot.victims:
+        if room.holds(demand):
+            break
+        if victim.name not in stopped:
+            room += victim.demand
+            victims.append((cost, victim))
+    if not room.holds(demand):
+        return None
+    return (1.0 + sum(cost for cost, _ in victims), victims, False)
--- /dev/null
+++ b/comfreyshelf/fleet/settings.py
@@ -0,0 +1,49 @@
+"""Settings of the fleet's processes."""
+
+import msgspec
+
+from comfreyshelf.fleet.bounds import Bounds
+
+
+class FleetSettings(msgspec.Struct, frozen=True):
+    """Settings of a process, section ``[process]``; addresses are ``ip:port``, times seconds.
+
+    `front_address` and `ready_address` are empty on a target process, `runner_address` on an entry.
+    `peers` are control addresses of entries, which may be stale.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    store_address: str
+    control_address: str
+    pipe_port: int
+    peers: tuple[str, ...] = ()
+    front_address: str = ""
+    ready_address: str = ""
+    runner_address: str = ""
+    lease_s: float = 6.0
+    stop_grace_s: float = 0.2
+    gang_wait_s: float = 3.0
+    remember_s: float = 120.0
+    early_s: float = 0.25
+    checkpoint_s: float = 0.5
+    grace_s: float = 6.0
+
+    @property
+    def bounds(self) -> Bounds:
+        """The bounds of the deployment."""
+        return Bounds(
+            self.lease_s,
+            self.stop_grace_s,
+            self.gang_wait_s,
+            self.remember_s,
+            self.early_s,
+            self.checkpoint_s,
+            self.grace_s,
+        )
+
+    @property
+    def pipe_address(self) -> str:
+        """Where an entry listens for target processes."""
+        return f"{self.ip}:{self.pipe_port}"
--- /dev/null
+++ b/comfreyshelf/fleet/target_process.py
@@ -0,0 +1,74 @@
+"""Puts the services of a target process together."""
+
+from collections.abc import Callable
+
+from comfreyshelf.errors import UserError
+from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.relay import Relay
+from comfreyshelf.fleet.settings import FleetSettings
+from comfreyshelf.fleet.store import Store
+from comfreyshelf.fleet.target import Looker, Orderer, OwnerLink, Runner, TargetState
+from comfreyshelf.fleet.web import Call, Reply, WebServer
+from comfreyshelf.ids import TargetId
+from comfreyshelf.kernel import Kernel
+from comfreyshelf.logs import change
+from comfreyshelf.metrics import Metrics
+
+HEARTBEAT_THREADS = 2
+MAX_HEARTBEAT_BYTES = 1024 * 1024
+
+
+class TargetProcess:
+    """One runner's process: heartbeats come in, orders go to the runner."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        codec: Codec,
+        make_store: Callable[[Relay], Store],
+        make_runner: Callable[[str, Callable[[], str]], Runner],
+    ) -> None:
+        self._codec = codec
+        self._settings = settings
+        self.metrics = Metrics()
+        self._state = TargetState(settings.bounds)
+        relay = Relay(settings.store_address, lambda: list(settings.peers), self.metrics)
+        self._runner = make_runner(settings.runner_address, lambda: self._state.target)
+        self._orderer = Orderer(self._state, self._runner, self.metrics)
+        self.kernel = Kernel()
+        self.kernel.register("metrics", self.metrics)
+        self.kernel.register("looker", Looker(self._state, self._runner))
+        self.kernel.register("link", OwnerLink(self._state, make_store(relay), self._orderer))
+        self.kernel.register(
+            "control",
+            WebServer(
+                settings.control_address,
+                HEARTBEAT_THREADS,
+                self._control,
+                lambda: MAX_HEARTBEAT_BYTES,
+            ),
+        )
+
+    def _control(self, call: Call) -> Reply:
+        if call.path == "/metrics":
+            return Reply(200, self.metrics.render().encode(), kind="text/plain")
+        target = self._codec.target_of(call.path)
+        if not target:
+            return Reply(404, b"{}")
+        if call.method == "DELETE":
+            change("target left", target=target)
+            self._state.leave(TargetId(target))
+            return Reply(200, b"{}")
+        try:
+            announcement = self._codec.announcement(target, call.body)
+        except UserError as exc:
+            self.metrics.count("heartbeats_refused")
+            change("heartbeat refused", target=target, why=str(exc))
+            return Reply(400, b"{}")
+        if not self._state.announce(announcement):
+            self.metrics.count("heartbeats_old")
+        return Reply(200, b"{}")
+
+    def prepare_stop(self) -> None:
+        """Let calls to the runner end; its lease outlives this process's restart."""
+        self._orderer.close()
--- /dev/null
+++ b/comfreyshelf/fleet/web.py
@@ -0,0 +1,99 @@
+"""Small WSGI applications on cherrypy's server."""
+
+import threading
+from collections.abc import Callable, Iterable
+
+import msgspec
+from cheroot.wsgi import Server
+
+from comfreyshelf.kernel import Service
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    410: "Gone",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+_STOP_S = 2
+_KEPT_OPEN_S = 20
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A request: `headers` are named as in a WSGI environment."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    too_large: bool = False
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """An answer; `retry_after_s` of 0 leaves the header out."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: int = 0
+    kind: str = "application/json"
+
+
+class WebServer(Service):
+    """Serves one address; `handle` runs in one of `threads` threads."""
+
+    def __init__(
+        self,
+        address: str,
+        threads: int,
+        handle: Callable[[Call], Reply],
+        max_body: Callable[[], int],
+    ) -> None:
+        host, _, port = address.partition(":")
+        self._handle = handle
+        self._max_body = max_body
+        self._server = Server(
+            (host, int(port)),
+            self._application,
+            numthreads=threads,
+            server_name="comfreyshelf",
+            request_queue_size=128,
+            timeout=_KEPT_OPEN_S,
+            shutdown_timeout=_STOP_S,
+        )
+        self._server.expiration_interval = 1.0
+        self._thread: threading.Thread | None = None
+        # While stopping, each answer closes its connection, so that the caller goes elsewhere.
+        self.closing = False
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Answer what has been read, then close."""
+        self._server.stop()
+
+    def _application(
+        self, environ: dict, start_response: Callable[[str, list[tuple[str, str]]], object]
+    ) -> Iterable[bytes]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        most = self._max_body()
+        body = environ["wsgi.input"].read(min(length, most)) if length else b""
+        headers = {k: v for k, v in environ.items() if isinstance(v, str)}
+        reply = self._handle(
+            Call(environ["REQUEST_METHOD"], environ["PATH_INFO"], headers, body, length > most)
+        )
+        answer_headers = [("Content-Type", reply.kind), ("Content-Length", str(len(reply.body)))]
+        if reply.retry_after_s:
+            answer_headers.append(("Retry-After", str(reply.retry_after_s)))
+        if self.closing:
+            answer_headers.append(("Connection", "close"))
+        start_response(f"{reply.status} {REASONS.get(reply.status, 'Answer')}", answer_headers)
+        return [reply.body]
--- /dev/null
+++ b/comfreyshelf/fleet/work.py
@@ -0,0 +1,167 @@
+"""One job as the owner of the schedule works on it."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from comfreyshelf.fleet.jobs import (
+    Incarnation,
+    Job,
+    JobPhase,
+    Progress,
+    Queue,
+    Room,
+    RunNumber,
+    Step,
+    TaskName,
+    TaskProgress,
+    full_name,
+    step_of,
+    task_name,
+)
+from comfreyshelf.ids import TargetId
+
+
+class Unit(msgspec.Struct, frozen=True):
+    """Tasks that are placed together: all of a gang, or a single task."""
+
+    step: Step
+    occurrence: int
+    number: int
+    tasks: tuple[TaskName, ...]
+
+
+class Active(msgspec.Struct):
+    """A run that occupies room on a target.
+
+    It is ordered only once it is `written` to the store. `confirmed` means that the target has
+    listed it. `started_at` and `stop_since` are on the owner's clock.
+    """
+
+    work: "JobWork"
+    task: TaskName
+    run: RunNumber
+    target: TargetId
+    incarnation: Incarnation
+    demand: Room
+    started_at: float
+    written: bool = False
+    confirmed: bool = False
+    stop_since: float | None = None
+    percent: int = 0
+    percent_at: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """The task's full name."""
+        return full_name(self.work.job.id, self.task)
+
+
+class JobWork:
+    """A job, how far it has come, and which of its tasks may run now."""
+
+    def __init__(self, job: Job, progress: Progress, queue: Queue | None) -> None:
+        self.job = job
+        self.progress = progress
+        self.queue = queue
+        # Targets where a run of this job failed; the next run avoids them.
+        self.avoid: set[TargetId] = set()
+        # Gang runs whose failure has been counted: occurrence, step and run.
+        self.counted: set[tuple[int, int, int]] = set()
+
+    @property
+    def priority(self) -> int:
+        """Priority of the job's queue, 0 first; a removed queue comes last."""
+        return self.queue.priority if self.queue else 9
+
+    @property
+    def deadline(self) -> float:
+        """When the job should be complete, by its estimates, in seconds since the epoch."""
+        if self.queue is None:
+            return self.job.accepted_at
+        return self.job.accepted_at + self.queue.latency_s + self.queue.stretch * self.chain_s
+
+    @property
+    def chain_s(self) -> float:
+        """Estimated seconds of the longest chain of steps."""
+        longest: list[float] = []
+        for step in self.job.steps:
+            before = max((longest[i] for i in step.after), default=0.0)
+            longest.append(before + step.estimate_ms / 1000)
+        return max(longest, default=0.0)
+
+    def occurrences(self, now: float, early_s: float) -> range:
+        """Occurrences that are due at `now`, in seconds since the epoch."""
+        if self.job.times <= 0:
+            return range(1)
+        if self.job.every_ms <= 0:
+            return range(self.job.times)
+        due = (now + early_s - self.job.first_ms / 1000) * 1000 // self.job.every_ms + 1
+        return range(max(0, min(self.job.times, int(due))))
+
+    def task(self, name: TaskName) -> TaskProgress:
+        """Progress of a task, created at its first use."""
+        return self.progress.tasks.setdefault(name, TaskProgress())
+
+    def step_tasks(self, occurrence: int, number: int) -> tuple[TaskName, ...]:
+        """Names of all tasks of a step in one occurrence."""
+        count = self.job.steps[number].count
+        return tuple(task_name(occurrence, number, index) for index in range(count))
+
+    def members(self, task: TaskName) -> tuple[TaskName, ...]:
+        """The tasks that run and end with this one: its gang, or itself."""
+        occurrence, number, _ = step_of(task)
+        if self.job.steps[number].gang:
+            return self.step_tasks(occurrence, number)
+        return (task,)
+
+    def step_done(self, occurrence: int, number: int) -> bool:
+        """Whether all tasks of a step are done."""
+        known = self.progress.tasks
+        return all(
+            name in known and known[name].done for name in self.step_tasks(occurrence, number)
+        )
+
+    def all_done(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        return all(
+            self.step_done(occurrence, number)
+            for occurrence in range(max(1, self.job.times))
+            for number in range(len(self.job.steps))
+        )
+
+    def pending(self, now: float, early_s: float) -> Iterator[Unit]:
+        """Units that may start now: due, with their earlier steps done, and not ordered."""
+        if self.progress.phase.final:
+            return
+        idle = TaskProgress()
+        for occurrence in self.occurrences(now, early_s):
+            for number, step in enumerate(self.job.steps):
+                if not all(self.step_done(occurrence, before) for before in step.after):
+                    continue
+                names = self.step_tasks(occurrence, number)
+                known = [self.progress.tasks.get(name, idle) for name in names]
+                if step.gang:
+                    if not any(task.done or task.target for task in known):
+                        yield Unit(step, occurrence, number, names)
+                    continue
+                for name, task in zip(names, known, strict=True):
+                    if not task.done and not task.target:
+                        yield Unit(step, occurrence, number, (name,))
+
+    def accelerators(self) -> int:
+        """Accelerators of the widest step that is not done, for counting against a guarantee."""
+        return max(
+            (
+                step.demand.accelerators * step.count
+                for number, step in enumerate(self.job.steps)
+                if not self.step_done(0, number)
+            ),
+            default=0,
+        )
+
+    def settle(self, phase: JobPhase, now: float) -> None:
+        """Set the phase; a final one is dated."""
+        self.progress.phase = phase
+        if phase.final:
+            self.progress.ended_at = now
--- a/comfreyshelf/logs.py
+++ b/comfreyshelf/logs.py
@@ -1,8 +1,11 @@
 """Structured log lines through absl: one line for each change of state."""
 
+import atexit
 import logging as standard
+import queue
 import sys
 from enum import Enum
+from logging import handlers
 
 import msgspec
 from absl import flags, logging
@@ -52,6 +55,43 @@
     logging.set_stderrthreshold(logging.INFO)
 
 
+# Lines that wait to be written; further ones are dropped and counted.
+MAX_WAITING_LINES = 2000
+
+
+class _LossyQueueHandler(handlers.QueueHandler):
+    """Hands records to a writing thread; a full queue drops them and says so later."""
+
+    def __init__(self, waiting: "queue.Queue[standard.LogRecord]") -> None:
+        super().__init__(waiting)
+        self._dropped = 0
+
+    def enqueue(self, record: standard.LogRecord) -> None:
+        try:
+            if self._dropped:
+                record.__dict__["fields"] = record.__dict__.get("fields", {}) | {
+                    "dropped_before": self._dropped
+                }
+            self.queue.put_nowait(record)
+            self._dropped = 0
+        except queue.Full:
+            self._dropped += 1
+
+
+def configure_daemon(process: str) -> None:
+    """Write JSON lines to standard output from a thread of their own; call it once."""
+    waiting: queue.Queue[standard.LogRecord] = queue.Queue(MAX_WAITING_LINES)
+    writer = standard.StreamHandler(sys.stdout)
+    writer.setFormatter(_Formatter(process, LogFormat.JSON))
+    listener = handlers.QueueListener(waiting, writer)
+    listener.start()
+    atexit.register(listener.stop)
+    logger = logging.get_absl_logger()
+    logger.handlers[:] = [_LossyQueueHandler(waiting)]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
+
+
 def change(event: str, **fields: object) -> None:
     """Log a change of state with its fields.
 
--- /dev/null
+++ b/comfreyshelf/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/comfreyshelf/platform/runner.py
@@ -0,0 +1,104 @@
+"""The runner on this process's own machine."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from comfreyshelf.fleet.http import JSON, Caller
+from comfreyshelf.fleet.jobs import EndedRow, EndKind, Holdings, Incarnation, RunningRow, Token
+from comfreyshelf.fleet.messages import StartOrder, StopOrder
+from comfreyshelf.fleet.target import RefusedError, Runner
+
+CALL_TIMEOUT_S = 0.8
+# A look that waits for an end is answered a little later than it asked for.
+LOOK_SLACK_S = 0.6
+_CONNECTIONS = 6
+
+_END_KINDS = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LAPSED,
+    "broken": EndKind.BROKEN,
+    "alone": EndKind.ALONE,
+}
+
+
+class _Held(msgspec.Struct, rename="kebab"):
+    clock_ms: int
+    running: list[list] = []
+    ended: list[list] = []
+    born: int = 0
+
+
+class _Reason(msgspec.Struct):
+    reason: str = ""
+
+
+class HttpRunner(Runner):
+    """Speaks to the runner over HTTP; `target` gives the instance that calls are meant for."""
+
+    def __init__(self, address: str, target: Callable[[], str]) -> None:
+        self._caller = Caller(address, _CONNECTIONS)
+        self._target = target
+
+    def hold(
+        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+    ) -> Holdings:
+        fields = {"fence-token": token, "ack-cursor": acknowledged, "wait-ms": wait_ms}
+        if deadline_ms is not None:
+            fields["deadline-ms"] = deadline_ms
+        status, body = self._post("hold", fields, LOOK_SLACK_S + wait_ms / 1000)
+        if status != 200:
+            raise RefusedError(f"the runner answered {status} to a look", _reason(body))
+        held = msgspec.json.decode(body, type=_Held)
+        return Holdings(
+            held.clock_ms,
+            Incarnation(held.born),
+            tuple(RunningRow(row[0], row[1], row[2], row[3]) for row in held.running),
+            tuple(
+                EndedRow(row[0], row[1], row[2], _END_KINDS.get(row[3], EndKind.FAILED), row[4])
+                for row in held.ended
+            ),
+        )
+
+    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+        fields: dict[str, object] = {
+            "task": order.task,
+            "run-id": order.run,
+            "task-spec": order.payload,
+            "deadline-ms": deadline_ms,
+            "fence-token": token,
+        }
+        if order.checkpoint:
+            fields["checkpoint"] = order.checkpoint
+        status, body = self._post("run-start", fields, CALL_TIMEOUT_S)
+        if status != 200:
+            raise RefusedError(
+                f"the runner answered {status} to a start", _reason(body) or str(status)
+            )
+
+    def stop(self, token: Token, order: StopOrder) -> None:
+        fields = {"task": order.task, "run-id": order.run, "fence-token": token}
+        status, body = self._post("run-stop", fields, CALL_TIMEOUT_S)
+        if status != 200:
+            raise RefusedError(f"the runner answered {status} to a stop", _reason(body))
+
+    def _post(self, call: str, fields: dict, timeout_s: float) -> tuple[int, bytes]:
+        headers = dict(JSON)
+        if target := self._target():
+            headers["Target-Instance"] = target
+        answer = self._caller.call(
+            "POST", f"/v1/{call}", timeout_s, msgspec.json.encode(fields), headers
+        )
+        return answer.status, answer.body
+
+    def close(self) -> None:
+        self._caller.close()
+
+
+def _reason(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=_Reason).reason
+    except msgspec.DecodeError:
+        return ""
--- /dev/null
+++ b/comfreyshelf/platform/store.py
@@ -0,0 +1,205 @@
+"""The platform's store: keyed topics of its log, and groups."""
+
+import base64
+import struct
+from typing import Protocol
+from urllib.parse import urlencode
+
+import msgspec
+
+from comfreyshelf.fleet.http import JSON, Answer
+from comfreyshelf.fleet.store import (
+    Batch,
+    ExpiredError,
+    FencedError,
+    KeyedRecord,
+    Membership,
+    Store,
+    StoreSilentError,
+    Writer,
+)
+
+CALL_TIMEOUT_S = 1.2
+# A read that waits for records is answered a little later than it asked for.
+READ_SLACK_S = 1.0
+# The last page of a listing has no further key; pages hold 500 records.
+MAX_PAGES = 1000
+
+_LENGTH = struct.Struct(">I")
+_READ_HEAD = struct.Struct(">QQ")
+_NO_OFFSET = -1
+
+
+class Transport(Protocol):
+    """Carries a call to the store, directly or through a peer."""
+
+    def call(self, method: str, path: str, timeout_s: float, body: bytes, kind: str) -> Answer:
+        """Send one call; `kind` is the content type."""
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _NewestPage(msgspec.Struct, rename="kebab"):
+    items: list[_NewestItem]
+    end: int
+    # True, or the key to go on with: the page leaves open which.
+    more_pages: object = False
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+    parts: list[tuple[str, int, int]]
+
+
+class _Owners(msgspec.Struct):
+    parts: list[tuple[str, int, str, int]] = []
+
+
+class _Appended(msgspec.Struct):
+    offset: int
+
+
+def encode_records(records: list[KeyedRecord]) -> bytes:
+    """The body of an append: each record with its length, the key's length, key and value."""
+    parts = []
+    for record in records:
+        key = record.key.encode()
+        content = bytes((len(key),)) + key + record.value
+        parts.append(_LENGTH.pack(len(content)) + content)
+    return b"".join(parts)
+
+
+def decode_batch(body: bytes, offset: int) -> Batch:
+    """The records of a read that began at `offset`; raises StoreSilentError on cut bytes."""
+    if len(body) < _READ_HEAD.size:
+        raise StoreSilentError("the store's answer has no head", "read again")
+    end, first = _READ_HEAD.unpack_from(body)
+    position, at = _READ_HEAD.size, max(offset, first)
+    records = []
+    while position + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + length]
+        position += length
+        if len(content) < length:
+            break
+        key_length = content[0] if content else 0
+        key = content[1 : 1 + key_length].decode(errors="replace")
+        records.append(KeyedRecord(key, content[1 + key_length :], at))
+        at += 1
+    return Batch(tuple(records), at, end)
+
+
+class LogStore(Store):
+    """Speaks the log form of the store, through a transport."""
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+
+    def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        if writer is not None:
+            query |= {
+                "producer": writer.name,
+                "epoch": writer.epoch,
+                "sequence": writer.sequence,
+            }
+        answer = self._transport.call(
+            "POST",
+            f"/v1/log-append?{urlencode(query)}",
+            CALL_TIMEOUT_S,
+            encode_records(records),
+            "application/octet-stream",
+        )
+        if answer.status == 200:
+            return msgspec.json.decode(answer.body, type=_Appended).offset
+        raise FencedError(
+            f"an append was answered {answer.status} {answer.body[:80]!r}", "give up ownership"
+        )
+
+    def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
+        query = {"topic": topic, "part": 0, "from": offset, "wait-ms": wait_ms}
+        answer = self._get("log-read", query, READ_SLACK_S + wait_ms / 1000)
+        if answer.status == 410:
+            raise ExpiredError(f"offset {offset} of {topic} expired", "read the newest records")
+        self._check(answer)
+        return decode_batch(answer.body, offset)
+
+    def newest(self, topic: str) -> Batch:
+        records: list[KeyedRecord] = []
+        ends: list[int] = []
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        for _ in range(MAX_PAGES):
+            answer = self._get("log-newest", query, CALL_TIMEOUT_S)
+            self._check(answer)
+            page = msgspec.json.decode(answer.body, type=_NewestPage)
+            ends.append(page.end)
+            records += [
+                KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+                for item in page.items
+            ]
+            if not page.more_pages or not page.items:
+                break
+            # The name says nothing of it: here this field holds the key to go on after.
+            query["depends-on"] = page.items[-1].key
+        # Pages are no snapshot: what changed meanwhile is read again from the first page's end.
+        return Batch(tuple(records), ends[0], ends[0])
+
+    def join(self, group: str, member: str, topic: str, ttl_ms: int, generation: int) -> Membership:
+        joined = msgspec.json.decode(
+            self._post(
+                "log-join",
+                {
+                    "group": group,
+                    "member": member,
+                    "topics": [topic],
+                    "ttl-ms": ttl_ms,
+                    "generation": generation,
+                },
+            ),
+            type=_Joined,
+        )
+        leads = any(row[0] == topic and row[1] == 0 for row in joined.parts)
+        return Membership(joined.generation, leads)
+
+    def leave(self, group: str, member: str) -> None:
+        self._post("log-leave", {"group": group, "member": member})
+
+    def leader(self, group: str) -> str:
+        answer = self._get("log-owners", {"group": group}, CALL_TIMEOUT_S)
+        self._check(answer)
+        rows = _owner_rows(answer.body)
+        return next((row[2] for row in rows if row[1] == 0), "")
+
+    def _get(self, call: str, query: dict[str, object], timeout_s: float) -> Answer:
+        return self._transport.call("GET", f"/v1/{call}?{urlencode(query)}", timeout_s, b"", "")
+
+    def _post(self, call: str, fields: dict[str, object]) -> bytes:
+        body = msgspec.json.encode(fields)
+        answer = self._transport.call(
+            "POST", f"/v1/{call}", CALL_TIMEOUT_S, body, JSON["Content-Type"]
+        )
+        self._check(answer)
+        return answer.body
+
+    @staticmethod
+    def _check(answer: Answer) -> None:
+        if answer.status != 200:
+            raise StoreSilentError(
+                f"the store answered {answer.status} {answer.body[:80]!r}", "check the call"
+            )
+
+
+def _owner_rows(body: bytes) -> list[tuple[str, int, str, int]]:
+    """The rows of a group's owners, whichever field holds them."""
+    decoded = msgspec.json.decode(body)
+    rows = (
+        decoded
+        if isinstance(decoded, list)
+        else next((value for value in decoded.values() if isinstance(value, list)), [])
+    )
+    return [(str(r[0]), int(r[1]), str(r[2]), int(r[3])) for r in rows if len(r) == 4]
