Give each term of ownership its own epoch, and repeat an unanswered append as it was

Ruled out: expired records, lost orders. Conclusion: an epoch needs a member name of its own; target processes are also sent away at once by an entry that does not own the schedule.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -13,7 +13,7 @@
 from comfreyshelf.fleet.front import Front
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.jobs import FleetConfig, Token
-from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.settings import FleetSettings
@@ -29,7 +29,7 @@
 )
 from comfreyshelf.fleet.target import OWNER_GROUP
 from comfreyshelf.fleet.web import Call, Reply, WebServer
-from comfreyshelf.ids import JobId
+from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.kernel import Kernel
 from comfreyshelf.logs import change
 from comfreyshelf.metrics import Metrics
@@ -42,7 +42,7 @@
 RETRY_S = 0.2
 # A member that sends nothing for this long loses the schedule to another one.
 MEMBER_TTL_MS = 1500
-JOIN_INTERVAL_S = 0.4
+JOIN_INTERVAL_S = 0.3
 # An owner whose membership is not confirmed for this long stops giving orders.
 UNCONFIRMED_S = 10.0
 TICK_S = 0.25
@@ -54,6 +54,7 @@
 CONTROL_THREADS = 4
 READY_THREADS = 1
 MAX_RELAYED_BYTES = 4 * 1024 * 1024
+NOT_OWNER = Orders(Token(0), 0, 0.0, 0, (), ())
 
 
 class Keeper:
@@ -175,16 +176,33 @@
 
 
 class Member(Poller):
-    """Stays in the group whose leader owns the schedule."""
+    """Stays in the group whose leader owns the schedule.
 
-    def __init__(self, store: Store, member: str, told: Callable[[Membership], None]) -> None:
+    Each term has a member name of its own, so that the group's generation, which is the epoch of
+    the owner's writes, is never used by two terms.
+    """
+
+    def __init__(self, store: Store, name: str, told: Callable[[Membership], None]) -> None:
         super().__init__("member")
         self._store = store
-        self._member = member
+        self._name = name
         self._told = told
         self._generation = 0
+        self._member = self._next_name()
+        self._renew = threading.Event()
+
+    def _next_name(self) -> str:
+        return f"{self._name}/{time.time_ns() // 1_000_000}"
+
+    def end_term(self) -> None:
+        """Leave the group and join it again as another member."""
+        self._renew.set()
 
     def poll(self) -> None:
+        if self._renew.is_set():
+            self._renew.clear()
+            self._leave()
+            self._member = self._next_name()
         try:
             membership = self._store.join(
                 OWNER_GROUP, self._member, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
@@ -193,17 +211,21 @@
             self.wait(RETRY_S)
             return
         self._generation = membership.generation
-        self._told(membership)
+        if not self._renew.is_set():
+            self._told(membership)
         self.wait(JOIN_INTERVAL_S)
 
-    def stop(self) -> None:
-        """End the thread and leave the group, so that another member leads at once."""
-        super().stop()
+    def _leave(self) -> None:
         try:
             self._store.leave(OWNER_GROUP, self._member)
         except (StoreBusyError, StoreSilentError) as exc:
             change("group not left", why=str(exc))
 
+    def stop(self) -> None:
+        """End the thread and leave the group, so that another member leads at once."""
+        super().stop()
+        self._leave()
+
 
 class ReportIn(msgspec.Struct, frozen=True):
     """A target's report, and when it arrived."""
@@ -229,16 +251,20 @@
         self._keeper: Keeper | None = None
         self._store: Store | None = None
         self._hub: Hub | None = None
+        self._end_term: Callable[[], None] = lambda: None
         self._config: FleetConfig | None = None
         self._core: OwnerCore | None = None
         self._generation = 0
         self._sequence = 0
+        # An append that got no answer; it is repeated as it was, under its own sequence number.
+        self._unsettled: list[KeyedRecord] | None = None
         self._confirmed_at = float("-inf")
         self._removed_at = 0.0
 
-    def connect(self, keeper: Keeper, store: Store, hub: Hub) -> None:
+    def connect(self, keeper: Keeper, store: Store, hub: Hub, end_term: Callable[[], None]) -> None:
         """Set what the owner works with; called once, before start."""
         self._keeper, self._store, self._hub = keeper, store, hub
+        self._end_term = end_term
 
     def handle(self, message: ReportIn | JobChanged | Membership | FleetConfig) -> None:
         """Take in one event; decisions follow once the inbox is empty."""
@@ -250,7 +276,9 @@
                 if self._core is not None:
                     self._core.configure(message)
             case ReportIn(report, at):
-                if self._core is not None:
+                if self._core is None:
+                    self._send_away(report.announcement.id)
+                else:
                     self._core.report(report, at, time.time())
                     view = self._core.targets.get(report.announcement.id)
                     if view is not None:
@@ -282,6 +310,7 @@
             self._keeper.catch_up()
         except FencedError as exc:
             change("takeover fenced", epoch=epoch, why=str(exc))
+            self._end_term()
             return
         except (StoreBusyError, StoreSilentError, ExpiredError) as exc:
             change("takeover failed", epoch=epoch, why=str(exc))
@@ -296,9 +325,16 @@
 
     def _resign(self, why: str) -> None:
         change("owner resigned", why=why)
-        self._core = None
+        core, self._core = self._core, None
+        self._unsettled = None
+        self._end_term()
+        for target in core.targets if core is not None else ():
+            self._send_away(target)
+
+    def _send_away(self, target: TargetId) -> None:
+        """Tell a target process that this entry does not own the schedule."""
         if self._hub is not None:
-            self._hub.drop_all()
+            self._hub.send(target, NOT_OWNER)
 
     def _decide(self) -> None:
         core = self._core
@@ -312,28 +348,37 @@
             self._send(core)
 
     def _write(self, core: OwnerCore) -> bool:
-        changes = core.changes()
-        records = [progress_record(job, progress) for job, progress in changes]
+        """Store all changes; False if ownership was lost."""
+        if self._unsettled is not None and not self._append(core, self._unsettled):
+            return self._core is core
+        records = [progress_record(job, progress) for job, progress in core.changes()]
         now = monotonic()
         if now - self._removed_at > REMOVAL_INTERVAL_S:
             self._removed_at = now
             records += self._removals()
-        if not records:
+        if not records or self._append(core, records):
             core.stored()
-            return True
+        return self._core is core
+
+    def _append(self, core: OwnerCore, records: list[KeyedRecord]) -> bool:
+        """Append records under the next sequence number; False if they may not be stored."""
         assert self._keeper is not None
         try:
             self._keeper.append(records, Writer(WRITER, core.token, self._sequence))
         except FencedError as exc:
             self._resign(str(exc))
             return False
-        except (StoreBusyError, StoreSilentError) as exc:
-            self._metrics.count("owner_writes_failed")
-            change("progress not stored", why=str(exc), jobs=len(changes))
-            # Orders that were stored before may still be repeated.
-            return True
+        except StoreBusyError as exc:
+            self._metrics.count("owner_writes_refused")
+            change("progress refused by the store", why=str(exc), records=len(records))
+            return False
+        except StoreSilentError as exc:
+            self._unsettled = records
+            self._metrics.count("owner_writes_unanswered")
+            change("progress not confirmed by the store", why=str(exc), records=len(records))
+            return False
+        self._unsettled = None
         self._sequence += 1
-        core.stored()
         return True
 
     def _removals(self) -> list[KeyedRecord]:
@@ -369,7 +414,6 @@
         self._owner = Owner(settings, book, self.metrics)
         self._hub = Hub(settings.pipe_address, self._receive)
         self._keeper = Keeper(store, book, lambda job: self._owner.send(JobChanged(job)))
-        self._owner.connect(self._keeper, store, self._hub)
         self._configs = ConfigReader(store, codec, self._owner.send)
         front = Front(
             codec,
@@ -382,6 +426,7 @@
         self._front = WebServer(settings.front_address, FRONT_THREADS, front.handle, front.max_body)
         member = Member(store, f"{settings.name}@{settings.pipe_address}", self._owner.send)
         self._member = member
+        self._owner.connect(self._keeper, store, self._hub, member.end_term)
         self.kernel = Kernel()
         register = self.kernel.register
         register("metrics", self.metrics)
--- a/comfreyshelf/fleet/hub.py
+++ b/comfreyshelf/fleet/hub.py
@@ -57,12 +57,3 @@
             pipe.send(messages.encode(orders))
         except pynng.exceptions.NNGException as exc:
             change("orders not sent", target=target, why=str(exc))
-
-    def drop_all(self) -> None:
-        """Close the pipes of all targets, so that they look for the owner again."""
-        for pipe in list(self._pipes.values()):
-            try:
-                pipe.close()
-            except pynng.exceptions.NNGException as exc:
-                change("pipe was closed already", why=str(exc))
-        self._pipes.clear()
--- a/comfreyshelf/fleet/target.py
+++ b/comfreyshelf/fleet/target.py
@@ -384,6 +384,7 @@
         self._socket: pynng.Pair1 | None = None
         self._address = ""
         self._heard_at = monotonic()
+        self._answered_at = float("-inf")
         self._looked_up_at = float("-inf")
 
     def poll(self) -> None:
@@ -412,8 +413,9 @@
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError) as exc:
             change("owner lookup failed", why=str(exc))
             return
-        address = member.partition("@")[2]
-        if not address:
+        address = member.partition("@")[2].partition("/")[0]
+        answers = now - self._answered_at < OWNER_SILENT_S
+        if not address or (address == self._address and answers):
             return
         # A pipe may have gone silent without an error, so the same address is dialled again too.
         self._close()
@@ -444,7 +446,13 @@
             except msgspec.DecodeError as exc:
                 change("orders cannot be decoded", why=str(exc))
                 continue
-            self._heard_at = monotonic()
+            if not orders.token:
+                # The far end does not own the schedule.
+                self._answered_at = monotonic()
+                self._heard_at = float("-inf")
+                self._state.news.set()
+                continue
+            self._heard_at = self._answered_at = monotonic()
             self._orderer.carry_out(orders)
 
     def _close(self) -> None:
