Lose runs with their machine's old target, rank jobs by what can still be in time, refuse at once while the store is out of reach

Cause: a runner that comes back after a power loss has a new id, so its old runs were waited for until their leases had lapsed (9.2 s); an unanswered append ended in a 504 that callers may not retry. Ruled out: late announcements (ordered by incarnation).

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -41,8 +41,9 @@
 READ_WAIT_MS = 1000
 RETRY_S = 0.2
 # A member that sends nothing for this long loses the schedule to another one.
-MEMBER_TTL_MS = 1500
+MEMBER_TTL_MS = 1200
 JOIN_INTERVAL_S = 0.3
+MOVED_INTERVAL_S = 0.03
 # An owner whose membership is not confirmed for this long stops giving orders.
 UNCONFIRMED_S = 10.0
 TICK_S = 0.25
@@ -210,10 +211,12 @@
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
             self.wait(RETRY_S)
             return
+        moved = membership.generation != self._generation
         self._generation = membership.generation
         if not self._renew.is_set():
             self._told(membership)
-        self.wait(JOIN_INTERVAL_S)
+        # A partition moves only once its last holder has joined with the new generation.
+        self.wait(MOVED_INTERVAL_S if moved else JOIN_INTERVAL_S)
 
     def _leave(self) -> None:
         try:
@@ -421,6 +424,7 @@
             lambda: self._configs.config,
             self._keeper.append,
             self._keeper.catch_up,
+            lambda: self._relay.reachable,
             self.metrics,
         )
         self._front = WebServer(settings.front_address, FRONT_THREADS, front.handle, front.max_body)
--- a/comfreyshelf/fleet/front.py
+++ b/comfreyshelf/fleet/front.py
@@ -15,6 +15,11 @@
 from comfreyshelf.metrics import Metrics
 
 RETRY_AFTER_S = 1
+# While the store cannot be reached at all, callers are asked to wait longer.
+OUTAGE_RETRY_AFTER_S = 2
+# An append that got no answer is repeated for this long; its records may come twice.
+APPEND_LIMIT_S = 2.2
+APPEND_PAUSE_S = 0.1
 _JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 DEFAULT_MAX_BODY = 262_144
 
@@ -29,6 +34,7 @@
         config: Callable[[], FleetConfig | None],
         append: Callable[[list[KeyedRecord]], None],
         catch_up: Callable[[], None],
+        reachable: Callable[[], bool],
         metrics: Metrics,
     ) -> None:
         self._codec = codec
@@ -36,6 +42,7 @@
         self._config = config
         self._append = append
         self._catch_up = catch_up
+        self._reachable = reachable
         self._metrics = metrics
 
     def max_body(self) -> int:
@@ -85,7 +92,28 @@
     def _refuse(self, call: Call, status: int, why: str) -> Reply:
         self._metrics.count(f'refusals{{status="{status}"}}')
         change("refused", method=call.method, path=call.path, status=status, why=why)
-        return Reply(status, b"{}", RETRY_AFTER_S if status == 503 else 0)
+        wait_s = RETRY_AFTER_S if self._reachable() else OUTAGE_RETRY_AFTER_S
+        return Reply(status, b"{}", wait_s if status == 503 else 0)
+
+    def _write(self, record: KeyedRecord) -> None:
+        """Store a record; StoreBusyError means that it is not stored and never will be."""
+        if not self._reachable():
+            # Not even tried, so that the refusal is true.
+            raise StoreBusyError("the store cannot be reached", "try again later")
+        unanswered: StoreSilentError | None = None
+        until = time.monotonic() + APPEND_LIMIT_S
+        while unanswered is None or time.monotonic() < until:
+            try:
+                self._append([record])
+                return
+            except StoreSilentError as exc:
+                unanswered = exc
+            except StoreBusyError:
+                if unanswered is None:
+                    raise
+            self._metrics.count('retries{reason="append_unanswered"}')
+            time.sleep(APPEND_PAUSE_S)
+        raise unanswered
 
     def _submit(self, call: Call, job: JobId, queue: Queue, organisation: OrganisationId) -> Reply:
         if self._book.get(job) is not None:
@@ -97,7 +125,7 @@
             decoded = self._codec.job(call.body, job, organisation, queue.name, time.time())
         except UserError as exc:
             return self._refuse(call, 400, str(exc))
-        self._append([job_record(decoded)])
+        self._write(job_record(decoded))
         self._metrics.count("accepted")
         change(
             "accepted",
@@ -125,6 +153,6 @@
         if entry is None:
             return self._refuse(call, 410, "no such job")
         if not entry.phase.final:
-            self._append([cancel_record(job, time.time())])
+            self._write(cancel_record(job, time.time()))
             change("cancelled", job=job)
         return Reply(200, b"{}")
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -14,6 +14,10 @@
 Token = NewType("Token", int)
 
 
+# An accelerator counts as this many cores.
+ACCELERATOR_CORES = 8
+
+
 class JobPhase(Enum):
     """State of a job as callers see it."""
 
@@ -63,6 +67,11 @@
             self.accelerators - other.accelerators,
         )
 
+    @property
+    def cores(self) -> float:
+        """Cores that this room counts for, with its accelerators."""
+        return self.cpu / 1000 + ACCELERATOR_CORES * self.accelerators
+
     def holds(self, demand: "Room") -> bool:
         """Whether `demand` fits into this room."""
         return (
@@ -114,6 +123,7 @@
     """How far one task has come; `target` is empty while no run of it is ordered.
 
     `checkpoint` is the newest that is known, `resumed_from` the one that the run was ordered with.
+    `machine` is where the target runs.
     """
 
     run: RunNumber = RunNumber(0)
@@ -123,6 +133,7 @@
     done: bool = False
     checkpoint: str = ""
     resumed_from: str = ""
+    machine: str = ""
 
 
 class Progress(msgspec.Struct):
--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -18,7 +18,7 @@
 
     `sent_at` is on the sender's clock and comes back in `Orders`, which dates the last contact.
     `lists_known` is false until the target has listed its runs to this process. A target that is
-    `gone` has left for good and runs nothing.
+    `gone` has left for good and runs nothing. A `machine` runs one target at a time.
     """
 
     sent_at: float
@@ -28,6 +28,7 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     rejected: tuple[Rejection, ...]
+    machine: str
     gone: bool = False
 
 
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -22,11 +22,13 @@
 from comfreyshelf.fleet.work import Active, JobWork, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
-# An accelerator counts as this many cores in work that a stop throws away.
-ACCELERATOR_CORES = 8
 # A job that needs nothing stopped within its guarantee may still stop runs that lose less than
 # this many core-seconds for each core-second of its own work.
 PREEMPT_LOSS_SHARE = 0.15
+# Other urgent runs, beyond their guarantee, are stopped only where nothing else suffices.
+URGENT_LOSS = 1e6
+# A stopped run loses at least this much time to stopping, placing and starting again.
+RESTART_LOSS_S = 0.5
 # Blocked units, most urgent first, for which room is kept while they wait.
 KEPT_UNITS = 3
 # A run whose progress stands still for this long, and well past its estimate, is moved.
@@ -91,6 +93,7 @@
             task.target,
             task.incarnation,
             work.job.steps[number].demand,
+            task.machine,
             now,
             written=True,
         )
@@ -111,6 +114,7 @@
     def report(self, report: Report, now: float, date: float) -> None:
         """Take in what a target process knows."""
         target = report.announcement.id
+        self._replaced(report, now, date)
         view = self.targets.get(target)
         if view is not None and report.incarnation < view.incarnation:
             return
@@ -143,6 +147,24 @@
             view.lists_known = True
             self._read_lists(view, report, now, date)
 
+    def _replaced(self, report: Report, now: float, date: float) -> None:
+        """A machine that reports a new target has lost the one that it ran before."""
+        for view in list(self.targets.values()):
+            if view.machine == report.machine and view.id != report.announcement.id:
+                if view.incarnation > report.incarnation:
+                    continue
+                self._lose(view, date, "its machine runs another target")
+                del self.targets[view.id]
+        for target, runs in list(self._unseen.items()):
+            if target != report.announcement.id and runs[0].machine == report.machine:
+                self._lose_unseen(target, "its machine runs another target")
+
+    def _lose_unseen(self, target: TargetId, why: str) -> None:
+        for active in self._unseen.pop(target):
+            active.work.task(active.task).target = TargetId("")
+            self._dirty.add(active.work.job.id)
+            self.note("run lost", task=active.name, run=active.run, target=target, why=why)
+
     def _read_lists(self, view: TargetView, report: Report, now: float, date: float) -> None:
         for end in sorted(report.ended, key=lambda row: row.number):
             if end.number > view.processed:
@@ -269,6 +291,8 @@
             self._finish(work, JobPhase.COMPLETED, date, "all tasks are done")
 
     def _finish(self, work: JobWork, phase: JobPhase, date: float, why: str) -> None:
+        if work.progress.phase.final:
+            return
         work.settle(phase, date)
         self._dirty.add(work.job.id)
         self.note(
@@ -302,22 +326,30 @@
         """Give up what has lapsed, move what has to leave, and place what may start."""
         self._give_up(now, date)
         self._move(now)
-        fleet = Fleet(self._slots(now))
-        used: Counter[OrganisationId] = Counter()
         kept = 0
-        for work in sorted(self.jobs.values(), key=lambda w: (w.priority, w.deadline)):
-            sure = self._within_guarantee(work, used)
+        sure_jobs = self._sure_jobs()
+        fleet = Fleet(self._slots(now, sure_jobs))
+        ranked = sorted(
+            self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
+        )
+        for work in ranked:
+            sure = work.job.id in sure_jobs
             for unit in work.pending(date, self.bounds.early_s):
                 placed = self._place(fleet, work, unit, sure, now)
                 if not placed and kept < KEPT_UNITS and work.priority <= 1:
                     kept += self._keep_room(fleet, work, unit)
 
-    def _within_guarantee(self, work: JobWork, used: Counter[OrganisationId]) -> bool:
-        if work.priority != 0 or work.progress.phase.final:
-            return False
-        organisation = work.job.organisation
-        used[organisation] += work.accelerators()
-        return used[organisation] <= self.config.guaranteed(organisation)
+    def _sure_jobs(self) -> set[JobId]:
+        """Urgent jobs inside their organisation's guarantee, the earliest accepted first."""
+        used: Counter[OrganisationId] = Counter()
+        sure = set()
+        for work in sorted(self.jobs.values(), key=lambda w: w.job.accepted_at):
+            if work.priority == 0 and not work.progress.phase.final:
+                organisation, wanted = work.job.organisation, work.accelerators()
+                if used[organisation] + wanted <= self.config.guaranteed(organisation):
+                    used[organisation] += wanted
+                    sure.add(work.job.id)
+        return sure
 
     def _give_up(self, now: float, date: float) -> None:
         for view in list(self.targets.values()):
@@ -325,14 +357,8 @@
                 self._lose(view, date, f"no report for {now - view.seen_at:.1f} s")
                 del self.targets[view.id]
         if now - self._since > self.bounds.give_up_s:
-            for target, runs in self._unseen.items():
-                for active in runs:
-                    active.work.task(active.task).target = TargetId("")
-                    self._dirty.add(active.work.job.id)
-                    self.note(
-                        "run lost", task=active.name, target=target, why="its target never reported"
-                    )
-            self._unseen.clear()
+            for target in list(self._unseen):
+                self._lose_unseen(target, "its target never reported")
 
     def _move(self, now: float) -> None:
         """Stop runs that cannot end before their target leaves, and those that stand still."""
@@ -363,7 +389,7 @@
         self.note("run stopped", task=active.name, run=active.run, target=active.target, why=why)
         self._stop_task(active.work, active.task, now)
 
-    def _slots(self, now: float) -> dict[TargetId, Slot]:
+    def _slots(self, now: float, sure: set[JobId]) -> dict[TargetId, Slot]:
         slots = {}
         for view in self.targets.values():
             if not view.placeable(now):
@@ -375,6 +401,8 @@
                     slot.leaving += active.demand
                 elif active.work.priority > 0:
                     slot.victims.append((self._loss(active, now), active))
+                elif active.work.job.id not in sure:
+                    slot.victims.append((URGENT_LOSS + self._loss(active, now), active))
             slot.victims.sort(key=lambda pair: pair[0])
             slots[view.id] = slot
         return slots
@@ -384,12 +412,12 @@
         step = active.work.job.steps[step_of(active.task)[1]]
         ran = now - active.started_at
         if step.checkpoints:
-            ran = min(ran, self.bounds.checkpoint_s)
-        cores = step.demand.cpu / 1000 + ACCELERATOR_CORES * step.demand.accelerators
-        return max(0.1, ran) * cores * len(active.work.members(active.task))
+            # A stop makes a checkpoint.
+            ran = 0.0
+        return max(RESTART_LOSS_S, ran) * step.demand.cores * len(active.work.members(active.task))
 
     def _place(self, fleet: Fleet, work: JobWork, unit: Unit, sure: bool, now: float) -> bool:
-        choice = fleet.place(unit, work.avoid, self._used_of(work, unit), work.priority == 0)
+        choice = fleet.place(unit, work.avoid, self._used_of(work, unit), work.priority == 0, sure)
         if choice is None or (not sure and not self._worth(unit, choice)):
             return False
         fleet.take(unit, choice)
@@ -406,9 +434,7 @@
     def _worth(self, unit: Unit, choice: Choice) -> bool:
         if not choice.victims:
             return True
-        demand = unit.step.demand
-        cores = demand.cpu / 1000 + ACCELERATOR_CORES * demand.accelerators
-        gain = cores * len(unit.tasks) * unit.step.estimate_ms / 1000
+        gain = unit.step.demand.cores * len(unit.tasks) * unit.step.estimate_ms / 1000
         return choice.cost <= PREEMPT_LOSS_SHARE * gain
 
     def _used_of(self, work: JobWork, unit: Unit) -> Callable[[TargetId], int]:
@@ -443,8 +469,10 @@
             view = self.targets[target]
             task = work.task(name)
             task.run, task.target, task.incarnation = run, target, view.incarnation
-            task.resumed_from = checkpoint
-            active = Active(work, name, run, target, view.incarnation, unit.step.demand, now)
+            task.resumed_from, task.machine = checkpoint, view.machine
+            active = Active(
+                work, name, run, target, view.incarnation, unit.step.demand, view.machine, now
+            )
             view.active[active.name] = active
             view.changed = True
         work.settle(JobPhase.RUNNING, 0.0)
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -39,13 +39,21 @@
         self.slots = slots
 
     def place(
-        self, unit: Unit, avoid: set[TargetId], used: Callable[[TargetId], int], preempt: bool
+        self,
+        unit: Unit,
+        avoid: set[TargetId],
+        used: Callable[[TargetId], int],
+        preempt: bool,
+        spread: bool,
     ) -> Choice | None:
-        """The cheapest choice for a unit, or None; nothing is taken yet."""
-        usable = self._usable(unit, set(), used) if not avoid else self._usable(unit, avoid, used)
-        choice = self._best(unit, usable, used, preempt)
+        """The cheapest choice for a unit, or None; nothing is taken yet.
+
+        With `preempt`, room that victims hold counts too. With `spread`, a unit that belongs
+        together may be spread over racks when no rack has room.
+        """
+        choice = self._best(unit, self._usable(unit, avoid, used), used, preempt, spread)
         if choice is None and avoid:
-            choice = self._best(unit, self._usable(unit, set(), used), used, preempt)
+            choice = self._best(unit, self._usable(unit, set(), used), used, preempt, spread)
         return choice
 
     def take(self, unit: Unit, choice: Choice) -> None:
@@ -72,6 +80,7 @@
         usable: list[Slot],
         used: Callable[[TargetId], int],
         preempt: bool,
+        spread: bool,
     ) -> Choice | None:
         step = unit.step
         groups: list[list[Slot]] = []
@@ -85,7 +94,7 @@
         near = [c for c in (self._fill(unit, g, used, preempt) for g in groups) if c is not None]
         if near:
             return min(near, key=lambda choice: (not choice.ready, choice.cost))
-        if groups and any(self._capacity(unit, group) >= len(unit.tasks) for group in groups):
+        if not spread and any(self._capacity(unit, group) >= len(unit.tasks) for group in groups):
             return None
         return self._fill(unit, usable, used, preempt)
 
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -12,6 +12,8 @@
 RELAY_PATH = "/relay"
 # After a failure the direct way is tried again this often.
 DIRECT_RETRY_S = 1.0
+# No further way is tried once a call has taken this many of its timeouts.
+SILENT_TIMEOUTS = 1.2
 RELAY_SLACK_S = 0.4
 _CONNECTIONS = 6
 _METHOD, _PATH, _KIND, _TIMEOUT = "X-Method", "X-Path", "Content-Type", "X-Timeout"
@@ -31,11 +33,16 @@
         self._lock = threading.Lock()
         self._down_at = float("-inf")
         self._through = ""
+        # False while the last call failed every way.
+        self.reachable = True
 
     def call(self, method: str, path: str, timeout_s: float, body: bytes, kind: str) -> Answer:
         """Send one call; raises StoreBusyError only if no attempt may have been carried out."""
         failure: StoreBusyError | StoreSilentError | None = None
+        until = monotonic() + timeout_s * SILENT_TIMEOUTS
         for address in self._ways():
+            if failure is not None and monotonic() > until:
+                break
             try:
                 if not address:
                     answer = self.direct(method, path, timeout_s, body, kind)
@@ -49,6 +56,7 @@
                 continue
             self._worked(address)
             return answer
+        self.reachable = False
         assert failure is not None
         raise failure
 
@@ -87,6 +95,7 @@
             change("store lost", why=str(exc))
 
     def _worked(self, address: str) -> None:
+        self.reachable = True
         with self._lock:
             regained = not address and self._down_at != float("-inf")
             if not address:
--- a/comfreyshelf/fleet/target.py
+++ b/comfreyshelf/fleet/target.py
@@ -69,8 +69,9 @@
 class TargetState:
     """What the threads of a target process share; every method takes the lock."""
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, machine: str) -> None:
         self._bounds = bounds
+        self._machine = machine
         self._lock = threading.Lock()
         self._announcement: Announcement | None = None
         self._gone = False
@@ -187,6 +188,7 @@
                 self._running() if known else (),
                 self._holdings.ended if known and self._holdings else (),
                 tuple(self._rejected.values()),
+                self._machine,
                 self._gone,
             )
 
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -31,7 +31,7 @@
         self._codec = codec
         self._settings = settings
         self.metrics = Metrics()
-        self._state = TargetState(settings.bounds)
+        self._state = TargetState(settings.bounds, settings.ip)
         relay = Relay(settings.store_address, lambda: list(settings.peers), self.metrics)
         self._runner = make_runner(settings.runner_address, lambda: self._state.target)
         self._orderer = Orderer(self._state, self._runner, self.metrics)
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -23,6 +23,7 @@
     announcement: Announcement
     incarnation: Incarnation
     seen_at: float
+    machine: str
     report_sent_at: float = 0.0
     lists_known: bool = False
     active: dict[str, Active] = {}
@@ -69,4 +70,4 @@
 
 def view_of(report: Report, now: float) -> TargetView:
     """A view that begins with a target's first report."""
-    return TargetView(report.announcement, Incarnation(report.incarnation), now)
+    return TargetView(report.announcement, Incarnation(report.incarnation), now, report.machine)
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -21,6 +21,11 @@
 )
 from comfreyshelf.ids import TargetId
 
+# A job that ends later than this many times its objective is worth nothing to its caller.
+LATE_FACTOR = 3.0
+# Jobs that cannot end before that come after all others.
+HOPELESS_RANK = 90
+
 
 class Unit(msgspec.Struct, frozen=True):
     """Tasks that are placed together: all of a gang, or a single task."""
@@ -44,6 +49,7 @@
     target: TargetId
     incarnation: Incarnation
     demand: Room
+    machine: str
     started_at: float
     written: bool = False
     confirmed: bool = False
@@ -160,6 +166,30 @@
             default=0,
         )
 
+    def can_finish(self, date: float) -> int:
+        """0 if the job can still meet its objective, 1 if it can only be late, 2 if too late."""
+        if self.queue is None:
+            return 2
+        end = date + self.chain_s
+        if end <= self.deadline:
+            return 0
+        objective = self.deadline - self.job.accepted_at
+        return 1 if end <= self.job.accepted_at + LATE_FACTOR * objective else 2
+
+    def order(self, date: float) -> tuple[int, int, float]:
+        """Sort key: most urgent first, then what can still be in time, earliest deadline first."""
+        state = self.can_finish(date) if self.job.times <= 0 else 0
+        if state == 2:
+            return (HOPELESS_RANK, state, self.deadline)
+        return (self.priority, state, self.deadline if state == 0 else self.core_seconds)
+
+    @property
+    def core_seconds(self) -> float:
+        """Estimated work of the whole job."""
+        return sum(
+            step.count * step.demand.cores * step.estimate_ms / 1000 for step in self.job.steps
+        )
+
     def settle(self, phase: JobPhase, now: float) -> None:
         """Set the phase; a final one is dated."""
         self.progress.phase = phase
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -20,6 +20,7 @@
 )
 
 CALL_TIMEOUT_S = 1.2
+APPEND_TIMEOUT_S = 0.9
 # A read that waits for records is answered a little later than it asked for.
 READ_SLACK_S = 1.0
 # The last page of a listing has no further key; pages hold 500 records.
@@ -111,7 +112,7 @@
         answer = self._transport.call(
             "POST",
             f"/v1/log-append?{urlencode(query)}",
-            CALL_TIMEOUT_S,
+            APPEND_TIMEOUT_S,
             encode_records(records),
             "application/octet-stream",
         )
