Choose victims by what they lose, with run times learned by queue

Cause: work thrown away was the largest price; victims were chosen by time run alone, and estimates of callers are far off. Ruled out: unstable planning (each freed place went to an earlier deadline).

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -5,6 +5,7 @@
 
 from comfreyshelf.fleet.book import Entry
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.durations import Durations
 from comfreyshelf.fleet.jobs import (
     EndKind,
     FleetConfig,
@@ -22,9 +23,13 @@
 from comfreyshelf.fleet.work import Active, JobWork, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
-# A job that needs nothing stopped within its guarantee may still stop runs that lose less than
-# this many core-seconds for each core-second of its own work.
-PREEMPT_LOSS_SHARE = 0.15
+# What a job loses that misses its objective, in lost core-seconds for each core-second of its
+# work, by priority; beyond the list as in its last place.
+LATE_LOSS = (3.4, 1.5, 0.2)
+# Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain.
+PREEMPT_GAIN_SHARE = 0.3
+# A less urgent unit waits while its slack exceeds this many of its run times.
+WAIT_SLACK = 0.5
 # Other urgent runs, beyond their guarantee, are stopped only where nothing else suffices.
 URGENT_LOSS = 1e6
 # A stopped run loses at least this much time to stopping, placing and starting again.
@@ -34,6 +39,12 @@
 # A run whose progress stands still for this long, and well past its estimate, is moved.
 STALL_S = 4.0
 
+
+def late_loss(priority: int) -> float:
+    """The weight of missing an objective at a priority."""
+    return LATE_LOSS[min(priority, len(LATE_LOSS) - 1)]
+
+
 Note = Callable[..., None]
 
 
@@ -60,6 +71,7 @@
         # Runs on targets that have not reported to this owner yet.
         self._unseen: dict[TargetId, list[Active]] = {}
         self._dirty: set[JobId] = set()
+        self._durations = Durations()
 
     # Jobs
 
@@ -75,7 +87,7 @@
             progress = Progress(
                 entry.progress.phase, dict(entry.progress.tasks), entry.progress.ended_at
             )
-            work = JobWork(job, progress, self.config.queue(job.queue))
+            work = JobWork(job, progress, self.config.queue(job.queue), self._durations)
             self.jobs[job.id] = work
             for name, task in progress.tasks.items():
                 if task.target and not task.done:
@@ -249,6 +261,8 @@
         lasting = work.job.steps[step_of(active.task)[1]].lasting
         if kind is EndKind.DONE:
             view.succeeded()
+            if not task.resumed_from:
+                self._durations.observe(work.job.queue, now - active.started_at)
             if not lasting:
                 self._done(work, active.task, active.run, date)
         elif kind is EndKind.FAILED:
@@ -328,14 +342,14 @@
         self._move(now)
         kept = 0
         sure_jobs = self._sure_jobs()
-        fleet = Fleet(self._slots(now, sure_jobs))
+        fleet = Fleet(self._slots(now, date, sure_jobs))
         ranked = sorted(
             self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
         )
         for work in ranked:
             sure = work.job.id in sure_jobs
             for unit in work.pending(date, self.bounds.early_s):
-                placed = self._place(fleet, work, unit, sure, now)
+                placed = self._place(fleet, work, unit, sure, now, date)
                 if not placed and kept < KEPT_UNITS and work.priority <= 1:
                     kept += self._keep_room(fleet, work, unit)
 
@@ -377,7 +391,7 @@
                     self._stop(active, now, "no progress")
 
     def _estimate(self, active: Active) -> float:
-        return active.work.job.steps[step_of(active.task)[1]].estimate_ms / 1000
+        return active.work.task_s(active.work.job.steps[step_of(active.task)[1]])
 
     def _stalled(self, active: Active, now: float) -> bool:
         step = active.work.job.steps[step_of(active.task)[1]]
@@ -389,7 +403,7 @@
         self.note("run stopped", task=active.name, run=active.run, target=active.target, why=why)
         self._stop_task(active.work, active.task, now)
 
-    def _slots(self, now: float, sure: set[JobId]) -> dict[TargetId, Slot]:
+    def _slots(self, now: float, date: float, sure: set[JobId]) -> dict[TargetId, Slot]:
         slots = {}
         for view in self.targets.values():
             if not view.placeable(now):
@@ -400,25 +414,33 @@
                 if active.stop_since is not None:
                     slot.leaving += active.demand
                 elif active.work.priority > 0:
-                    slot.victims.append((self._loss(active, now), active))
+                    slot.victims.append((self._loss(active, now, date), active))
                 elif active.work.job.id not in sure:
-                    slot.victims.append((URGENT_LOSS + self._loss(active, now), active))
+                    slot.victims.append((URGENT_LOSS + self._loss(active, now, date), active))
             slot.victims.sort(key=lambda pair: pair[0])
             slots[view.id] = slot
         return slots
 
-    def _loss(self, active: Active, now: float) -> float:
-        """Core-seconds that stopping a run throws away, its whole gang included."""
-        step = active.work.job.steps[step_of(active.task)[1]]
-        ran = now - active.started_at
+    def _loss(self, active: Active, now: float, date: float) -> float:
+        """What stopping a run loses, in core-seconds, its whole gang included."""
+        work = active.work
+        step = work.job.steps[step_of(active.task)[1]]
+        ran, left = now - active.started_at, work.task_s(step)
         if step.checkpoints:
             # A stop makes a checkpoint.
-            ran = 0.0
-        return max(RESTART_LOSS_S, ran) * step.demand.cores * len(active.work.members(active.task))
-
-    def _place(self, fleet: Fleet, work: JobWork, unit: Unit, sure: bool, now: float) -> bool:
-        choice = fleet.place(unit, work.avoid, self._used_of(work, unit), work.priority == 0, sure)
-        if choice is None or (not sure and not self._worth(unit, choice)):
+            ran, left = 0.0, max(0.0, left - ran)
+        lost = max(RESTART_LOSS_S, ran) * step.demand.cores * len(work.members(active.task))
+        if work.can_finish(date) == 0 and date + RESTART_LOSS_S + left > work.deadline:
+            lost += late_loss(work.priority) * work.core_seconds
+        return lost
+
+    def _place(
+        self, fleet: Fleet, work: JobWork, unit: Unit, sure: bool, now: float, date: float
+    ) -> bool:
+        # Within a guarantee even urgent runs give way, if they are beyond theirs.
+        above = -1 if sure else work.priority
+        choice = fleet.place(unit, work.avoid, self._used_of(work, unit), above, sure)
+        if choice is None or (not sure and not self._worth(work, unit, choice, date)):
             return False
         fleet.take(unit, choice)
         if choice.ready:
@@ -431,11 +453,18 @@
             self._stop(victim, now, f"makes room for {work.job.id}")
         return True
 
-    def _worth(self, unit: Unit, choice: Choice) -> bool:
+    def _worth(self, work: JobWork, unit: Unit, choice: Choice, date: float) -> bool:
+        """Whether starting a unit at once is worth what its victims lose."""
         if not choice.victims:
             return True
-        gain = unit.step.demand.cores * len(unit.tasks) * unit.step.estimate_ms / 1000
-        return choice.cost <= PREEMPT_LOSS_SHARE * gain
+        if work.can_finish(date) != 0:
+            return False
+        seconds = work.task_s(unit.step)
+        slack = work.deadline - date - work.chain_s
+        if work.priority > 0 and slack > WAIT_SLACK * seconds:
+            return False
+        gain = late_loss(work.priority) * unit.step.demand.cores * len(unit.tasks) * seconds
+        return choice.cost <= PREEMPT_GAIN_SHARE * gain
 
     def _used_of(self, work: JobWork, unit: Unit) -> Callable[[TargetId], int]:
         if not unit.step.per_target:
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -43,17 +43,17 @@
         unit: Unit,
         avoid: set[TargetId],
         used: Callable[[TargetId], int],
-        preempt: bool,
+        above: int,
         spread: bool,
     ) -> Choice | None:
         """The cheapest choice for a unit, or None; nothing is taken yet.
 
-        With `preempt`, room that victims hold counts too. With `spread`, a unit that belongs
-        together may be spread over racks when no rack has room.
+        Room that runs of a priority number higher than `above` hold counts too. With `spread`, a
+        unit that belongs together may be spread over racks when no rack has room.
         """
-        choice = self._best(unit, self._usable(unit, avoid, used), used, preempt, spread)
+        choice = self._best(unit, self._usable(unit, avoid, used), used, above, spread)
         if choice is None and avoid:
-            choice = self._best(unit, self._usable(unit, set(), used), used, preempt, spread)
+            choice = self._best(unit, self._usable(unit, set(), used), used, above, spread)
         return choice
 
     def take(self, unit: Unit, choice: Choice) -> None:
@@ -79,7 +79,7 @@
         unit: Unit,
         usable: list[Slot],
         used: Callable[[TargetId], int],
-        preempt: bool,
+        above: int,
         spread: bool,
     ) -> Choice | None:
         step = unit.step
@@ -91,12 +91,12 @@
             for slot in usable:
                 racks.setdefault(slot.announcement.rack, []).append(slot)
             groups += list(racks.values())
-        near = [c for c in (self._fill(unit, g, used, preempt) for g in groups) if c is not None]
+        near = [c for c in (self._fill(unit, g, used, above) for g in groups) if c is not None]
         if near:
             return min(near, key=lambda choice: (not choice.ready, choice.cost))
         if not spread and any(self._capacity(unit, group) >= len(unit.tasks) for group in groups):
             return None
-        return self._fill(unit, usable, used, preempt)
+        return self._fill(unit, usable, used, above)
 
     @staticmethod
     def _capacity(unit: Unit, group: list[Slot]) -> int:
@@ -105,7 +105,7 @@
         return sum(_copies(slot.announcement.room, demand) for slot in group)
 
     def _fill(
-        self, unit: Unit, group: list[Slot], used: Callable[[TargetId], int], preempt: bool
+        self, unit: Unit, group: list[Slot], used: Callable[[TargetId], int], above: int
     ) -> Choice | None:
         demand, most = unit.step.demand, unit.step.per_target
         free = {slot.announcement.id: slot.free for slot in group}
@@ -118,7 +118,7 @@
                 target = slot.announcement.id
                 if most and count[target] >= most:
                     continue
-                option = _option(slot, free[target], demand, stopped, preempt)
+                option = _option(slot, free[target], demand, stopped, above)
                 if option is not None and (best is None or option[0] < best[0]):
                     best = (option[0], slot, option[1], option[2])
             if best is None:
@@ -151,20 +151,18 @@
 
 
 def _option(
-    slot: Slot, free: Room, demand: Room, stopped: dict[str, Active], preempt: bool
+    slot: Slot, free: Room, demand: Room, stopped: dict[str, Active], above: int
 ) -> tuple[float, list[tuple[float, Active]], bool] | None:
     """Cost, victims and readiness of one more task on a slot; None if it cannot fit."""
     if free.holds(demand):
         # The tightest fit keeps wide gaps for wide tasks.
         return ((free - demand).accelerators * 0.01 + (free - demand).cpu * 1e-7, [], True)
-    if not preempt:
-        return None
     room = free + slot.leaving
     victims: list[tuple[float, Active]] = []
     for cost, victim in slot.victims:
         if room.holds(demand):
             break
-        if victim.name not in stopped:
+        if victim.work.priority > above and victim.name not in stopped:
             room += victim.demand
             victims.append((cost, victim))
     if not room.holds(demand):
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from comfreyshelf.fleet.durations import Durations
 from comfreyshelf.fleet.jobs import (
     Incarnation,
     Job,
@@ -66,10 +67,13 @@
 class JobWork:
     """A job, how far it has come, and which of its tasks may run now."""
 
-    def __init__(self, job: Job, progress: Progress, queue: Queue | None) -> None:
+    def __init__(
+        self, job: Job, progress: Progress, queue: Queue | None, durations: Durations
+    ) -> None:
         self.job = job
         self.progress = progress
         self.queue = queue
+        self._durations = durations
         # Targets where a run of this job failed; the next run avoids them.
         self.avoid: set[TargetId] = set()
         # Gang runs whose failure has been counted: occurrence, step and run.
@@ -87,13 +91,17 @@
             return self.job.accepted_at
         return self.job.accepted_at + self.queue.latency_s + self.queue.stretch * self.chain_s
 
+    def task_s(self, step: Step) -> float:
+        """Expected seconds of one task of a step."""
+        return self._durations.expected(self.job.queue, step)
+
     @property
     def chain_s(self) -> float:
         """Estimated seconds of the longest chain of steps."""
         longest: list[float] = []
         for step in self.job.steps:
             before = max((longest[i] for i in step.after), default=0.0)
-            longest.append(before + step.estimate_ms / 1000)
+            longest.append(before + self.task_s(step))
         return max(longest, default=0.0)
 
     def occurrences(self, now: float, early_s: float) -> range:
@@ -186,9 +194,7 @@
     @property
     def core_seconds(self) -> float:
         """Estimated work of the whole job."""
-        return sum(
-            step.count * step.demand.cores * step.estimate_ms / 1000 for step in self.job.steps
-        )
+        return sum(step.count * step.demand.cores * self.task_s(step) for step in self.job.steps)
 
     def settle(self, phase: JobPhase, now: float) -> None:
         """Set the phase; a final one is dated."""
