Rank late urgent work behind what can be in time, and keep the member's name when another leads

Cause: in a flood of urgent jobs those that could only be late kept all others waiting; an owner that lost its partition joined under a new name, which moved the partition once more.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -301,7 +301,7 @@
         self._confirmed_at = monotonic()
         self._generation = membership.generation
         if not membership.leads and self._core is not None:
-            self._resign("another member leads")
+            self._resign("another member leads", still_leads=False)
         elif membership.leads and self._core is None and self._config is not None:
             self._take_over()
 
@@ -326,11 +326,13 @@
             self._core.load(entry, now)
         change("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
-    def _resign(self, why: str) -> None:
+    def _resign(self, why: str, still_leads: bool = True) -> None:
         change("owner resigned", why=why)
         core, self._core = self._core, None
         self._unsettled = None
-        self._end_term()
+        if still_leads:
+            # Leading again in the same generation would use its epoch twice.
+            self._end_term()
         for target in core.targets if core is not None else ():
             self._send_away(target)
 
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -341,7 +341,7 @@
         self._give_up(now, date)
         self._move(now)
         kept = 0
-        sure_jobs = self._sure_jobs()
+        sure_jobs = self._sure_jobs(date)
         fleet = Fleet(self._slots(now, date, sure_jobs))
         ranked = sorted(
             self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
@@ -350,18 +350,32 @@
             sure = work.job.id in sure_jobs
             for unit in work.pending(date, self.bounds.early_s):
                 placed = self._place(fleet, work, unit, sure, now, date)
-                if not placed and kept < KEPT_UNITS and work.priority <= 1:
+                hopeful = work.can_finish(date) == 0
+                if not placed and kept < KEPT_UNITS and work.priority <= 1 and hopeful:
                     kept += self._keep_room(fleet, work, unit)
 
-    def _sure_jobs(self) -> set[JobId]:
-        """Urgent jobs inside their organisation's guarantee, the earliest accepted first."""
+    def _sure_jobs(self, date: float) -> set[JobId]:
+        """Urgent jobs inside their organisation's guarantee.
+
+        All of them, if together they need no more than the guarantee; else those that can still be
+        in time, the earliest accepted first.
+        """
+        wanted: Counter[OrganisationId] = Counter()
+        urgent = []
+        for work in self.jobs.values():
+            if work.priority == 0 and not work.progress.phase.final:
+                wanted[work.job.organisation] += work.accelerators()
+                urgent.append(work)
         used: Counter[OrganisationId] = Counter()
         sure = set()
-        for work in sorted(self.jobs.values(), key=lambda w: w.job.accepted_at):
-            if work.priority == 0 and not work.progress.phase.final:
-                organisation, wanted = work.job.organisation, work.accelerators()
-                if used[organisation] + wanted <= self.config.guaranteed(organisation):
-                    used[organisation] += wanted
+        for work in sorted(urgent, key=lambda w: w.job.accepted_at):
+            organisation = work.job.organisation
+            guaranteed = self.config.guaranteed(organisation)
+            if wanted[organisation] <= guaranteed:
+                sure.add(work.job.id)
+            elif work.can_finish(date) == 0:
+                used[organisation] += work.accelerators()
+                if used[organisation] <= guaranteed:
                     sure.add(work.job.id)
         return sure
 
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -25,7 +25,11 @@
 # A job that ends later than this many times its objective is worth nothing to its caller.
 LATE_FACTOR = 3.0
 # Jobs that cannot end before that come after all others.
-HOPELESS_RANK = 90
+HOPELESS_RANK = 6
+# Rank by priority of jobs that can still be in time, and of those that can only be late: a late
+# answer is worth a fraction, so less urgent work that can be in time goes before it.
+IN_TIME_RANKS = (0, 1, 3)
+LATE_RANKS = (2, 4, 5)
 
 
 class Unit(msgspec.Struct, frozen=True):
@@ -184,12 +188,14 @@
         objective = self.deadline - self.job.accepted_at
         return 1 if end <= self.job.accepted_at + LATE_FACTOR * objective else 2
 
-    def order(self, date: float) -> tuple[int, int, float]:
-        """Sort key: most urgent first, then what can still be in time, earliest deadline first."""
+    def order(self, date: float) -> tuple[int, float]:
+        """Sort key: by the rank of priority and hope, then earliest deadline or least work."""
         state = self.can_finish(date) if self.job.times <= 0 else 0
         if state == 2:
-            return (HOPELESS_RANK, state, self.deadline)
-        return (self.priority, state, self.deadline if state == 0 else self.core_seconds)
+            return (HOPELESS_RANK, self.deadline)
+        ranks = IN_TIME_RANKS if state == 0 else LATE_RANKS
+        rank = ranks[min(self.priority, len(ranks) - 1)]
+        return (rank, self.deadline if state == 0 else self.core_seconds)
 
     @property
     def core_seconds(self) -> float:
