Hold requests 1.2 s for the store; the least urgent work does not borrow without checkpoints

Cause: callers gave up within 2.7 s while the store was away, whatever the refusal told them; work of the lowest priority was thrown away by reclaims.

--- a/comfreyshelf/fleet/codec.py
+++ b/comfreyshelf/fleet/codec.py
@@ -36,6 +36,10 @@
     def waiting(self, count: int) -> bytes:
         """The body that tells how many jobs of a queue wait."""
 
+    @abstractmethod
+    def refusal(self, retry_after_s: int) -> bytes:
+        """The body of a refusal; 0 means that a retry does not help."""
+
     @abstractmethod
     def target_of(self, path: str) -> str:
         """The target that a heartbeat's path names, empty if it names none."""
--- a/comfreyshelf/fleet/front.py
+++ b/comfreyshelf/fleet/front.py
@@ -17,6 +17,8 @@
 RETRY_AFTER_S = 1
 # While the store cannot be reached at all, callers are asked to wait longer.
 OUTAGE_RETRY_AFTER_S = 2
+# A record waits this long for the store to come back before its request is refused.
+HOLD_S = 1.2
 # An append that got no answer is repeated for this long; its records may come twice.
 APPEND_LIMIT_S = 2.2
 APPEND_PAUSE_S = 0.1
@@ -93,13 +95,17 @@
         self._metrics.count(f'refusals{{status="{status}"}}')
         change("refused", method=call.method, path=call.path, status=status, why=why)
         wait_s = RETRY_AFTER_S if self._reachable() else OUTAGE_RETRY_AFTER_S
-        return Reply(status, b"{}", wait_s if status == 503 else 0)
+        wait_s = wait_s if status == 503 else 0
+        return Reply(status, self._codec.refusal(wait_s), wait_s)
 
     def _write(self, record: KeyedRecord) -> None:
         """Store a record; StoreBusyError means that it is not stored and never will be."""
-        if not self._reachable():
-            # Not even tried, so that the refusal is true.
-            raise StoreBusyError("the store cannot be reached", "try again later")
+        hold_until = time.monotonic() + HOLD_S
+        while not self._reachable():
+            if time.monotonic() > hold_until:
+                # Not even tried, so that the refusal is true.
+                raise StoreBusyError("the store cannot be reached", "try again later")
+            time.sleep(APPEND_PAUSE_S)
         unanswered: StoreSilentError | None = None
         until = time.monotonic() + APPEND_LIMIT_S
         while unanswered is None or time.monotonic() < until:
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -1,5 +1,6 @@
 """The owner of the schedule: decides what runs where, from reports and accepted jobs."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -28,6 +29,10 @@
 LATE_LOSS = (3.4, 1.5, 0.2)
 # Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain.
 PREEMPT_GAIN_SHARE = 0.3
+# Work of this priority number or higher borrows guaranteed accelerators only with checkpoints.
+LENDING_PRIORITY = 2
+# Guarantees count as claimed at any moment for this long after the last urgent job.
+URGENT_RECENT_S = 8.0
 # A less urgent unit waits while its slack exceeds this many of its run times.
 WAIT_SLACK = 0.5
 # Other urgent runs, beyond their guarantee, are stopped only where nothing else suffices.
@@ -71,6 +76,8 @@
         # Runs on targets that have not reported to this owner yet.
         self._unseen: dict[TargetId, list[Active]] = {}
         self._dirty: set[JobId] = set()
+        # When the newest urgent job was accepted, in seconds since the epoch.
+        self._urgent_at = 0.0
         self._durations = Durations()
 
     # Jobs
@@ -343,17 +350,50 @@
         kept = 0
         sure_jobs = self._sure_jobs(date)
         fleet = Fleet(self._slots(now, date, sure_jobs))
+        headroom = self._headroom(fleet, date)
         ranked = sorted(
             self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
         )
         for work in ranked:
             sure = work.job.id in sure_jobs
+            hopeful = work.can_finish(date) == 0
             for unit in work.pending(date, self.bounds.early_s):
+                wanted = unit.step.demand.accelerators * len(unit.tasks)
+                if wanted > headroom and not self._may_borrow(work, unit, hopeful):
+                    continue
                 placed = self._place(fleet, work, unit, sure, now, date)
-                hopeful = work.can_finish(date) == 0
+                if placed and not sure:
+                    headroom -= wanted
                 if not placed and kept < KEPT_UNITS and work.priority <= 1 and hopeful:
                     kept += self._keep_room(fleet, work, unit)
 
+    def _headroom(self, fleet: Fleet, date: float) -> float:
+        """Free accelerators beyond those that guarantees may still claim.
+
+        Guarantees claim nothing while no urgent job has come for URGENT_RECENT_S.
+        """
+        urgent = [w for w in self.jobs.values() if w.priority == 0]
+        self._urgent_at = max([self._urgent_at, *(w.job.accepted_at for w in urgent)])
+        if date - self._urgent_at > URGENT_RECENT_S:
+            return math.inf
+        free = sum(slot.free.accelerators for slot in fleet.slots.values())
+        used: Counter[OrganisationId] = Counter()
+        for view in self.targets.values():
+            for active in view.active.values():
+                if active.work.priority == 0:
+                    used[active.work.job.organisation] += active.demand.accelerators
+        claims = (max(0, o.guaranteed - used[o.id]) for o in self.config.organisations)
+        return free - sum(claims)
+
+    @staticmethod
+    def _may_borrow(work: JobWork, unit: Unit, hopeful: bool) -> bool:
+        """Whether a unit may use accelerators that a guarantee may claim at any time.
+
+        The least urgent work, and work that is too late anyway, would lose more by a reclaim than
+        it gains by an early start, unless it keeps checkpoints.
+        """
+        return (hopeful and work.priority < LENDING_PRIORITY) or unit.step.checkpoints
+
     def _sure_jobs(self, date: float) -> set[JobId]:
         """Urgent jobs inside their organisation's guarantee.
 
--- a/comfreyshelf/platform/wire.py
+++ b/comfreyshelf/platform/wire.py
@@ -256,5 +256,8 @@
     def waiting(self, count: int) -> bytes:
         return encode_waiting(count)
 
+    def refusal(self, retry_after_s: int) -> bytes:
+        return msgspec.json.encode({"retry-after-ms": retry_after_s * 1000})
+
     def target_of(self, path: str) -> str:
         return path.removeprefix(_INSTANCES) if path.startswith(_INSTANCES) else ""
