Stop the runs of a job that was cancelled before a new owner took over

Ruled out: the caller's cancel coming late (stored before the takeover). Starts are no longer sent to a target that has not listed its runs.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -291,7 +291,7 @@
             case JobChanged(job):
                 entry = self._book.get(job)
                 if self._core is not None and entry is not None:
-                    self._core.load(entry, monotonic())
+                    self._core.load(entry, monotonic(), time.time())
         if self._inbox.empty():
             self._decide()
 
@@ -325,7 +325,7 @@
         self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
         self._core.note = change
         for entry in self._book.entries():
-            self._core.load(entry, now)
+            self._core.load(entry, now, time.time())
         change("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
     def _resign(self, why: str, still_leads: bool = True) -> None:
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -82,7 +82,7 @@
 
     # Jobs
 
-    def load(self, entry: Entry, now: float) -> None:
+    def load(self, entry: Entry, now: float, date: float) -> None:
         """Take over a job, or take note that it was accepted or cancelled."""
         job = entry.job
         if job is None:
@@ -100,7 +100,7 @@
                 if task.target and not task.done:
                     self._adopt(work, name, now)
         if entry.cancelled and not work.progress.phase.final:
-            self._finish(work, JobPhase.CANCELLED, now, "cancelled by its caller")
+            self._finish(work, JobPhase.CANCELLED, date, "cancelled by its caller")
 
     def _adopt(self, work: JobWork, name: str, now: float) -> None:
         task = work.progress.tasks[name]  # type: ignore[index]
@@ -334,6 +334,10 @@
             if active is not None and active.stop_since is None:
                 active.stop_since = now if now is not None else view.seen_at
                 view.changed = True
+        for runs in self._unseen.values():
+            for active in runs:
+                if active.name == full and active.stop_since is None:
+                    active.stop_since = now if now is not None else self._since
 
     def _lose(self, view: TargetView, date: float, why: str) -> None:
         """Give up all runs of a target, which can no longer run them."""
@@ -601,7 +605,7 @@
         for active in view.active.values():
             if active.stop_since is not None:
                 stops.append(StopOrder(active.name, active.run))
-            elif active.written and not active.confirmed:
+            elif active.written and not active.confirmed and view.lists_known:
                 task = active.work.task(active.task)
                 starts.append(
                     StartOrder(active.name, active.run, active.work.job.payload, task.resumed_from)
--- a/features/fleet_owner.feature
+++ b/features/fleet_owner.feature
@@ -85,6 +85,19 @@
     When its caller cancels the job
     Then its run is stopped, and nothing is ordered after its end
 
+  Scenario: A new owner stops the runs of a job that was cancelled before it took over
+    Given a job of 1 task of 8 accelerators runs
+    And its caller cancels the job while there is no owner
+    When a new owner takes over
+    Then its run is stopped, and nothing is ordered after its end
+    And the job's end is dated by the time of day
+
+  Scenario: A new owner sends no start to a target that has not listed its runs
+    Given a job of 1 task of 8 accelerators runs
+    And a new owner takes over
+    When its target process has started again and has not listed its runs
+    Then no start is sent to it
+
   Scenario: Runs that nobody asked for are stopped
     When a target lists a run that was never ordered
     Then that run is stopped
--- a/features/steps/fleet_owner_steps.py
+++ b/features/steps/fleet_owner_steps.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
@@ -107,6 +108,7 @@
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
         self.jobs: dict[JobId, Job] = {}
+        self.cancelled: set[JobId] = set()
         self.settle()
 
     @property
@@ -118,7 +120,7 @@
         queue_name = QueueName(str(more.pop("queue", "usual")))
         job = Job(JobId(name), organisation, queue_name, "spec", steps, self.date, **more)
         self.jobs[job.id] = job
-        self.core.load(Entry(job), self.now)
+        self.core.load(Entry(job), self.now, self.date)
         return job
 
     def store(self) -> None:
@@ -323,12 +325,41 @@
 
 
 @given("a new owner takes over")
+@when("a new owner takes over")
 def takeover(context: Context) -> None:
-    old = context.world.core
-    context.world.core = OwnerCore(CONFIG, Bounds(), Token(2), context.world.now)
-    for job, progress in context.world.log.items():
-        context.world.core.load(Entry(context.world.jobs[job], False, progress), context.world.now)
-    assert old.jobs
+    world = context.world
+    world.core = OwnerCore(CONFIG, Bounds(), Token(2), world.now)
+    for job, progress in world.log.items():
+        entry = Entry(world.jobs[job], job in world.cancelled, progress)
+        world.core.load(entry, world.now, world.date)
+
+
+@given("its caller cancels the job while there is no owner")
+def cancelled_unowned(context: Context) -> None:
+    context.world.cancelled.add(JobId("job"))
+
+
+@then("the job's end is dated by the time of day")
+def dated(context: Context) -> None:
+    progress = context.world.log[JobId("job")]
+    assert progress.phase is JobPhase.CANCELLED
+    assert abs(progress.ended_at - context.world.date) < 60, progress.ended_at
+
+
+@when("its target process has started again and has not listed its runs")
+def unlisted(context: Context) -> None:
+    world = context.world
+    report = context.ran_on.report(world.now)
+    unknown = msgspec.structs.replace(report, lists_known=False, running=())
+    world.core.report(unknown, world.now, world.date)
+    world.core.plan(world.now, world.date)
+    world.store()
+
+
+@then("no start is sent to it")
+def no_start(context: Context) -> None:
+    core = context.world.core
+    assert not core.orders(core.targets[context.ran_on.id]).starts
 
 
 @then("the task is ordered again with run 2")
@@ -437,7 +468,7 @@
 @when("its caller cancels the job")
 def cancelled(context: Context) -> None:
     job = context.world.jobs[JobId("job")]
-    context.world.core.load(Entry(job, True), context.world.now)
+    context.world.core.load(Entry(job, True), context.world.now, context.world.date)
     context.world.settle()
 
 
