--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -26,7 +26,6 @@
     Membership,
     StoreBusyError,
     StoreSilentError,
-    Writer,
 )
 from comfreyshelf.fleet.target import TargetState
 from comfreyshelf.fleet.target_process import TargetProcess
