--- a/comfreyshelf/fleet/__main__.py
+++ b/comfreyshelf/fleet/__main__.py
@@ -1,5 +1,6 @@
 """Runs a process of the fleet: ``python -m comfreyshelf.fleet entry|target``."""
 
+import logging as standard
 import os
 import signal
 import sys
@@ -15,6 +16,15 @@
 from comfreyshelf.platform.store import LogStore
 from comfreyshelf.platform.wire import PlatformCodec
 
+STOP_LIMIT_S = 1.0
+
+
+def exit_now(role: str) -> None:
+    """End the process although services have not closed yet."""
+    change("process stopped before all services had closed", role=role)
+    standard.shutdown()
+    os._exit(0)
+
 
 def main(role: str) -> None:
     """Run one process until SIGTERM."""
@@ -37,6 +47,10 @@
         stop.wait()
         change("process stopping", role=role)
         process.prepare_stop()
+        # What is still open now only reads; nothing of a caller depends on it.
+        limit = threading.Timer(STOP_LIMIT_S, exit_now, (role,))
+        limit.daemon = True
+        limit.start()
     change("process stopped", role=role)
 
 
--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -28,7 +28,7 @@
     Writer,
 )
 from comfreyshelf.fleet.target import OWNER_GROUP
-from comfreyshelf.fleet.web import Call, Reply, WebServer
+from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
 from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.kernel import Kernel
 from comfreyshelf.logs import change
@@ -44,13 +44,20 @@
 MEMBER_TTL_MS = 1200
 JOIN_INTERVAL_S = 0.3
 MOVED_INTERVAL_S = 0.03
+# An entry that does not lead looks this often whether anyone does.
+WATCH_INTERVAL_S = 0.3
+# A member that does not lead leaves the group after this long.
+SPARE_S = 3.0
+# A stopping entry lets others take the lead for this long.
+STOPPING_WAIT_S = 1.0
 # An owner whose membership is not confirmed for this long stops giving orders.
 UNCONFIRMED_S = 10.0
 TICK_S = 0.25
 REMOVAL_INTERVAL_S = 10.0
 # Knowledge of jobs older than this makes an entry report itself not ready.
 STALE_S = 6.0
-NOTICE_S = 2.6
+# A stopping entry serves on until the balancer has missed two of its probes, one a second.
+NOTICE_S = 2.4
 FRONT_THREADS = 8
 CONTROL_THREADS = 4
 READY_THREADS = 1
@@ -177,8 +184,9 @@
 
 
 class Member(Poller):
-    """Stays in the group whose leader owns the schedule.
+    """Watches the group whose leader owns the schedule, and joins it while it has no leader.
 
+    A member that joins takes the lead from the present one, so only an entry that finds none joins.
     Each term has a member name of its own, so that the group's generation, which is the epoch of
     the owner's writes, is never used by two terms.
     """
@@ -189,38 +197,60 @@
         self._name = name
         self._told = told
         self._generation = 0
-        self._member = self._next_name()
+        self._member = ""
+        self._led_at = float("-inf")
         self._renew = threading.Event()
-
-    def _next_name(self) -> str:
-        return f"{self._name}/{time.time_ns() // 1_000_000}"
+        # A stopping entry leads only when nobody else does.
+        self.stopping = False
 
     def end_term(self) -> None:
-        """Leave the group and join it again as another member."""
+        """Leave the group, and join it again as another member when it has no leader."""
         self._renew.set()
 
     def poll(self) -> None:
-        if self._renew.is_set():
-            self._renew.clear()
-            self._leave()
-            self._member = self._next_name()
         try:
-            membership = self._store.join(
-                OWNER_GROUP, self._member, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
-            )
+            if self._renew.is_set():
+                self._renew.clear()
+                self._leave()
+            self.wait(self._stay() if self._member else self._watch())
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
             self.wait(RETRY_S)
-            return
+
+    def _watch(self) -> float:
+        """Join if nobody leads; returns the seconds until the next look."""
+        now = monotonic()
+        if self._store.leader(OWNER_GROUP):
+            self._led_at = now
+            self._told(Membership(self._generation, False))
+            return WATCH_INTERVAL_S
+        if self.stopping and now - self._led_at < STOPPING_WAIT_S:
+            return WATCH_INTERVAL_S
+        self._member = f"{self._name}/{time.time_ns() // 1_000_000}"
+        self._led_at = monotonic()
+        return 0.0
+
+    def _stay(self) -> float:
+        """Renew the membership; returns the seconds until the next renewal."""
+        membership = self._store.join(
+            OWNER_GROUP, self._member, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
+        )
         moved = membership.generation != self._generation
         self._generation = membership.generation
         if not self._renew.is_set():
             self._told(membership)
+        if membership.leads:
+            self._led_at = monotonic()
+        elif monotonic() - self._led_at > SPARE_S:
+            self._leave()
         # A partition moves only once its last holder has joined with the new generation.
-        self.wait(MOVED_INTERVAL_S if moved else JOIN_INTERVAL_S)
+        return MOVED_INTERVAL_S if moved else JOIN_INTERVAL_S
 
     def _leave(self) -> None:
+        member, self._member = self._member, ""
+        if not member:
+            return
         try:
-            self._store.leave(OWNER_GROUP, self._member)
+            self._store.leave(OWNER_GROUP, member)
         except (StoreBusyError, StoreSilentError) as exc:
             change("group not left", why=str(exc))
 
@@ -448,6 +478,8 @@
         self.kernel = Kernel()
         register = self.kernel.register
         register("metrics", self.metrics)
+        if settings.metrics_address:
+            register("metrics-server", metrics_server(settings.metrics_address, self.metrics))
         register("hub", self._hub)
         register("owner", self._owner)
         register("configuration", self._configs)
@@ -472,8 +504,6 @@
         return Reply(200 if ready else 503, b"{}")
 
     def _control(self, call: Call) -> Reply:
-        if call.path == "/metrics":
-            return Reply(200, self.metrics.render().encode(), kind="text/plain")
         if call.path == RELAY_PATH:
             headers = {
                 key.removeprefix("HTTP_").replace("_", "-").lower(): value
@@ -484,9 +514,10 @@
         return Reply(404, b"{}")
 
     def prepare_stop(self) -> None:
-        """Report not ready and hand over the schedule, but still serve callers for a while."""
-        self._stopping = True
+        """Report not ready but serve on, then close the front and hand over the schedule."""
+        self._stopping = self._member.stopping = True
         self._front.closing = True
-        self._member.stop()
-        self._owner.send(Membership(0, False))
         time.sleep(NOTICE_S)
+        self._front.stop()
+        self._owner.send(Membership(0, False))
+        self._member.stop()
--- a/comfreyshelf/fleet/settings.py
+++ b/comfreyshelf/fleet/settings.py
@@ -8,6 +8,7 @@
 class FleetSettings(msgspec.Struct, frozen=True):
     """Settings of a process, section ``[process]``; addresses are ``ip:port``, times seconds.
 
+    Metrics are served at `/metrics` of `metrics_address` if that is given.
     `front_address` and `ready_address` are empty on a target process, `runner_address` on an entry.
     `peers` are control addresses of entries, which may be stale.
     """
@@ -22,6 +23,7 @@
     front_address: str = ""
     ready_address: str = ""
     runner_address: str = ""
+    metrics_address: str = ""
     lease_s: float = 6.0
     stop_grace_s: float = 0.2
     gang_wait_s: float = 3.0
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -8,7 +8,7 @@
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import Store
 from comfreyshelf.fleet.target import Looker, Orderer, OwnerLink, Runner, TargetState
-from comfreyshelf.fleet.web import Call, Reply, WebServer
+from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
 from comfreyshelf.ids import TargetId
 from comfreyshelf.kernel import Kernel
 from comfreyshelf.logs import change
@@ -37,6 +37,10 @@
         self._orderer = Orderer(self._state, self._runner, self.metrics)
         self.kernel = Kernel()
         self.kernel.register("metrics", self.metrics)
+        if settings.metrics_address:
+            self.kernel.register(
+                "metrics-server", metrics_server(settings.metrics_address, self.metrics)
+            )
         self.kernel.register("looker", Looker(self._state, self._runner))
         self.kernel.register("link", OwnerLink(self._state, make_store(relay), self._orderer))
         self.kernel.register(
@@ -50,8 +54,6 @@
         )
 
     def _control(self, call: Call) -> Reply:
-        if call.path == "/metrics":
-            return Reply(200, self.metrics.render().encode(), kind="text/plain")
         target = self._codec.target_of(call.path)
         if not target:
             return Reply(404, b"{}")
--- a/comfreyshelf/fleet/web.py
+++ b/comfreyshelf/fleet/web.py
@@ -7,6 +7,7 @@
 from cheroot.wsgi import Server
 
 from comfreyshelf.kernel import Service
+from comfreyshelf.metrics import Metrics
 
 REASONS = {
     200: "OK",
@@ -43,6 +44,17 @@
     kind: str = "application/json"
 
 
+def metrics_server(address: str, metrics: Metrics) -> "WebServer":
+    """Serves the metrics of a process as text."""
+
+    def handle(call: Call) -> Reply:
+        if call.path != "/metrics":
+            return Reply(404, b"{}")
+        return Reply(200, metrics.render().encode(), kind="text/plain")
+
+    return WebServer(address, 1, handle, lambda: 0)
+
+
 class WebServer(Service):
     """Serves one address; `handle` runs in one of `threads` threads."""
 
@@ -77,8 +89,10 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Answer what has been read, then close."""
-        self._server.stop()
+        """Answer what has been read, then close; a second call does nothing."""
+        if self._thread is not None:
+            self._thread = None
+            self._server.stop()
 
     def _application(
         self, environ: dict, start_response: Callable[[str, list[tuple[str, str]]], object]
--- a/comfreyshelf/platform/settings.py
+++ b/comfreyshelf/platform/settings.py
@@ -7,6 +7,8 @@
 from comfreyshelf.errors import SettingsError
 from comfreyshelf.fleet.settings import FleetSettings
 
+# As in deploy/system.toml.
+METRICS_PORT = 9464
 SETTINGS_VARIABLE = "COMFREYSHELF_CONFIG"
 
 
@@ -57,6 +59,7 @@
         node.listen.get("front", ""),
         node.listen.get("ready", ""),
         node.app,
+        f"{node.ip}:{METRICS_PORT}",
         bounds.hold_max_ms / 1000,
         bounds.stop_grace_ms / 1000,
         bounds.gang_wait_ms / 1000,
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -197,9 +197,10 @@
         self.owner.handle(PlatformCodec().config(json.dumps(CONFIG).encode()))
 
     def join(self) -> None:
-        for _ in range(5):
+        for _ in range(8):
             self.member.poll()
-            self.owner.handle(self.memberships[-1])
+            if self.memberships:
+                self.owner.handle(self.memberships[-1])
             if self.owner._core is not None:
                 return
 
