--- /dev/null
+++ b/comfreyshelf/explain.py
@@ -0,0 +1,88 @@
+"""One request's or job's story, from the structured log lines of all processes."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from comfreyshelf.ids import JobId
+
+_decode = msgspec.json.Decoder(dict).decode
+# Fields that every line has; the story shows them first or leaves them out.
+_COMMON = ("time", "level", "process", "event")
+# Events that concern all jobs of their time, and that explain pauses in a story.
+_SHARED = frozenset(
+    {
+        "owner elected",
+        "owner resigned",
+        "store lost",
+        "store regained",
+        "progress not stored",
+        "progress is stored again",
+        "process started",
+        "process stopping",
+    }
+)
+# The causes that end a story, the most specific first.
+_CAUSES = (
+    ("refused", "it was refused: {why}"),
+    ("cancelled", "its caller cancelled it"),
+    ("job ended", "it ended as {phase}: {why}"),
+    ("run lost", "a run was lost: {why}"),
+    ("run stopped", "a run was stopped: {why}"),
+)
+
+
+def read_lines(texts: Iterable[str]) -> list[dict[str, object]]:
+    """Decode log lines, each from its first brace on; other text is passed over."""
+    lines = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            line = _decode(text[start:].strip())
+        except msgspec.DecodeError:
+            continue
+        if all(name in line for name in ("time", "process", "event")):
+            lines.append(line)
+    return sorted(lines, key=lambda line: float(line["time"]))
+
+
+def story(lines: list[dict[str, object]], job: JobId) -> list[dict[str, object]]:
+    """The lines that name a job, and between the first and last of them what concerned all jobs."""
+    own = [line for line in lines if _names(line, job)]
+    if not own:
+        return []
+    first, last = float(str(own[0]["time"])), float(str(own[-1]["time"]))
+    return [
+        line
+        for line in lines
+        if _names(line, job)
+        or (line["event"] in _SHARED and first <= float(str(line["time"])) <= last)
+    ]
+
+
+def cause(lines: list[dict[str, object]], job: JobId) -> str:
+    """The cause of a job's outcome in one sentence."""
+    own = [line for line in lines if _names(line, job)]
+    for event, sentence in _CAUSES:
+        for line in reversed(own):
+            if line["event"] == event:
+                return sentence.format_map({"why": "", "phase": ""} | line)
+    if not own:
+        return "no line names it"
+    return f"its last line is '{own[-1]['event']}': it was still under way"
+
+
+def render(line: dict[str, object], start: float) -> str:
+    """A line of the story, with seconds since its start."""
+    fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in _COMMON)
+    after = float(str(line["time"])) - start
+    return f"{after:9.3f} s  {line['process']}: {line['event']} {fields}".rstrip()
+
+
+def _names(line: dict[str, object], job: JobId) -> bool:
+    if line.get("job") == job:
+        return True
+    task, path, why = (str(line.get(name, "")) for name in ("task", "path", "why"))
+    return task.startswith(f"{job}.") or path.endswith(f"/{job}") or why.endswith(f" {job}")
--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -328,6 +328,21 @@
     def tick(self) -> None:
         """Give up, move and place what has become due."""
         self._decide()
+        self._measure()
+
+    def _measure(self) -> None:
+        now, gauge = monotonic(), self._metrics.gauge
+        gauge("owns_schedule", int(self._core is not None))
+        gauge('belief_age_seconds{of="ownership"}', round(now - self._confirmed_at, 3))
+        if self._keeper is not None:
+            gauge('belief_age_seconds{of="jobs"}', round(now - self._keeper.read_at, 3))
+        if self._config is not None:
+            gauge("configuration_version", self._config.version)
+        if self._core is not None:
+            ages = [now - view.seen_at for view in self._core.targets.values()]
+            gauge('belief_age_seconds{of="targets"}', round(max(ages, default=0.0), 3))
+            gauge("targets", len(ages))
+            gauge("jobs_open", len(self._core.jobs))
 
     def _member(self, membership: Membership) -> None:
         self._confirmed_at = monotonic()
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -33,6 +33,8 @@
 LENDING_PRIORITY = 2
 # Guarantees count as claimed at any moment for this long after the last urgent job.
 URGENT_RECENT_S = 8.0
+# A new owner, which has not seen what came before, takes guarantees for claimed this long.
+TERM_CAUTION_S = 12.0
 # A less urgent unit waits while its slack exceeds this many of its run times.
 WAIT_SLACK = 0.5
 # Other urgent runs, beyond their guarantee, are stopped only where nothing else suffices.
@@ -354,7 +356,7 @@
         kept = 0
         sure_jobs = self._sure_jobs(date)
         fleet = Fleet(self._slots(now, date, sure_jobs))
-        headroom = self._headroom(fleet, date)
+        headroom = self._headroom(fleet, now, date)
         ranked = sorted(
             self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
         )
@@ -371,14 +373,15 @@
                 if not placed and kept < KEPT_UNITS and work.priority <= 1 and hopeful:
                     kept += self._keep_room(fleet, work, unit)
 
-    def _headroom(self, fleet: Fleet, date: float) -> float:
+    def _headroom(self, fleet: Fleet, now: float, date: float) -> float:
         """Free accelerators beyond those that guarantees may still claim.
 
         Guarantees claim nothing while no urgent job has come for URGENT_RECENT_S.
         """
         urgent = [w for w in self.jobs.values() if w.priority == 0]
         self._urgent_at = max([self._urgent_at, *(w.job.accepted_at for w in urgent)])
-        if date - self._urgent_at > URGENT_RECENT_S:
+        settled = now - self._since > TERM_CAUTION_S
+        if settled and date - self._urgent_at > URGENT_RECENT_S:
             return math.inf
         free = sum(slot.free.accelerators for slot in fleet.slots.values())
         used: Counter[OrganisationId] = Counter()
@@ -502,7 +505,7 @@
             return False
         fleet.take(unit, choice)
         if choice.ready:
-            self._order(work, unit, choice, now)
+            self._order(work, unit, choice, now, date)
             return True
         for victim in choice.victims:
             slot = fleet.slots[victim.target]
@@ -548,7 +551,7 @@
             slot.free -= demand
         return 1 if fits else 0
 
-    def _order(self, work: JobWork, unit: Unit, choice: Choice, now: float) -> None:
+    def _order(self, work: JobWork, unit: Unit, choice: Choice, now: float, date: float) -> None:
         run = RunNumber(max(work.task(name).run for name in unit.tasks) + 1)
         # All members of a gang have to resume from the same checkpoint.
         checkpoint = work.task(unit.tasks[0]).checkpoint
@@ -571,7 +574,10 @@
             occurrence=unit.occurrence,
             run=run,
             targets=sorted(set(choice.targets)),
-            gang=unit.step.gang,
+            tasks=unit.tasks if unit.step.gang else unit.tasks[0],
+            priority=work.priority,
+            slack_s=round(work.deadline - date - work.chain_s, 1),
+            version=self.config.version,
         )
 
     # Output
--- a/comfreyshelf/ui/app.py
+++ b/comfreyshelf/ui/app.py
@@ -2,9 +2,10 @@
 
 import typer
 
-from comfreyshelf.ui import callers, daemons, operators
+from comfreyshelf.ui import callers, daemons, explaining, operators
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 operators.add_commands(app)
 callers.add_commands(app)
 daemons.add_commands(app)
+explaining.add_commands(app)
--- /dev/null
+++ b/comfreyshelf/ui/explaining.py
@@ -0,0 +1,44 @@
+"""The command that explains a request or job from log lines."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from comfreyshelf.errors import SettingsError, UserError
+from comfreyshelf.explain import cause, read_lines, render, story
+from comfreyshelf.ids import JobId
+
+
+class UnknownJobError(UserError):
+    """No log line names the job."""
+
+
+def add_commands(app: typer.Typer) -> None:
+    """Register the command."""
+    app.command("explain")(explain)
+
+
+def explain(
+    job: Annotated[str, typer.Argument(help="id of the request or job")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="log files; standard input if none is given")
+    ] = None,
+) -> None:
+    """Print the story of a request or job, in order, and its cause."""
+    texts: list[str] = []
+    try:
+        for path in files or ():
+            texts += path.read_text(encoding="utf-8", errors="replace").splitlines()
+    except OSError as exc:
+        raise SettingsError(f"cannot read {exc.filename}: {exc}", "give a log file") from exc
+    if not files:
+        texts = sys.stdin.read().splitlines()
+    lines = story(read_lines(texts), JobId(job))
+    if not lines:
+        raise UnknownJobError(f"no line names {job}", "give the logs of all entries and targets")
+    start = float(str(lines[0]["time"]))
+    for line in lines:
+        print(render(line, start))
+    print(f"cause: {cause(lines, JobId(job))}")
