--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -289,6 +289,7 @@
         self._core: OwnerCore | None = None
         self._generation = 0
         self._sequence = 0
+        self._date_offset = 0.0
         # An append that got no answer; it is repeated as it was, under its own sequence number.
         self._unsettled: list[KeyedRecord] | None = None
         self._write_after = float("-inf")
@@ -314,14 +315,14 @@
                 if self._core is None:
                     self._send_away(report.announcement.id)
                 else:
-                    self._core.report(report, at, time.time())
+                    self._core.report(report, at, self._date())
                     view = self._core.targets.get(report.announcement.id)
                     if view is not None:
                         view.changed = True
             case JobChanged(job):
                 entry = self._book.get(job)
                 if self._core is not None and entry is not None:
-                    self._core.load(entry, monotonic(), time.time())
+                    self._core.load(entry, monotonic(), self._date())
         if self._inbox.empty():
             self._decide()
 
@@ -344,6 +345,10 @@
             gauge("targets", len(ages))
             gauge("jobs_open", len(self._core.jobs))
 
+    def _date(self) -> float:
+        """Seconds since the epoch, without the steps that the clock makes during a term."""
+        return monotonic() + self._date_offset
+
     def _member(self, membership: Membership) -> None:
         self._confirmed_at = monotonic()
         self._generation = membership.generation
@@ -367,10 +372,11 @@
             return
         self._sequence = 1
         now = monotonic()
+        self._date_offset = time.time() - now
         self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
         self._core.note = change
         for entry in self._book.entries():
-            self._core.load(entry, now, time.time())
+            self._core.load(entry, now, self._date())
         change("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
     def _resign(self, why: str, still_leads: bool = True) -> None:
@@ -395,7 +401,7 @@
         if monotonic() - self._confirmed_at > UNCONFIRMED_S:
             self._resign("membership is not confirmed")
             return
-        core.plan(monotonic(), time.time())
+        core.plan(monotonic(), self._date())
         if self._write(core):
             self._send(core)
 
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -97,6 +97,8 @@
                 entry.progress.phase, dict(entry.progress.tasks), entry.progress.ended_at
             )
             work = JobWork(job, progress, self.config.queue(job.queue), self._durations)
+            # Clocks differ: a job that comes in during this term was accepted just now.
+            work.accepted_at = date if now > self._since else min(date, job.accepted_at)
             self.jobs[job.id] = work
             for name, task in progress.tasks.items():
                 if task.target and not task.done:
@@ -323,7 +325,7 @@
             job=work.job.id,
             phase=phase.value,
             why=why,
-            took_s=round(date - work.job.accepted_at, 2),
+            took_s=round(date - work.accepted_at, 2),
         )
         for name in list(work.progress.tasks):
             self._stop_task(work, name, None)
@@ -379,7 +381,7 @@
         Guarantees claim nothing while no urgent job has come for URGENT_RECENT_S.
         """
         urgent = [w for w in self.jobs.values() if w.priority == 0]
-        self._urgent_at = max([self._urgent_at, *(w.job.accepted_at for w in urgent)])
+        self._urgent_at = max([self._urgent_at, *(w.accepted_at for w in urgent)])
         settled = now - self._since > TERM_CAUTION_S
         if settled and date - self._urgent_at > URGENT_RECENT_S:
             return math.inf
@@ -415,7 +417,7 @@
                 urgent.append(work)
         used: Counter[OrganisationId] = Counter()
         sure = set()
-        for work in sorted(urgent, key=lambda w: w.job.accepted_at):
+        for work in sorted(urgent, key=lambda w: w.accepted_at):
             organisation = work.job.organisation
             guaranteed = self.config.guaranteed(organisation)
             if wanted[organisation] <= guaranteed:
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -14,7 +14,7 @@
 DIRECT_RETRY_S = 1.0
 # No further way is tried once a call has taken this many of its timeouts.
 SILENT_TIMEOUTS = 1.2
-RELAY_SLACK_S = 0.4
+RELAY_SLACK_S = 0.2
 _CONNECTIONS = 6
 _METHOD, _PATH, _KIND, _TIMEOUT = "X-Method", "X-Path", "Content-Type", "X-Timeout"
 
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -77,6 +77,8 @@
         self.job = job
         self.progress = progress
         self.queue = queue
+        # When the job was accepted, on the owner's calendar, in seconds since the epoch.
+        self.accepted_at = job.accepted_at
         self._durations = durations
         # Targets where a run of this job failed; the next run avoids them.
         self.avoid: set[TargetId] = set()
@@ -92,8 +94,8 @@
     def deadline(self) -> float:
         """When the job should be complete, by its estimates, in seconds since the epoch."""
         if self.queue is None:
-            return self.job.accepted_at
-        return self.job.accepted_at + self.queue.latency_s + self.queue.stretch * self.chain_s
+            return self.accepted_at
+        return self.accepted_at + self.queue.latency_s + self.queue.stretch * self.chain_s
 
     def task_s(self, step: Step) -> float:
         """Expected seconds of one task of a step."""
@@ -185,8 +187,8 @@
         end = date + self.chain_s
         if end <= self.deadline:
             return 0
-        objective = self.deadline - self.job.accepted_at
-        return 1 if end <= self.job.accepted_at + LATE_FACTOR * objective else 2
+        objective = self.deadline - self.accepted_at
+        return 1 if end <= self.accepted_at + LATE_FACTOR * objective else 2
 
     def order(self, date: float) -> tuple[int, float]:
         """Sort key: by the rank of priority and hope, then earliest deadline or least work."""
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -20,7 +20,9 @@
 )
 
 CALL_TIMEOUT_S = 1.2
-APPEND_TIMEOUT_S = 0.9
+# An append is answered in some ms; a slow store doubles its timeout up to the longest.
+APPEND_TIMEOUT_S = 0.5
+APPEND_LONGEST_S = 2.0
 # A read that waits for records is answered a little later than it asked for.
 READ_SLACK_S = 1.0
 # The last page of a listing has no further key; pages hold 500 records.
@@ -100,6 +102,7 @@
 
     def __init__(self, transport: Transport) -> None:
         self._transport = transport
+        self._append_timeout_s = APPEND_TIMEOUT_S
 
     def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
         query: dict[str, object] = {"topic": topic, "part": 0}
@@ -109,13 +112,19 @@
                 "epoch": writer.epoch,
                 "sequence": writer.sequence,
             }
-        answer = self._transport.call(
-            "POST",
-            f"/v1/log-append?{urlencode(query)}",
-            APPEND_TIMEOUT_S,
-            encode_records(records),
-            "application/octet-stream",
-        )
+        timeout_s = self._append_timeout_s
+        try:
+            answer = self._transport.call(
+                "POST",
+                f"/v1/log-append?{urlencode(query)}",
+                timeout_s,
+                encode_records(records),
+                "application/octet-stream",
+            )
+        except StoreSilentError:
+            self._append_timeout_s = min(APPEND_LONGEST_S, 2 * timeout_s)
+            raise
+        self._append_timeout_s = APPEND_TIMEOUT_S
         if answer.status == 200:
             return msgspec.json.decode(answer.body, type=_Appended).offset
         raise FencedError(
--- a/features/fleet_owner.feature
+++ b/features/fleet_owner.feature
@@ -98,6 +98,10 @@
     When its target process has started again and has not listed its runs
     Then no start is sent to it
 
+  Scenario: A job accepted by an entry with a wrong clock counts as accepted when it came in
+    When an urgent job is accepted by an entry whose clock is 60 seconds behind
+    Then it still counts as being in time
+
   Scenario: Runs that nobody asked for are stopped
     When a target lists a run that was never ordered
     Then that run is stopped
--- a/features/steps/fleet_owner_steps.py
+++ b/features/steps/fleet_owner_steps.py
@@ -479,6 +479,20 @@
     assert len(context.world.starts("job")) == 1
 
 
+@when("an urgent job is accepted by an entry whose clock is 60 seconds behind")
+def behind(context: Context) -> None:
+    world = context.world
+    world.now += 1.0
+    job = world.accept("urgent", (step(1),), queue="urgent", organisation="sure")
+    late = msgspec.structs.replace(job, id=JobId("late"), accepted_at=job.accepted_at - 60)
+    world.core.load(Entry(late), world.now, world.date)
+
+
+@then("it still counts as being in time")
+def in_time(context: Context) -> None:
+    assert context.world.core.jobs[JobId("late")].can_finish(context.world.date) == 0
+
+
 @when("a target lists a run that was never ordered")
 def unasked(context: Context) -> None:
     target = context.world.targets[0]
