Split the owner and the entry by job, and keep one copy of bounds and look-ups

Moved: losses and worth, guarantees, readers of the store, membership and the owner's task to modules of their own; topic prefixes of the platform into the adapter; task names are typed. Conclusion: no change of behaviour.

--- /dev/null
+++ b/comfreyshelf/fleet/followers.py
@@ -0,0 +1,145 @@
+"""Readers that keep an entry's knowledge in step with the store."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from comfreyshelf.errors import UserError
+from comfreyshelf.fleet.book import JobBook
+from comfreyshelf.fleet.bounds import monotonic
+from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.jobs import FleetConfig
+from comfreyshelf.fleet.store import (
+    ExpiredError,
+    KeyedRecord,
+    Store,
+    StoreBusyError,
+    StoreSilentError,
+    Writer,
+)
+from comfreyshelf.ids import JobId
+from comfreyshelf.logs import change
+from comfreyshelf.tasks import Poller
+
+JOBS_TOPIC = "jobs"
+READ_WAIT_MS = 1000
+RETRY_S = 0.2
+
+
+class Keeper:
+    """Keeps the book in step with the store, for readers and writers in any thread."""
+
+    def __init__(self, store: Store, book: JobBook, changed: Callable[[JobId], None]) -> None:
+        self._store = store
+        self._book = book
+        self._changed = changed
+        self._lock = threading.Lock()
+        self._next = -1
+        self.read_at = float("-inf")
+
+    def append(self, records: list[KeyedRecord], writer: Writer | None = None) -> None:
+        """Write records and fold them."""
+        first = self._store.append(JOBS_TOPIC, records, writer)
+        self._fold(
+            [
+                KeyedRecord(record.key, record.value, first + number)
+                for number, record in enumerate(records)
+            ]
+        )
+
+    def catch_up(self) -> None:
+        """Read up to the present end."""
+        self.read(0)
+
+    def read(self, wait_ms: int) -> None:
+        """Read once, waiting for a record for at most `wait_ms`."""
+        with self._lock:
+            offset = self._next
+        try:
+            if offset < 0:
+                batch = self._store.newest(JOBS_TOPIC)
+            else:
+                batch = self._store.read(JOBS_TOPIC, offset, wait_ms)
+        except ExpiredError as exc:
+            change("records expired", why=str(exc))
+            batch = self._store.newest(JOBS_TOPIC)
+        self._fold(list(batch.records))
+        with self._lock:
+            self._next = max(self._next, batch.next_offset)
+            self.read_at = monotonic()
+
+    def _fold(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            try:
+                job = self._book.apply(record)
+            except msgspec.DecodeError as exc:
+                change("record cannot be decoded", key=record.key, why=str(exc))
+                continue
+            if job is not None:
+                self._changed(job)
+
+
+class JobReader(Poller):
+    """Follows the job records."""
+
+    def __init__(self, keeper: Keeper) -> None:
+        super().__init__("job-reader")
+        self._keeper = keeper
+
+    def poll(self) -> None:
+        try:
+            self._keeper.read(READ_WAIT_MS)
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self.wait(RETRY_S)
+
+
+class ConfigReader(Poller):
+    """Follows the operators' configuration; a version is never replaced by an older one."""
+
+    def __init__(self, store: Store, codec: Codec, changed: Callable[[FleetConfig], None]) -> None:
+        super().__init__("config-reader")
+        self._store = store
+        self._codec = codec
+        self._changed = changed
+        self._next = -1
+        self.config: FleetConfig | None = None
+
+    def poll(self) -> None:
+        topic = self._codec.config_topic
+        try:
+            if self._next < 0:
+                batch = self._store.newest(topic)
+            else:
+                batch = self._store.read(topic, self._next, READ_WAIT_MS)
+        except ExpiredError as exc:
+            change("configuration records expired", why=str(exc))
+            self._next = -1
+            return
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self.wait(RETRY_S)
+            return
+        self._next = batch.next_offset
+        newest = [r for r in batch.records if r.key == self._codec.config_key and r.value]
+        if newest:
+            self._take(newest[-1].value)
+        elif self.config is None:
+            # The operators' first configuration has not been written yet.
+            self._next = -1
+            self.wait(RETRY_S)
+
+    def _take(self, value: bytes) -> None:
+        try:
+            config = self._codec.config(value)
+        except UserError as exc:
+            change("configuration refused", why=str(exc))
+            return
+        if self.config is not None and config.version <= self.config.version:
+            return
+        change(
+            "configuration in force",
+            version=config.version,
+            before=self.config.version if self.config else 0,
+        )
+        self.config = config
+        self._changed(config)
--- a/comfreyshelf/fleet/front.py
+++ b/comfreyshelf/fleet/front.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from comfreyshelf.errors import UserError
-from comfreyshelf.fleet.book import JobBook, cancel_record, job_record
+from comfreyshelf.fleet.book import Entry, JobBook, cancel_record, job_record
 from comfreyshelf.fleet.codec import Codec
 from comfreyshelf.fleet.jobs import FleetConfig, Queue
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
@@ -152,20 +152,22 @@
         )
         return Reply(200, b"{}")
 
-    def _state(self, call: Call, job: JobId) -> Reply:
+    def _known(self, job: JobId) -> Entry | None:
+        """What is known of a job, after reading up to the present if nothing is."""
         entry = self._book.get(job)
         if entry is None:
             self._catch_up()
             entry = self._book.get(job)
+        return entry
+
+    def _state(self, call: Call, job: JobId) -> Reply:
+        entry = self._known(job)
         if entry is None:
             return self._refuse(call, 410, "no such job")
         return Reply(200, self._codec.phase(entry.phase))
 
     def _cancel(self, call: Call, job: JobId) -> Reply:
-        entry = self._book.get(job)
-        if entry is None:
-            self._catch_up()
-            entry = self._book.get(job)
+        entry = self._known(job)
         if entry is None:
             return self._refuse(call, 410, "no such job")
         if not entry.phase.final:
--- /dev/null
+++ b/comfreyshelf/fleet/losses.py
@@ -0,0 +1,48 @@
+"""What stopping a run loses, and when a start is worth it."""
+
+from comfreyshelf.fleet.jobs import step_of
+from comfreyshelf.fleet.placing import Choice
+from comfreyshelf.fleet.work import Active, JobWork, Unit
+
+# A stopped run loses at least this much time to stopping, placing and starting again.
+RESTART_LOSS_S = 0.5
+# What a job loses that misses its objective, in lost core-seconds for each core-second of its
+# work, by priority; beyond the list as in its last place.
+LATE_LOSS = (3.4, 1.5, 0.2)
+# Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain.
+PREEMPT_GAIN_SHARE = 0.3
+# A less urgent unit waits while its slack exceeds this many of its run times.
+WAIT_SLACK = 0.5
+
+
+def late_loss(priority: int) -> float:
+    """The weight of missing an objective at a priority."""
+    return LATE_LOSS[min(priority, len(LATE_LOSS) - 1)]
+
+
+def loss_of(active: Active, now: float, date: float) -> float:
+    """What stopping a run loses, in core-seconds, its whole gang included."""
+    work = active.work
+    step = work.job.steps[step_of(active.task)[1]]
+    ran, left = now - active.started_at, work.task_s(step)
+    if step.checkpoints:
+        # A stop makes a checkpoint.
+        ran, left = 0.0, max(0.0, left - ran)
+    lost = max(RESTART_LOSS_S, ran) * step.demand.cores * len(work.members(active.task))
+    if work.can_finish(date) == 0 and date + RESTART_LOSS_S + left > work.deadline:
+        lost += late_loss(work.priority) * work.core_seconds
+    return lost
+
+
+def is_worth(work: JobWork, unit: Unit, choice: Choice, date: float) -> bool:
+    """Whether starting a unit at once is worth what its victims lose."""
+    if not choice.victims:
+        return True
+    if work.can_finish(date) != 0:
+        return False
+    seconds = work.task_s(unit.step)
+    slack = work.deadline - date - work.chain_s
+    if work.priority > 0 and slack > WAIT_SLACK * seconds:
+        return False
+    gain = late_loss(work.priority) * unit.step.demand.cores * len(unit.tasks) * seconds
+    return choice.cost <= PREEMPT_GAIN_SHARE * gain
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -7,51 +7,37 @@
 from comfreyshelf.fleet.book import Entry
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.durations import Durations
+from comfreyshelf.fleet.guarantee import may_borrow, sure_jobs
 from comfreyshelf.fleet.jobs import (
     EndKind,
     FleetConfig,
     JobPhase,
     Progress,
     RunNumber,
+    TaskName,
     Token,
     full_name,
     split_name,
     step_of,
 )
+from comfreyshelf.fleet.losses import is_worth, loss_of
 from comfreyshelf.fleet.messages import Orders, Report, StartOrder, StopOrder
 from comfreyshelf.fleet.placing import Choice, Fleet, Slot
 from comfreyshelf.fleet.targets import TargetView, view_of
 from comfreyshelf.fleet.work import Active, JobWork, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
-# What a job loses that misses its objective, in lost core-seconds for each core-second of its
-# work, by priority; beyond the list as in its last place.
-LATE_LOSS = (3.4, 1.5, 0.2)
-# Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain.
-PREEMPT_GAIN_SHARE = 0.3
-# Work of this priority number or higher borrows guaranteed accelerators only with checkpoints.
-LENDING_PRIORITY = 2
 # Guarantees count as claimed at any moment for this long after the last urgent job.
 URGENT_RECENT_S = 8.0
 # A new owner, which has not seen what came before, takes guarantees for claimed this long.
 TERM_CAUTION_S = 12.0
-# A less urgent unit waits while its slack exceeds this many of its run times.
-WAIT_SLACK = 0.5
 # Other urgent runs, beyond their guarantee, are stopped only where nothing else suffices.
 URGENT_LOSS = 1e6
-# A stopped run loses at least this much time to stopping, placing and starting again.
-RESTART_LOSS_S = 0.5
 # Blocked units, most urgent first, for which room is kept while they wait.
 KEPT_UNITS = 3
 # A run whose progress stands still for this long, and well past its estimate, is moved.
 STALL_S = 4.0
 
-
-def late_loss(priority: int) -> float:
-    """The weight of missing an objective at a priority."""
-    return LATE_LOSS[min(priority, len(LATE_LOSS) - 1)]
-
-
 Note = Callable[..., None]
 
 
@@ -106,12 +92,12 @@
         if entry.cancelled and not work.progress.phase.final:
             self._finish(work, JobPhase.CANCELLED, date, "cancelled by its caller")
 
-    def _adopt(self, work: JobWork, name: str, now: float) -> None:
-        task = work.progress.tasks[name]  # type: ignore[index]
-        _, number, _ = step_of(name)  # type: ignore[arg-type]
+    def _adopt(self, work: JobWork, name: TaskName, now: float) -> None:
+        task = work.progress.tasks[name]
+        _, number, _ = step_of(name)
         active = Active(
             work,
-            name,  # type: ignore[arg-type]
+            name,
             task.run,
             task.target,
             task.incarnation,
@@ -303,9 +289,9 @@
             if name != active.task:
                 self._stop_task(active.work, name, None)
 
-    def _done(self, work: JobWork, task: str, run: int, date: float) -> None:
+    def _done(self, work: JobWork, task: TaskName, run: int, date: float) -> None:
         self._dirty.add(work.job.id)
-        for name in work.members(task):  # type: ignore[arg-type]
+        for name in work.members(task):
             progress = work.task(name)
             progress.done = True
             progress.checkpoint = ""
@@ -330,9 +316,9 @@
         for name in list(work.progress.tasks):
             self._stop_task(work, name, None)
 
-    def _stop_task(self, work: JobWork, name: str, now: float | None) -> None:
+    def _stop_task(self, work: JobWork, name: TaskName, now: float | None) -> None:
         """Order the task's run, if there is one, to stop."""
-        full = full_name(work.job.id, name)  # type: ignore[arg-type]
+        full = full_name(work.job.id, name)
         for view in self.targets.values():
             active = view.active.get(full)
             if active is not None and active.stop_since is None:
@@ -356,18 +342,16 @@
         self._give_up(now, date)
         self._move(now)
         kept = 0
-        sure_jobs = self._sure_jobs(date)
-        fleet = Fleet(self._slots(now, date, sure_jobs))
+        sure_ids = sure_jobs(self.jobs.values(), self.config, date)
+        fleet = Fleet(self._slots(now, date, sure_ids))
         headroom = self._headroom(fleet, now, date)
-        ranked = sorted(
-            self.jobs.values(), key=lambda w: (w.job.id not in sure_jobs, w.order(date))
-        )
+        ranked = sorted(self.jobs.values(), key=lambda w: (w.job.id not in sure_ids, w.order(date)))
         for work in ranked:
-            sure = work.job.id in sure_jobs
+            sure = work.job.id in sure_ids
             hopeful = work.can_finish(date) == 0
             for unit in work.pending(date, self.bounds.early_s):
                 wanted = unit.step.demand.accelerators * len(unit.tasks)
-                if wanted > headroom and not self._may_borrow(work, unit, hopeful):
+                if wanted > headroom and not may_borrow(work, unit, hopeful):
                     continue
                 placed = self._place(fleet, work, unit, sure, now, date)
                 if placed and not sure:
@@ -394,40 +378,6 @@
         claims = (max(0, o.guaranteed - used[o.id]) for o in self.config.organisations)
         return free - sum(claims)
 
-    @staticmethod
-    def _may_borrow(work: JobWork, unit: Unit, hopeful: bool) -> bool:
-        """Whether a unit may use accelerators that a guarantee may claim at any time.
-
-        The least urgent work, and work that is too late anyway, would lose more by a reclaim than
-        it gains by an early start, unless it keeps checkpoints.
-        """
-        return (hopeful and work.priority < LENDING_PRIORITY) or unit.step.checkpoints
-
-    def _sure_jobs(self, date: float) -> set[JobId]:
-        """Urgent jobs inside their organisation's guarantee.
-
-        All of them, if together they need no more than the guarantee; else those that can still be
-        in time, the earliest accepted first.
-        """
-        wanted: Counter[OrganisationId] = Counter()
-        urgent = []
-        for work in self.jobs.values():
-            if work.priority == 0 and not work.progress.phase.final:
-                wanted[work.job.organisation] += work.accelerators()
-                urgent.append(work)
-        used: Counter[OrganisationId] = Counter()
-        sure = set()
-        for work in sorted(urgent, key=lambda w: w.accepted_at):
-            organisation = work.job.organisation
-            guaranteed = self.config.guaranteed(organisation)
-            if wanted[organisation] <= guaranteed:
-                sure.add(work.job.id)
-            elif work.can_finish(date) == 0:
-                used[organisation] += work.accelerators()
-                if used[organisation] <= guaranteed:
-                    sure.add(work.job.id)
-        return sure
-
     def _give_up(self, now: float, date: float) -> None:
         for view in list(self.targets.values()):
             if now - view.seen_at > self.bounds.give_up_s:
@@ -477,33 +427,20 @@
                 if active.stop_since is not None:
                     slot.leaving += active.demand
                 elif active.work.priority > 0:
-                    slot.victims.append((self._loss(active, now, date), active))
+                    slot.victims.append((loss_of(active, now, date), active))
                 elif active.work.job.id not in sure:
-                    slot.victims.append((URGENT_LOSS + self._loss(active, now, date), active))
+                    slot.victims.append((URGENT_LOSS + loss_of(active, now, date), active))
             slot.victims.sort(key=lambda pair: pair[0])
             slots[view.id] = slot
         return slots
 
-    def _loss(self, active: Active, now: float, date: float) -> float:
-        """What stopping a run loses, in core-seconds, its whole gang included."""
-        work = active.work
-        step = work.job.steps[step_of(active.task)[1]]
-        ran, left = now - active.started_at, work.task_s(step)
-        if step.checkpoints:
-            # A stop makes a checkpoint.
-            ran, left = 0.0, max(0.0, left - ran)
-        lost = max(RESTART_LOSS_S, ran) * step.demand.cores * len(work.members(active.task))
-        if work.can_finish(date) == 0 and date + RESTART_LOSS_S + left > work.deadline:
-            lost += late_loss(work.priority) * work.core_seconds
-        return lost
-
     def _place(
         self, fleet: Fleet, work: JobWork, unit: Unit, sure: bool, now: float, date: float
     ) -> bool:
         # Within a guarantee even urgent runs give way, if they are beyond theirs.
         above = -1 if sure else work.priority
         choice = fleet.place(unit, work.avoid, self._used_of(work, unit), above, sure)
-        if choice is None or (not sure and not self._worth(work, unit, choice, date)):
+        if choice is None or (not sure and not is_worth(work, unit, choice, date)):
             return False
         fleet.take(unit, choice)
         if choice.ready:
@@ -516,19 +453,6 @@
             self._stop(victim, now, f"makes room for {work.job.id}")
         return True
 
-    def _worth(self, work: JobWork, unit: Unit, choice: Choice, date: float) -> bool:
-        """Whether starting a unit at once is worth what its victims lose."""
-        if not choice.victims:
-            return True
-        if work.can_finish(date) != 0:
-            return False
-        seconds = work.task_s(unit.step)
-        slack = work.deadline - date - work.chain_s
-        if work.priority > 0 and slack > WAIT_SLACK * seconds:
-            return False
-        gain = late_loss(work.priority) * unit.step.demand.cores * len(unit.tasks) * seconds
-        return choice.cost <= PREEMPT_GAIN_SHARE * gain
-
     def _used_of(self, work: JobWork, unit: Unit) -> Callable[[TargetId], int]:
         if not unit.step.per_target:
             return lambda target: 0
--- a/comfreyshelf/fleet/settings.py
+++ b/comfreyshelf/fleet/settings.py
@@ -24,26 +24,7 @@
     ready_address: str = ""
     runner_address: str = ""
     metrics_address: str = ""
-    lease_s: float = 6.0
-    stop_grace_s: float = 0.2
-    gang_wait_s: float = 3.0
-    remember_s: float = 120.0
-    early_s: float = 0.25
-    checkpoint_s: float = 0.5
-    grace_s: float = 6.0
-
-    @property
-    def bounds(self) -> Bounds:
-        """The bounds of the deployment."""
-        return Bounds(
-            self.lease_s,
-            self.stop_grace_s,
-            self.gang_wait_s,
-            self.remember_s,
-            self.early_s,
-            self.checkpoint_s,
-            self.grace_s,
-        )
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
 
     @property
     def pipe_address(self) -> str:
--- a/comfreyshelf/platform/settings.py
+++ b/comfreyshelf/platform/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from comfreyshelf.errors import SettingsError
+from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.settings import FleetSettings
 
 # As in deploy/system.toml.
@@ -60,11 +61,13 @@
         node.listen.get("ready", ""),
         node.app,
         f"{node.ip}:{METRICS_PORT}",
-        bounds.hold_max_ms / 1000,
-        bounds.stop_grace_ms / 1000,
-        bounds.gang_wait_ms / 1000,
-        bounds.status_s,
-        bounds.early_ms / 1000,
-        bounds.checkpoint_s,
-        bounds.grace_s,
+        Bounds(
+            bounds.hold_max_ms / 1000,
+            bounds.stop_grace_ms / 1000,
+            bounds.gang_wait_ms / 1000,
+            bounds.status_s,
+            bounds.early_ms / 1000,
+            bounds.checkpoint_s,
+            bounds.grace_s,
+        ),
     )
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -30,7 +30,8 @@
 
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
-_NO_OFFSET = -1
+# Topics whose newest record of each key is kept begin with this.
+_KEYED = "keyed."
 
 
 class Transport(Protocol):
@@ -105,7 +106,7 @@
         self._append_timeout_s = APPEND_TIMEOUT_S
 
     def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
-        query: dict[str, object] = {"topic": topic, "part": 0}
+        query: dict[str, object] = {"topic": _KEYED + topic, "part": 0}
         if writer is not None:
             query |= {
                 "producer": writer.name,
@@ -132,7 +133,7 @@
         )
 
     def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
-        query = {"topic": topic, "part": 0, "from": offset, "wait-ms": wait_ms}
+        query = {"topic": _KEYED + topic, "part": 0, "from": offset, "wait-ms": wait_ms}
         answer = self._get("log-read", query, READ_SLACK_S + wait_ms / 1000)
         if answer.status == 410:
             raise ExpiredError(f"offset {offset} of {topic} expired", "read the newest records")
@@ -142,7 +143,7 @@
     def newest(self, topic: str) -> Batch:
         records: list[KeyedRecord] = []
         ends: list[int] = []
-        query: dict[str, object] = {"topic": topic, "part": 0}
+        query: dict[str, object] = {"topic": _KEYED + topic, "part": 0}
         for _ in range(MAX_PAGES):
             answer = self._get("log-newest", query, CALL_TIMEOUT_S)
             self._check(answer)
--- a/comfreyshelf/platform/wire.py
+++ b/comfreyshelf/platform/wire.py
@@ -28,7 +28,7 @@
 
 MAX_PAYLOAD_BYTES = 4000
 CONFIG_KEY = "config"
-OPERATOR_TOPIC = "keyed.op"
+OPERATOR_TOPIC = "op"
 _INSTANCES = "/v1/instances/"
 
 _PHASES = {
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -15,10 +15,13 @@
 from comfreyshelf.fleet import entry as entry_module
 from comfreyshelf.fleet.book import JobBook, progress_record
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.entry import EntryProcess, Keeper, Member, Owner
+from comfreyshelf.fleet.entry import EntryProcess
+from comfreyshelf.fleet.followers import Keeper
 from comfreyshelf.fleet.front import Front
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.jobs import JobPhase, Progress
+from comfreyshelf.fleet.member import Member
+from comfreyshelf.fleet.ownership import Owner
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import (
@@ -273,7 +276,7 @@
 
 @when("the entry appends through its relay")
 def relayed(context: Context) -> None:
-    LogStore(context.relay).append("keyed.jobs", [KeyedRecord("j/1", b"x")])
+    LogStore(context.relay).append("jobs", [KeyedRecord("j/1", b"x")])
 
 
 @then("the record is stored once")
