Read the settings again at SIGHUP

Cause: the signal was ignored, so entries and targets kept stale peers; there was no line at a reload. Conclusion: a damaged file leaves the old settings in force, with a line that says why.

--- a/comfreyshelf/fleet/__main__.py
+++ b/comfreyshelf/fleet/__main__.py
@@ -26,14 +26,24 @@
     os._exit(0)
 
 
+def reload(process: EntryProcess | TargetProcess, path: Path) -> None:
+    """Read the settings again; a file that cannot be read leaves the old ones in force."""
+    try:
+        process.reload(read_settings(path))
+    except SettingsError as exc:
+        change("settings not read again", why=str(exc))
+
+
 def main(role: str) -> None:
     """Run one process until SIGTERM."""
-    settings = read_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
+    # Without a handler the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    settings = read_settings(path)
     configure_daemon(settings.name)
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
     process: EntryProcess | TargetProcess
     if role == "entry":
         process = EntryProcess(settings, PlatformCodec(), LogStore)
@@ -41,6 +51,7 @@
         process = TargetProcess(settings, PlatformCodec(), LogStore, HttpRunner)
     else:
         raise SettingsError(f"no role '{role}'", "use entry or target")
+    signal.signal(signal.SIGHUP, lambda *_: reload(process, path))
     change("process starting", role=role)
     with process.kernel:
         change("process started", role=role)
--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -20,6 +20,7 @@
 )
 from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
 from comfreyshelf.kernel import Kernel
+from comfreyshelf.logs import change
 from comfreyshelf.metrics import Metrics
 
 # Knowledge of jobs older than this makes an entry report itself not ready.
@@ -102,6 +103,11 @@
             return Reply(status, body, kind="application/octet-stream")
         return Reply(404, b"{}")
 
+    def reload(self, settings: FleetSettings) -> None:
+        """Use the peers of changed settings; the addresses of this process stay."""
+        change("settings read again", peers=settings.peers, before=self._settings.peers)
+        self._settings = settings
+
     def prepare_stop(self) -> None:
         """Report not ready but serve on, then close the front and hand over the schedule."""
         self._stopping = self._member.stopping = True
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -32,7 +32,7 @@
         self._settings = settings
         self.metrics = Metrics()
         self._state = TargetState(settings.bounds, settings.ip)
-        relay = Relay(settings.store_address, lambda: list(settings.peers), self.metrics)
+        relay = Relay(settings.store_address, lambda: list(self._settings.peers), self.metrics)
         self._runner = make_runner(settings.runner_address, lambda: self._state.target)
         self._orderer = Orderer(self._state, self._runner, self.metrics)
         self.kernel = Kernel()
@@ -71,6 +71,11 @@
             self.metrics.count("heartbeats_old")
         return Reply(200, b"{}")
 
+    def reload(self, settings: FleetSettings) -> None:
+        """Use the peers of changed settings; the addresses of this process stay."""
+        change("settings read again", peers=settings.peers, before=self._settings.peers)
+        self._settings = settings
+
     def prepare_stop(self) -> None:
         """Let calls to the runner end; its lease outlives this process's restart."""
         self._orderer.close()
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -37,6 +37,11 @@
     When the entry appends through its relay
     Then the record is stored once
 
+  Scenario: SIGHUP puts the peers of a changed settings file in force and survives a broken one
+    Given a target process with a settings file
+    When the file names other peers, and then is damaged, with a SIGHUP after each change
+    Then the other peers are in force
+
   Scenario: A refusal while the store is away is true and comes in time
     Given a front whose store is away
     When a job is submitted with a deadline of 1 second
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -4,6 +4,8 @@
 import socket
 import time
 from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import urllib3
 from behave import given, then, when
@@ -13,6 +15,7 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet import entry as entry_module
+from comfreyshelf.fleet.__main__ import reload
 from comfreyshelf.fleet.book import JobBook, progress_record
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.entry import EntryProcess
@@ -36,6 +39,7 @@
 from comfreyshelf.ids import JobId, OrganisationId
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.platform.runner import HttpRunner
+from comfreyshelf.platform.settings import read_settings
 from comfreyshelf.platform.store import LogStore, decode_batch, encode_records
 from comfreyshelf.platform.wire import PlatformCodec, decode_announcement
 from features.platform_standins import RunnerStandin, StoreStandin
@@ -314,6 +318,40 @@
     )
 
 
+NODE = {
+    "node-name": "s1",
+    "zone": "z",
+    "ip": "127.0.0.1",
+    "platform": {"address": "127.0.0.1:1"},
+    "listen": {"control": "127.0.0.1:0"},
+    "port-range": [7000, 7015],
+    "seed-nodes": ["127.0.0.1:2"],
+    "app": "127.0.0.1:3",
+}
+
+
+@given("a target process with a settings file")
+def with_file(context: Context) -> None:
+    folder = Path(context.stack.enter_context(TemporaryDirectory()))
+    context.file = folder / "node.json"
+    context.file.write_text(json.dumps(NODE), encoding="utf-8")
+    made = read_settings(context.file)
+    context.process = TargetProcess(made, PlatformCodec(), LogStore, HttpRunner)
+    context.stack.callback(context.process.prepare_stop)
+
+
+@when("the file names other peers, and then is damaged, with a SIGHUP after each change")
+def changed_file(context: Context) -> None:
+    for text in (json.dumps(NODE | {"seed-nodes": ["127.0.0.1:4"]}), "{damaged"):
+        context.file.write_text(text, encoding="utf-8")
+        reload(context.process, context.file)
+
+
+@then("the other peers are in force")
+def other_peers(context: Context) -> None:
+    assert context.process._settings.peers == ("127.0.0.1:4",)
+
+
 @given("a front whose store is away")
 def store_away(context: Context) -> None:
     make_front(context, False, [StoreBusyError("away", "wait")])
