Refuse starts at a draining target only once they cannot run

Ruled out: a lost lease (none lapsed), a new owner (none in that second), a machine that ran another target. Refused starts are stopped first and count as rejected once a later listing shows neither run nor end; a refusal after an unanswered copy does the same. Conclusion: two scenarios cover the moment.

--- a/comfreyshelf/fleet/target.py
+++ b/comfreyshelf/fleet/target.py
@@ -3,6 +3,7 @@
 import threading
 from abc import ABC, abstractmethod
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 import msgspec
 import pynng
@@ -26,6 +27,7 @@
 OWNER_GROUP = "owner"
 # How long a look at the runner waits for a run to end.
 LOOK_WAIT_MS = 1200
+STOP_LOOK_WAIT_MS = 150
 # Pause between looks while ends wait to be acknowledged.
 LOOK_PAUSE_S = 0.15
 # Without orders for this long, the owner is looked up again.
@@ -66,6 +68,14 @@
         """Close all connections."""
 
 
+class ToDo(NamedTuple):
+    """Orders to carry out now; those in `refusals` must never start."""
+
+    starts: list[StartOrder]
+    stops: list[StopOrder]
+    refusals: list[StartOrder]
+
+
 class TargetState:
     """What the threads of a target process share; every method takes the lock."""
 
@@ -92,6 +102,11 @@
         """The target's id, empty until its first heartbeat."""
         return self._announcement.id if self._announcement else ""
 
+    @property
+    def settling(self) -> bool:
+        """Whether a confirmed stop has not shown in a listing yet."""
+        return bool(self._stopped)
+
     def announce(self, announcement: Announcement) -> bool:
         """Take in a heartbeat; False if a newer one is known."""
         with self._lock:
@@ -192,18 +207,18 @@
                 self._gone,
             )
 
-    def accept(self, orders: Orders) -> tuple[list[StartOrder], list[StopOrder]]:
-        """Take in orders and return those to carry out now."""
+    def accept(self, orders: Orders) -> ToDo:
+        """Take in orders and return what to carry out now."""
         with self._lock:
             if orders.token < self.token:
-                return [], []
+                return ToDo([], [], [])
             if orders.token > self.token:
                 change("owner changed", token=orders.token, before=self.token)
             self.token = orders.token
             self.contact_at = max(self.contact_at, orders.report_sent_at)
             announced = self._announcement
             if announced is None or orders.incarnation != announced.incarnation:
-                return [], []
+                return ToDo([], [], [])
             if orders.acknowledged > self.acknowledged:
                 self.acknowledged = orders.acknowledged
                 self.acknowledgement.set()
@@ -211,13 +226,13 @@
             wanted |= {(order.task, order.run) for order in orders.stops}
             for key in [key for key in self._rejected if key not in wanted]:
                 del self._rejected[key]
-            starts = [] if announced.draining or self._gone else list(orders.starts)
             running = {(row.task, row.run) for row in self._running()}
             starts = [
                 order
-                for order in starts
+                for order in orders.starts
                 if (order.task, order.run) not in running | self._rejected.keys()
                 and order.task not in self._busy
+                and order.task not in self._stopped
             ]
             stops = [
                 order
@@ -225,10 +240,9 @@
                 if order.task not in self._busy and order.task not in self._stopped
             ]
             self._busy |= {order.task for order in starts} | {order.task for order in stops}
-            if announced.draining:
-                for order in orders.starts:
-                    self._reject(order.task, order.run, "draining")
-            return starts, stops
+            if announced.draining or self._gone:
+                return ToDo([], stops, starts)
+            return ToDo(starts, stops, [])
 
     def started(self, order: StartOrder) -> None:
         """The runner has confirmed a start."""
@@ -287,7 +301,7 @@
         state.acknowledgement.clear()
         try:
             holdings = self._runner.hold(
-                state.token, state.acknowledged, deadline, LOOK_WAIT_MS if deadline else 0
+                state.token, state.acknowledged, deadline, self._wait_ms(deadline)
             )
         except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
             if self._up:
@@ -302,6 +316,12 @@
         if holdings.ended or deadline is None:
             state.acknowledgement.wait(LOOK_PAUSE_S)
 
+    def _wait_ms(self, deadline: int | None) -> int:
+        """How long the look may wait; a stop that has to be settled needs one soon."""
+        if deadline is None:
+            return 0
+        return STOP_LOOK_WAIT_MS if self._state.settling else LOOK_WAIT_MS
+
 
 class Orderer:
     """Carries out orders on the runner, several at a time."""
@@ -311,14 +331,20 @@
         self._runner = runner
         self._metrics = metrics
         self._pool = ThreadPoolExecutor(_ORDER_THREADS, "order")
+        # Starts of this process that got no answer.
+        self._unanswered: set[tuple[str, int]] = set()
 
     def carry_out(self, orders: Orders) -> None:
         """Start on all orders that are not under way."""
-        starts, stops = self._state.accept(orders)
-        for stop in stops:
+        todo = self._state.accept(orders)
+        for stop in todo.stops:
             self._pool.submit(self._stop, stop)
-        for start in starts:
+        for start in todo.starts:
             self._pool.submit(self._start, start)
+        for refused in todo.refusals:
+            # A copy of the order may have been carried out without an answer, so the run counts
+            # as rejected only once it is stopped and listed nowhere.
+            self._pool.submit(self._stop, StopOrder(refused.task, refused.run))
 
     def _start(self, order: StartOrder) -> None:
         state = self._state
@@ -335,6 +361,7 @@
             self._metrics.count(f'starts_refused{{reason="{exc.reason}"}}')
             self._reject(order, exc.reason)
         except (StoreBusyError, StoreSilentError) as exc:
+            self._unanswered.add((order.task, order.run))
             # The owner repeats the order until the run is listed or rejected.
             outcome = str(exc)
             self._metrics.count("starts_unanswered")
@@ -350,13 +377,20 @@
             )
 
     def _reject(self, order: StartOrder, reason: str) -> None:
-        """Make the refusal final, as an earlier copy of the order may still arrive."""
+        """Make the refusal final, as an earlier copy of the order may still arrive.
+
+        If such a copy got no answer it may have started, so its end or absence has to be listed.
+        """
         try:
             self._runner.stop(self._state.token, StopOrder(order.task, order.run))
         except (StoreBusyError, StoreSilentError, RefusedError) as exc:
             change("refused start stays open", task=order.task, run=order.run, why=str(exc))
             return
-        self._state.reject(order.task, order.run, reason)
+        if (order.task, order.run) in self._unanswered:
+            self._unanswered.discard((order.task, order.run))
+            self._state.stopped(StopOrder(order.task, order.run))
+        else:
+            self._state.reject(order.task, order.run, reason)
 
     def _stop(self, order: StopOrder) -> None:
         state = self._state
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -37,6 +37,16 @@
     When the entry appends through its relay
     Then the record is stored once
 
+  Scenario: A start under way is not refused when its target begins to drain
+    Given a target process that carries out a start
+    When its target begins to drain and the order is repeated
+    Then the run is not reported as rejected, before or after the runner confirms it
+
+  Scenario: A start that a draining target refuses is final before it is reported
+    Given a target process whose target drains
+    When a start is ordered
+    Then the run is stopped first, and reported as rejected only after a later listing without it
+
   Scenario: SIGHUP puts the peers of a changed settings file in force and survives a broken one
     Given a target process with a settings file
     When the file names other peers, and then is damaged, with a SIGHUP after each change
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -17,13 +17,14 @@
 from comfreyshelf.fleet import entry as entry_module
 from comfreyshelf.fleet.__main__ import reload
 from comfreyshelf.fleet.book import JobBook, progress_record
-from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.bounds import Bounds, monotonic
 from comfreyshelf.fleet.entry import EntryProcess
 from comfreyshelf.fleet.followers import Keeper
 from comfreyshelf.fleet.front import Front
 from comfreyshelf.fleet.hub import Hub
-from comfreyshelf.fleet.jobs import JobPhase, Progress
+from comfreyshelf.fleet.jobs import Holdings, Incarnation, JobPhase, Progress, Token
 from comfreyshelf.fleet.member import Member
+from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.ownership import Owner
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.settings import FleetSettings
@@ -318,6 +319,67 @@
     )
 
 
+ORDER = StartOrder("a" * 16 + ".0.0.0", 1, "x", "")
+
+
+def beat(state: TargetState, sequence: int, phase: str) -> None:
+    body = json.dumps(BEAT | {"sequence": sequence, "state": phase}).encode()
+    assert state.announce(decode_announcement("i-1", body))
+
+
+def start_orders(state: TargetState) -> Orders:
+    return Orders(Token(1), 10, monotonic(), 0, (ORDER,), ())
+
+
+@given("a target process that carries out a start")
+def start_under_way(context: Context) -> None:
+    context.state = TargetState(Bounds(), "m")
+    beat(context.state, 1, "ready")
+    assert context.state.accept(start_orders(context.state)).starts == [ORDER]
+
+
+@when("its target begins to drain and the order is repeated")
+def drain_begins(context: Context) -> None:
+    beat(context.state, 2, "draining")
+    context.again = context.state.accept(start_orders(context.state))
+
+
+@then("the run is not reported as rejected, before or after the runner confirms it")
+def not_rejected(context: Context) -> None:
+    state = context.state
+    assert not (context.again.starts or context.again.refusals)
+    assert not state.report().rejected
+    state.started(ORDER)
+    state.finished(ORDER.task)
+    later = state.accept(start_orders(state))
+    assert not later.refusals and not state.report().rejected
+
+
+@given("a target process whose target drains")
+def draining(context: Context) -> None:
+    context.state = TargetState(Bounds(), "m")
+    beat(context.state, 1, "draining")
+
+
+@when("a start is ordered")
+def ordered(context: Context) -> None:
+    context.again = context.state.accept(start_orders(context.state))
+
+
+@then("the run is stopped first, and reported as rejected only after a later listing without it")
+def final_first(context: Context) -> None:
+    state = context.state
+    assert context.again.refusals == [ORDER] and not context.again.starts
+    state.stopped(StopOrder(ORDER.task, ORDER.run))
+    state.finished(ORDER.task)
+    assert not state.report().rejected
+    nothing = Holdings(0, Incarnation(10), (), ())
+    state.listed(nothing, monotonic())
+    assert not state.report().rejected
+    state.listed(nothing, monotonic() + 1.0)
+    assert [row.task for row in state.report().rejected] == [ORDER.task]
+
+
 NODE = {
     "node-name": "s1",
     "zone": "z",
