--- a/comfreyshelf/fleet/front.py
+++ b/comfreyshelf/fleet/front.py
@@ -7,6 +7,7 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.book import Entry, JobBook, cancel_record, job_record
 from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.holding import HoldWindows
 from comfreyshelf.fleet.jobs import FleetConfig, Queue
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.web import Call, Reply
@@ -17,14 +18,11 @@
 RETRY_AFTER_S = 1
 # While the store cannot be reached at all, callers are asked to wait longer.
 OUTAGE_RETRY_AFTER_S = 2
-# A record waits this long for the store to come back before its request is refused.
-HOLD_S = 1.2
-# Both waits are cut to these shares of the time that the caller waits.
-HOLD_SHARE = 0.4
-APPEND_SHARE = 0.7
 DEFAULT_DEADLINE_S = 3.0
-# An append that got no answer is repeated for this long; its records may come twice.
+# An append that got no answer is repeated for this long, and for this share of the time that the
+# caller waits; its records may come twice.
 APPEND_LIMIT_S = 2.2
+APPEND_SHARE = 0.45
 APPEND_PAUSE_S = 0.1
 _JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 DEFAULT_MAX_BODY = 262_144
@@ -42,6 +40,8 @@
         catch_up: Callable[[], None],
         reachable: Callable[[], bool],
         metrics: Metrics,
+        clock: Callable[[], float] = time.monotonic,
+        pause: Callable[[float], None] = time.sleep,
     ) -> None:
         self._codec = codec
         self._book = book
@@ -50,6 +50,9 @@
         self._catch_up = catch_up
         self._reachable = reachable
         self._metrics = metrics
+        self._clock = clock
+        self._pause = pause
+        self._holds = HoldWindows()
 
     def max_body(self) -> int:
         """The most bytes that a body may have."""
@@ -109,27 +112,27 @@
 
     def _write(self, call: Call, record: KeyedRecord) -> None:
         """Store a record; StoreBusyError means that it is not stored and never will be."""
-        deadline_s = self._deadline_s(call)
-        hold_until = time.monotonic() + min(HOLD_S, HOLD_SHARE * deadline_s)
-        while not self._reachable():
-            if time.monotonic() > hold_until:
-                # Not even tried, so that the refusal is true.
-                raise StoreBusyError("the store cannot be reached", "try again later")
-            time.sleep(APPEND_PAUSE_S)
+        deadline_s, began = self._deadline_s(call), self._clock()
+        refuse_at = self._holds.end(record.key, began, deadline_s)
+        give_up_at = began + min(APPEND_LIMIT_S, APPEND_SHARE * deadline_s)
         unanswered: StoreSilentError | None = None
-        until = time.monotonic() + min(APPEND_LIMIT_S, APPEND_SHARE * deadline_s)
-        while unanswered is None or time.monotonic() < until:
-            try:
-                self._append([record])
-                return
-            except StoreSilentError as exc:
-                unanswered = exc
-            except StoreBusyError:
-                if unanswered is None:
-                    raise
-            self._metrics.count('retries{reason="append_unanswered"}')
-            time.sleep(APPEND_PAUSE_S)
-        raise unanswered
+        while True:
+            refused = StoreBusyError("the store cannot be reached", "try again later")
+            if unanswered is not None or self._reachable():
+                try:
+                    self._append([record])
+                    return
+                except StoreSilentError as exc:
+                    unanswered = exc
+                except StoreBusyError as exc:
+                    refused = exc
+            if unanswered is None and self._clock() >= refuse_at:
+                raise refused
+            if unanswered is not None and self._clock() >= give_up_at:
+                raise unanswered
+            reason = "append_refused" if unanswered is None else "append_unanswered"
+            self._metrics.count(f'retries{{reason="{reason}"}}')
+            self._pause(APPEND_PAUSE_S)
 
     def _submit(self, call: Call, job: JobId, queue: Queue, organisation: OrganisationId) -> Reply:
         if self._book.get(job) is not None:
--- a/comfreyshelf/fleet/losses.py
+++ b/comfreyshelf/fleet/losses.py
@@ -8,8 +8,9 @@
 # What a job loses that misses its objective, in lost core-seconds for each core-second of its
 # work, by priority; beyond the list as in its last place.
 LATE_LOSS = (3.4, 1.5, 0.2)
-# Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain.
-PREEMPT_GAIN_SHARE = 0.3
+# Beyond its guarantee a unit may stop runs whose loss is at most this share of its gain, by
+# priority; beyond the list as in its last place.
+PREEMPT_GAIN_SHARES = (1.0, 0.3)
 # A less urgent unit waits while its slack exceeds this many of its run times.
 WAIT_SLACK = 0.5
 
@@ -45,4 +46,5 @@
     if work.priority > 0 and slack > WAIT_SLACK * seconds:
         return False
     gain = late_loss(work.priority) * unit.step.demand.cores * len(unit.tasks) * seconds
-    return choice.cost <= PREEMPT_GAIN_SHARE * gain
+    share = PREEMPT_GAIN_SHARES[min(work.priority, len(PREEMPT_GAIN_SHARES) - 1)]
+    return choice.cost <= share * gain
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -57,6 +57,19 @@
     When a job is submitted with a deadline of 1 second
     Then it is refused within half a second as not run, and nothing was appended
 
+  Scenario: A request that comes again while the store is away is not held again
+    # Guards against a caller that spends its whole time waiting at one entry.
+    Given a front whose store is away
+    When a job is submitted with a deadline of 1 second
+    And a job is submitted with a deadline of 1 second
+    Then it is refused at once as not run
+
+  Scenario: A store that refuses one append gets the next one before the caller is refused
+    # Guards against a refusal while the caller still has time.
+    Given a front whose store refuses one append and takes the next
+    When a job is submitted with a deadline of 1 second
+    Then it is accepted with the second append
+
   Scenario: An append that got no answer is never refused as not run
     Given a front whose store answers nothing and then refuses
     When a job is submitted with a deadline of 1 second
--- a/features/promises.feature
+++ b/features/promises.feature
@@ -41,7 +41,6 @@
       | answer        | results are sent again until they are recorded         | 40    |
       | answer        | the fold refuses records of old epochs                 | 40    |
       | refusal       | a lost answer of the log is resolved by reading back   | 20    |
-      | refusal       | refused requests leave a tombstone                     | 40    |
       | at-most-once  | a repeated request does not start again                | 40    |
       | at-most-once  | a non-idempotent request is sent again only after a proof | 40 |
       | at-most-once  | the first start record of a client key wins            | 20    |
@@ -54,6 +53,12 @@
       | configuration | an older configuration version is refused by targets   | 20    |
       | configuration | a publication wins only on the version in force        | 20    |
 
+  Scenario: Without its mechanism a promise breaks in a rare history: refused requests leave a tombstone
+    # About one drawn plan in 600 sends a refused request again late enough to show the mechanism.
+    When the plan {"seed":1373,"faults":[{"kind":"messages-doubled","at":2.0,"seconds":14.0,"victim":6,"when":"at-once","count":1},{"kind":"messages-delayed","at":2.1,"seconds":14.0,"victim":1,"when":"at-once","count":4}]} runs with "refused requests leave a tombstone" switched off
+    Then the checker of refusal fails
+    And the same plan passes with the mechanism on
+
   Scenario: Promises hold under single faults
     When 90 plans with up to 1 fault run from seed 1
     Then no promise breaks but those listed as known red
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -291,23 +291,37 @@
 
 
 class FakeStore:
-    """Counts appends; `answers` gives what each of them raises."""
+    """Counts appends; `answers` gives what each of them raises, None for success."""
 
-    def __init__(self, answers: list[Exception]) -> None:
+    def __init__(self, answers: list[Exception | None]) -> None:
         self.answers = answers
         self.appends = 0
 
     def append(self, records_given: list[KeyedRecord]) -> None:
         self.appends += 1
-        if len(self.answers) > 1:
-            raise self.answers.pop(0)
-        raise self.answers[0]
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer is not None:
+            raise answer
 
 
-def make_front(context: Context, reachable: bool, answers: list[Exception]) -> None:
+class FakeClock:
+    """A clock that only pauses move."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def read(self) -> float:
+        return self.now
+
+    def pause(self, seconds: float) -> None:
+        self.now += seconds
+
+
+def make_front(context: Context, reachable: bool, answers: list[Exception | None]) -> None:
     codec = PlatformCodec()
     config = codec.config(json.dumps(CONFIG).encode())
     context.fake = FakeStore(answers)
+    context.clock = FakeClock()
     context.front = Front(
         codec,
         JobBook(),
@@ -316,6 +330,8 @@
         lambda: None,
         lambda: reachable,
         Metrics(),
+        context.clock.read,
+        context.clock.pause,
     )
 
 
@@ -428,18 +444,34 @@
 @when("a job is submitted with a deadline of 1 second")
 def submitted(context: Context) -> None:
     headers = {"HTTP_HOST": "h.example", "HTTP_X_API_KEY": "key", "HTTP_DEADLINE_MS": "1000"}
-    began = time.monotonic()
+    began = context.clock.now
     call = Call("POST", "/q/" + "1" * 16, headers, json.dumps(JOB).encode())
     context.reply = context.front.handle(call)
-    context.took = time.monotonic() - began
+    context.took = context.clock.now - began
 
 
 @then("it is refused within half a second as not run, and nothing was appended")
 def true_refusal(context: Context) -> None:
     assert context.reply.status == 503 and context.reply.retry_after_s > 0
     assert context.fake.appends == 0
-    # 40 of 100 parts of the deadline, and room for a busy machine.
-    assert context.took < 0.9, context.took
+    assert 0.3 < context.took < 0.5, context.took
+
+
+@then("it is refused at once as not run")
+def refused_at_once(context: Context) -> None:
+    assert context.reply.status == 503 and context.reply.retry_after_s > 0
+    assert context.took == 0, context.took
+
+
+@given("a front whose store refuses one append and takes the next")
+def store_busy_once(context: Context) -> None:
+    make_front(context, True, [StoreBusyError("busy", "wait"), None])
+
+
+@then("it is accepted with the second append")
+def accepted_second(context: Context) -> None:
+    assert context.reply.status == 200, context.reply
+    assert context.fake.appends == 2
 
 
 @then("the answer does not claim that it has not run")
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -9,8 +9,8 @@
 from features.history.checkers import CHECKERS, check_all
 from features.history.events import Promise
 from features.history.handmade import BROKEN, KEPT
-from features.history.mutations import MUTATIONS
-from features.history.plan import FaultKind, decode_plan, examples, plans, plans_of
+from features.history.mutations import MUTATIONS, Mutation
+from features.history.plan import FaultKind, Plan, decode_plan, examples, plans, plans_of
 from features.history.report import Report, command
 from features.history.scenario import run_plan
 
@@ -44,13 +44,24 @@
 
 @when('up to {count:d} plans run with "{mechanism}" switched off')
 def run_without(context: Context, count: int, mechanism: str) -> None:
+    mutation = next(item for item in MUTATIONS if item.name == mechanism)
+    run_switched_off(context, mutation, examples(plans_of(mutation.faults), 1, count))
+
+
+@when('the plan {plan} runs with "{mechanism}" switched off')
+def run_one_without(context: Context, plan: str, mechanism: str) -> None:
+    mutation = next(item for item in MUTATIONS if item.name == mechanism)
+    run_switched_off(context, mutation, [decode_plan(plan)])
+
+
+def run_switched_off(context: Context, mutation: Mutation, chosen: list[Plan]) -> None:
+    """Run plans without a mechanism until one breaks its promise."""
     logging.set_verbosity(logging.FATAL)
-    context.mutation = next(item for item in MUTATIONS if item.name == mechanism)
-    check = CHECKERS[context.mutation.promise]
-    context.offending = None
+    context.mutation, context.offending = mutation, None
+    check = CHECKERS[mutation.promise]
     with ExitStack() as stack:
-        context.mutation.switch_off(stack)
-        for plan in examples(plans_of(context.mutation.faults), 1, count):
+        mutation.switch_off(stack)
+        for plan in chosen:
             if check(run_plan(plan)):
                 context.offending = plan
                 return
