Answer 504, not 503, once an earlier append of the request may still be carried out

Had the store carried out the first append late, the 503 would have been false. Ruled out: the refusal of a request that was never tried stays 503. Change: an entry remembers by record whether an append got no answer; such a request is appended again and is answered 504 at the worst. Test: "A request whose earlier append got no answer is not refused as not run either", which fails without the memory.

--- a/comfreyshelf/fleet/front.py
+++ b/comfreyshelf/fleet/front.py
@@ -7,7 +7,7 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.book import Entry, JobBook, cancel_record, job_record
 from comfreyshelf.fleet.codec import Codec
-from comfreyshelf.fleet.holding import HoldWindows
+from comfreyshelf.fleet.holding import AttemptBook
 from comfreyshelf.fleet.jobs import FleetConfig, Queue
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.web import Call, Reply
@@ -52,7 +52,7 @@
         self._metrics = metrics
         self._clock = clock
         self._pause = pause
-        self._holds = HoldWindows()
+        self._attempts = AttemptBook()
 
     def max_body(self) -> int:
         """The most bytes that a body may have."""
@@ -113,20 +113,24 @@
     def _write(self, call: Call, record: KeyedRecord) -> None:
         """Store a record; StoreBusyError means that it is not stored and never will be."""
         deadline_s, began = self._deadline_s(call), self._clock()
-        refuse_at = self._holds.end(record.key, began, deadline_s)
+        attempts = self._attempts.of(record.key, began, deadline_s)
         give_up_at = began + min(APPEND_LIMIT_S, APPEND_SHARE * deadline_s)
         unanswered: StoreSilentError | None = None
+        if attempts.unanswered:
+            unanswered = StoreSilentError("an earlier append got no answer", "ask again")
         while True:
             refused = StoreBusyError("the store cannot be reached", "try again later")
             if unanswered is not None or self._reachable():
                 try:
                     self._append([record])
+                    attempts.unanswered = False
                     return
                 except StoreSilentError as exc:
+                    attempts.unanswered = True
                     unanswered = exc
                 except StoreBusyError as exc:
                     refused = exc
-            if unanswered is None and self._clock() >= refuse_at:
+            if unanswered is None and self._clock() >= attempts.wait_until:
                 raise refused
             if unanswered is not None and self._clock() >= give_up_at:
                 raise unanswered
--- a/comfreyshelf/fleet/holding.py
+++ b/comfreyshelf/fleet/holding.py
@@ -1,18 +1,30 @@
-"""How long a request may wait for the store before it is refused."""
+"""How long a request may wait for the store, and whether it may be refused as not run."""
 
 import threading
 from collections import OrderedDict
 
+import msgspec
+
 # A request waits this long for the store to come back.
 HOLD_S = 1.2
 # The wait is cut to this share of the time that the caller waits for its answer.
 HOLD_SHARE = 0.4
-# Records whose wait is remembered; the oldest are forgotten first.
+# Records that are remembered; the oldest are forgotten first.
 MAX_REMEMBERED = 10_000
 
 
-class HoldWindows:
-    """When the wait of each record ends, counted from the first request that brought it here.
+class Attempts(msgspec.Struct):
+    """What became of the requests to write one record.
+
+    Requests wait until `wait_until`. An append that is `unanswered` may still be carried out.
+    """
+
+    wait_until: float
+    unanswered: bool = False
+
+
+class AttemptBook:
+    """The requests to write each record, from the first one that came to this entry on.
 
     Later requests for the same record get no wait of their own: held again and again, the caller
     would spend all its time at one entry instead of asking another one.
@@ -20,15 +32,15 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._ends: OrderedDict[str, float] = OrderedDict()
+        self._attempts: OrderedDict[str, Attempts] = OrderedDict()
 
-    def end(self, key: str, now: float, deadline_s: float) -> float:
-        """The time at which a request that arrived at `now` has to be refused, in seconds."""
+    def of(self, key: str, now: float, deadline_s: float) -> Attempts:
+        """The attempts for a record, one of which arrives at `now`; times are in seconds."""
         with self._lock:
-            end = self._ends.get(key)
-            if end is None:
-                end = now + min(HOLD_S, HOLD_SHARE * deadline_s)
-                self._ends[key] = end
-                if len(self._ends) > MAX_REMEMBERED:
-                    self._ends.popitem(last=False)
-            return end
+            attempts = self._attempts.get(key)
+            if attempts is None:
+                attempts = Attempts(now + min(HOLD_S, HOLD_SHARE * deadline_s))
+                self._attempts[key] = attempts
+                if len(self._attempts) > MAX_REMEMBERED:
+                    self._attempts.popitem(last=False)
+            return attempts
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -75,6 +75,13 @@
     When a job is submitted with a deadline of 1 second
     Then the answer does not claim that it has not run
 
+  Scenario: A request whose earlier append got no answer is not refused as not run either
+    # Guards against a false 503 for a job that is stored when its first append is carried out late.
+    Given a front whose store answers nothing and then refuses
+    When a job is submitted with a deadline of 1 second
+    And a job is submitted with a deadline of 1 second
+    Then the answer does not claim that it has not run
+
   Scenario: A job runs from submission to completion through separate services
     Given a store, two entries, and three target processes with runners
     When a job of 5 tasks is submitted at one entry
