Let gang members that are done wait for the others, and count a gang's loss once

Its logs show gangs of 4 to 7 tasks stopped for "no progress" after 16 to 25 s with the stopped member at 100 percent: a member that is done stands still until the slowest one has ended too, and the owner took that for a hang. It also counted the loss of a whole gang for each member that it would stop. Ruled out: leases, rejected starts ("alone": 0); drains and reclaims break gangs too, but less. Tests: three scenarios of fleet_planning.feature, each failing with its mechanism off.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -416,6 +416,9 @@
                     self._stop(active, now, "no progress")
 
     def _stalled(self, active: Active, now: float) -> bool:
+        if active.percent >= 100:
+            # A member of a gang that is done waits for the others.
+            return False
         patience_s = max(STALL_S, STALL_SHARE * active.work.task_s(active.step_number))
         return not active.step.lasting and now - active.percent_at > patience_s
 
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -211,6 +211,7 @@
     victims: list[Active] = []
     cost = WAIT_COST
     late = {active.work.job.id for active in stopped.values()}
+    gangs = {active.gang for active in stopped.values()}
     for victim in slot.victims:
         if room.holds(demand):
             break
@@ -218,7 +219,9 @@
         if active.work.priority > above and id(active) not in stopped:
             room += active.demand
             victims.append(active)
-            # A job is late as soon as one of its runs is stopped.
-            cost += victim.work_loss + (0.0 if active.work.job.id in late else victim.late_loss)
+            # A gang ends with any of its members, and a job is late with any of its runs.
+            cost += 0.0 if active.gang in gangs else victim.work_loss
+            cost += 0.0 if active.work.job.id in late else victim.late_loss
+            gangs.add(active.gang)
             late.add(active.work.job.id)
     return (cost, victims, False) if room.holds(demand) else None
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -21,7 +21,7 @@
     step_of,
     task_name,
 )
-from comfreyshelf.ids import ServiceId, TargetId
+from comfreyshelf.ids import JobId, ServiceId, TargetId
 
 # A job that ends later than this many times its objective is worth nothing to its caller.
 LATE_FACTOR = 3.0
@@ -99,6 +99,11 @@
         """The step that the task belongs to."""
         return self.work.job.steps[self.step_number]
 
+    @property
+    def gang(self) -> tuple[JobId, TaskName]:
+        """Names the runs that end together: by the first task of the gang, or the run's own."""
+        return self.work.job.id, self.work.members(self.task)[0]
+
     def observe(self, percent: int, now: float) -> None:
         """Take in how far a listing says that the run has come."""
         if not self.confirmed:
--- a/features/fleet_planning.feature
+++ b/features/fleet_planning.feature
@@ -45,6 +45,23 @@
     Given a target that is full with 8 small runs of one job that would miss its objective
     Then room for one task of 8 accelerators costs their work and one lateness
 
+  Scenario: A member of a gang that is done waits for the others
+    # Guards against whole gangs that are thrown away shortly before their end.
+    Given a gang of 2 tasks, one of which is at 100 percent while the other still works
+    When 20 more seconds pass
+    Then no member of the gang was stopped
+
+  Scenario: A member of a gang that stands still is stopped
+    # Guards against a gang that waits for a hanging member for good.
+    Given a gang of 2 tasks, one of which is at 100 percent while the other stands still
+    When 20 more seconds pass
+    Then the gang was stopped and has started again
+
+  Scenario: Stopping two members of one gang throws its work away once
+    # Guards against urgent work that waits as a gang's loss is counted for each member.
+    Given a target that holds both members of a gang
+    Then room for one task of 8 accelerators costs the work of the gang once
+
   Scenario: The log tells why work waits, once for each reason
     # Guards against a late job whose log lines do not tell what it waited for.
     Given less urgent work on all targets
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -184,3 +184,74 @@
 def one_line(context: Context) -> None:
     lines = [fields for event, fields in context.lines if event == "unit waits"]
     assert [(line["job"], line["why"]) for line in lines] == [("job", "no room")], lines
+
+
+def start_gang(context: Context) -> None:
+    context.world.accept("gang", (step(2, gang=True, same_rack=True),))
+    context.world.settle()
+    context.members = [
+        (target, row)
+        for target in context.world.targets
+        for row in target.running.values()
+        if row.task.startswith("gang")
+    ]
+
+
+def show_percent(context: Context, member: int, percent: int) -> None:
+    target, row = context.members[member]
+    if row == target.running.get(row.task):
+        context.members[member] = (target, RunningRow(row.task, row.run, "", percent))
+        target.running[row.task] = context.members[member][1]
+
+
+@given("a gang of 2 tasks, one of which is at 100 percent while the other still works")
+def works(context: Context) -> None:
+    start_gang(context)
+    context.pace = 2
+
+
+@given("a gang of 2 tasks, one of which is at 100 percent while the other stands still")
+def stands_still(context: Context) -> None:
+    start_gang(context)
+    context.pace = 0
+
+
+@when("20 more seconds pass")
+def twenty_seconds(context: Context) -> None:
+    for second in range(20):
+        context.world.now += 1
+        show_percent(context, 0, 100)
+        show_percent(context, 1, 20 + context.pace * second)
+        context.world.turn()
+
+
+@then("no member of the gang was stopped")
+def none_stopped(context: Context) -> None:
+    assert not any(target.ended for target in context.world.targets)
+    assert {run for _, run in context.world.starts("gang")} == {1}
+
+
+@then("the gang was stopped and has started again")
+def started_again(context: Context) -> None:
+    assert {run for _, run in context.world.starts("gang")} == {1, 2}
+
+
+@given("a target that holds both members of a gang")
+def gang_on_one(context: Context) -> None:
+    world = context.world
+    world.accept("gang", (step(2, gang=True, demand=Room(1000, 1000, 4)),))
+    world.settle()
+    context.full = world.run_of("gang")[0]
+    assert len(context.full.running) == 2
+
+
+@then("room for one task of 8 accelerators costs the work of the gang once")
+def gang_once(context: Context) -> None:
+    world = context.world
+    view = world.core.targets[context.full.id]
+    victims = [victim_of(active, world.now, world.date) for active in view.active.values()]
+    slot = Slot(view.announcement, Room(64000, 262144, 0), Room(), victims)
+    unit = Unit(SERVICE, step(1), 0, 0, (TaskName("0.0.0"),))
+    choice = Fleet({view.id: slot}).place(unit, set(), lambda target: 0, 0, True)
+    assert choice is not None and len(choice.victims) == 2
+    assert abs(choice.cost - WAIT_COST - victims[0].loss) < 1e-6, choice.cost
