--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -233,7 +233,7 @@
 
 @then("the gang was stopped and has started again")
 def started_again(context: Context) -> None:
-    assert {run for _, run in context.world.starts("gang")} == {1, 2}
+    assert {1, 2} <= {run for _, run in context.world.starts("gang")}
 
 
 @given("a target that holds both members of a gang")
