Notice at once that the store is back, and time progress by when reports were sent

A read that had begun in the outage failed after newer calls worked and set the store to unreachable again; and while the direct way had just failed, an entry asked two peers first, one of which was gone and took a connection timeout of 0.6 s. Reports that a link had held up arrived together, so a run seemed to do 96 percent in no time, and the job counted as late. Change: only a call that no newer one has followed with success makes the store unreachable; the store is asked after the first peer, and a peer's connection may take 0.3 s; progress is timed on the target's clock, from 30 percent and 1 s on.

--- a/comfreyshelf/fleet/http.py
+++ b/comfreyshelf/fleet/http.py
@@ -22,8 +22,11 @@
 class Caller:
     """Calls one address over kept connections, which are silent when the far end is cut off."""
 
-    def __init__(self, address: str, connections: int) -> None:
+    def __init__(
+        self, address: str, connections: int, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> None:
         host, _, port = address.partition(":")
+        self._connect_timeout_s = connect_timeout_s
         self.address = address
         self._pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=connections, retries=False, block=False
@@ -38,7 +41,7 @@
         headers: Mapping[str, str] | None = None,
     ) -> Answer:
         """Send one call; raises StoreBusyError or StoreSilentError."""
-        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        timeout = urllib3.Timeout(connect=min(self._connect_timeout_s, timeout_s), read=timeout_s)
         try:
             response = self._pool.request(
                 method, path, body=body, headers=dict(headers or {}), timeout=timeout
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -196,7 +196,7 @@
             if active is None or active.run != row.run:
                 view.note_unasked(row)
                 continue
-            active.observe(row.percent, now)
+            active.observe(row.percent, now, report.sent_at)
             if row.checkpoint:
                 for member in active.work.members(active.task):
                     active.work.task(member).checkpoint = row.checkpoint
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -15,6 +15,8 @@
 # No further way is tried once a call has taken this many of its timeouts.
 SILENT_TIMEOUTS = 1.2
 RELAY_SLACK_S = 0.2
+# A peer answers within some 20 ms; one that does not is probably gone.
+PEER_CONNECT_TIMEOUT_S = 0.3
 _CONNECTIONS = 6
 _METHOD, _PATH, _KIND, _TIMEOUT = "X-Method", "X-Path", "Content-Type", "X-Timeout"
 
@@ -33,13 +35,16 @@
         self._lock = threading.Lock()
         self._down_at = float("-inf")
         self._through = ""
-        # False while the last call failed every way.
+        # When a call last worked, on the steady clock.
+        self._worked_at = float("-inf")
+        # False while calls fail every way and none that ended since they began has worked.
         self.reachable = True
 
     def call(self, method: str, path: str, timeout_s: float, body: bytes, kind: str) -> Answer:
         """Send one call; raises StoreBusyError only if no attempt may have been carried out."""
         failure: StoreBusyError | StoreSilentError | None = None
-        until = monotonic() + timeout_s * SILENT_TIMEOUTS
+        began = monotonic()
+        until = began + timeout_s * SILENT_TIMEOUTS
         for address in self._ways():
             if failure is not None and monotonic() > until:
                 break
@@ -56,7 +61,9 @@
                 continue
             self._worked(address)
             return answer
-        self.reachable = False
+        # A read that waited through an outage fails after newer calls have worked again.
+        if self._worked_at < began:
+            self.reachable = False
         assert failure is not None
         raise failure
 
@@ -71,13 +78,17 @@
             last = self._through
         peers = [last] if last else []
         peers += [peer for peer in self._peers() if peer != last]
-        return [*peers[:2], ""] if waits and peers else ["", *peers[:2]]
+        # A second peer is asked last, as one that is gone takes a whole connection timeout.
+        return [*peers[:1], "", *peers[1:2]] if waits else ["", *peers[:2]]
 
     def _relayed(
         self, address: str, method: str, path: str, timeout_s: float, body: bytes, kind: str
     ) -> Answer:
         with self._lock:
-            caller = self._callers.setdefault(address, Caller(address, _CONNECTIONS))
+            caller = self._callers.get(address)
+            if caller is None:
+                caller = Caller(address, _CONNECTIONS, PEER_CONNECT_TIMEOUT_S)
+                self._callers[address] = caller
         headers = {_METHOD: method, _PATH: path, _KIND: kind, _TIMEOUT: f"{timeout_s:.3f}"}
         answer = caller.call("POST", RELAY_PATH, timeout_s + RELAY_SLACK_S, body, headers)
         if answer.status == 504:
@@ -97,6 +108,7 @@
     def _worked(self, address: str) -> None:
         self.reachable = True
         with self._lock:
+            self._worked_at = monotonic()
             regained = not address and self._down_at != float("-inf")
             if not address:
                 self._down_at = float("-inf")
--- a/comfreyshelf/fleet/work.py
+++ b/comfreyshelf/fleet/work.py
@@ -39,8 +39,10 @@
 
 # A run tells its own speed once it has come this far.
 MIN_PROGRESS_PERCENT = 8
-# A run tells the run time of its step once it has done this much.
-LEARN_PERCENT = 20
+# A run tells the run time of its step once it has done this much, for this long: a report may be
+# a second older than what it says.
+LEARN_PERCENT = 30
+LEARN_S = 1.0
 
 
 class Outlook(Enum):
@@ -65,7 +67,8 @@
     """A run that occupies room on a target.
 
     It is ordered only once it is `written` to the store. `confirmed` means that the target has
-    listed it. `started_at` and `stop_since` are on the owner's clock.
+    listed it. `started_at`, `stop_since` and `percent_at` are on the owner's clock, the times
+    `first_sent_at` and `percent_sent_at` of the reports on the target's.
     """
 
     work: "JobWork"
@@ -82,6 +85,8 @@
     first_percent: int = 0
     percent: int = 0
     percent_at: float = 0.0
+    first_sent_at: float = 0.0
+    percent_sent_at: float = 0.0
     learned: bool = False
 
     @property
@@ -104,16 +109,17 @@
         """Names the runs that end together: by the first task of the gang, or the run's own."""
         return self.work.job.id, self.work.members(self.task)[0]
 
-    def observe(self, percent: int, now: float) -> None:
-        """Take in how far a listing says that the run has come."""
+    def observe(self, percent: int, now: float, sent_at: float) -> None:
+        """Take in how far a report says that the run has come."""
         if not self.confirmed:
-            self.started_at, self.first_percent = now, percent
+            self.started_at, self.first_percent, self.first_sent_at = now, percent, sent_at
         self.confirmed = True
         if percent != self.percent or not self.percent_at:
-            self.percent, self.percent_at = percent, now
-        if not self.learned and percent - self.first_percent >= LEARN_PERCENT:
+            self.percent, self.percent_at, self.percent_sent_at = percent, now, sent_at
+        # Reports that waited for a link arrive together, so that only their sending times tell.
+        worked, took = percent - self.first_percent, sent_at - self.first_sent_at
+        if not self.learned and worked >= LEARN_PERCENT and took >= LEARN_S:
             self.learned = True
-            worked, took = percent - self.first_percent, now - self.started_at
             self.work.learn(self.step_number, 100 * took / worked)
 
     def worked_s(self, now: float) -> float:
@@ -123,7 +129,8 @@
 
     def left_s(self, now: float) -> float:
         """Expected seconds until the run ends: by its own progress once that tells its speed."""
-        worked, took = self.percent - self.first_percent, self.percent_at - self.started_at
+        worked = self.percent - self.first_percent
+        took = self.percent_sent_at - self.first_sent_at
         if worked >= MIN_PROGRESS_PERCENT and took > 0:
             left = (100 - self.percent) * took / worked
             return max(0.0, left - (now - self.percent_at))
--- a/features/fleet_planning.feature
+++ b/features/fleet_planning.feature
@@ -23,6 +23,12 @@
     Then the run is expected to end in 7 seconds
     And a task of the job is expected to take 10 seconds
 
+  Scenario: Reports that a link held up do not shorten a run's time
+    # Guards against run times of nearly nothing after a cut, which make jobs count as late.
+    Given a job of 1 task of 8 accelerators, estimated at 20 seconds, is submitted
+    When reports of 0, 30 and 60 percent, sent 5 seconds apart, arrive together
+    Then a task of the job is expected to take 17 seconds
+
   Scenario: A resumed run is expected to do only what its checkpoint left
     # Guards against a resumed run that counts as nearly done, or as just begun.
     Given a job of 1 task of 8 accelerators, estimated at 20 seconds, is submitted
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -37,6 +37,20 @@
     When the entry appends through its relay
     Then the record is stored once
 
+  Scenario: A call that waited through an outage does not hide that the store is back
+    # Guards against callers that are refused for a second after the store has returned.
+    Given a relay whose store is down
+    When a call that began in the outage fails after a newer one has worked
+    Then the store counts as reachable
+    When a call fails that no newer one has followed
+    Then the store counts as out of reach
+
+  Scenario: The store itself is asked before a second peer
+    # Guards against an entry that spends its time on peers that are gone.
+    Given a relay whose store is down, with two peers that are gone
+    When two calls fail, one right after the other
+    Then the second one asked the store after the first peer
+
   Scenario: A start under way is not refused when its target begins to drain
     Given a target process that carries out a start
     When its target begins to drain and the order is repeated
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -103,10 +103,21 @@
     assert abs(left_s - seconds) < 0.5, left_s
 
 
-@then("a task of the job is expected to take 10 seconds")
-def takes(context: Context) -> None:
+@when("reports of 0, 30 and 60 percent, sent 5 seconds apart, arrive together")
+def held_up(context: Context) -> None:
+    world = context.world
+    world.settle(1)
+    target, row = world.run_of("job")
+    arrived = world.now + 10
+    for late, percent in ((0, 0), (5, 30), (10, 60)):
+        target.running[row.task] = RunningRow(row.task, row.run, "", percent)
+        world.core.report(target.report(world.now + late), arrived, world.date)
+
+
+@then("a task of the job is expected to take {seconds:d} seconds")
+def takes(context: Context, seconds: int) -> None:
     task_s = context.world.core.jobs[JobId("job")].task_s(0)
-    assert abs(task_s - 10) < 0.5, task_s
+    assert abs(task_s - seconds) < 0.5, task_s
 
 
 @given("urgent jobs of 4 and of 1 tasks of an organisation with 24 guaranteed accelerators")
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -21,6 +22,7 @@
 from comfreyshelf.fleet.entry import EntryProcess
 from comfreyshelf.fleet.followers import Keeper
 from comfreyshelf.fleet.front import Front
+from comfreyshelf.fleet.http import Answer
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.jobs import Holdings, Incarnation, JobPhase, Progress, Token
 from comfreyshelf.fleet.member import Member
@@ -279,6 +281,79 @@
     context.relay = Relay(free_address(), lambda: [address_of(peer)], Metrics())
 
 
+def make_relay(context: Context, peers: list[str]) -> None:
+    """A relay with a direct way and a way through peers that `context.answer` decides."""
+    context.relay = Relay("127.0.0.1:1", lambda: peers, Metrics())
+    context.asked = []
+
+    def ask(way: str) -> Answer:
+        context.asked.append(way)
+        return context.answer(way)
+
+    context.relay.direct = lambda *call: ask("store")
+    context.relay._relayed = lambda address, *call: ask(address)
+
+
+def ask_store(context: Context) -> None:
+    with suppress(StoreBusyError, StoreSilentError):
+        context.relay.call("GET", "/v1/log-owners", 1.0, b"", "")
+
+
+def answer_nothing(way: str) -> Answer:
+    raise StoreSilentError(f"{way} gave no answer", "ask again")
+
+
+@given("a relay whose store is down")
+def relay_down(context: Context) -> None:
+    make_relay(context, [])
+
+
+@given("a relay whose store is down, with two peers that are gone")
+def relay_no_peers(context: Context) -> None:
+    make_relay(context, ["peer-1", "peer-2"])
+    context.answer = answer_nothing
+
+
+@when("a call that began in the outage fails after a newer one has worked")
+def old_call_fails(context: Context) -> None:
+    def meanwhile(way: str) -> Answer:
+        context.answer = lambda way: Answer(200, b"")
+        ask_store(context)
+        return answer_nothing(way)
+
+    context.answer = meanwhile
+    ask_store(context)
+    assert len(context.asked) == 2
+
+
+@when("a call fails that no newer one has followed")
+def newest_fails(context: Context) -> None:
+    context.answer = answer_nothing
+    ask_store(context)
+
+
+@then("the store counts as reachable")
+def counts_reachable(context: Context) -> None:
+    assert context.relay.reachable
+
+
+@then("the store counts as out of reach")
+def counts_out_of_reach(context: Context) -> None:
+    assert not context.relay.reachable
+
+
+@when("two calls fail, one right after the other")
+def two_calls(context: Context) -> None:
+    ask_store(context)
+    context.asked.clear()
+    ask_store(context)
+
+
+@then("the second one asked the store after the first peer")
+def store_second(context: Context) -> None:
+    assert context.asked == ["peer-1", "store", "peer-2"], context.asked
+
+
 @when("the entry appends through its relay")
 def relayed(context: Context) -> None:
     LogStore(context.relay).append("jobs", [KeyedRecord("j/1", b"x")])
