Split the target process by task

Each now has a module of its own (target, target_runner, looker, orderer, owner_link); the group's name moved to the store's interface, which both its users import. Ruled out: any change of behaviour; the classes moved as they were.

--- a/comfreyshelf/fleet/member.py
+++ b/comfreyshelf/fleet/member.py
@@ -8,8 +8,13 @@
 
 from comfreyshelf.fleet.bounds import monotonic
 from comfreyshelf.fleet.followers import RETRY_S
-from comfreyshelf.fleet.store import Membership, Store, StoreBusyError, StoreSilentError
-from comfreyshelf.fleet.target import OWNER_GROUP
+from comfreyshelf.fleet.store import (
+    OWNER_GROUP,
+    Membership,
+    Store,
+    StoreBusyError,
+    StoreSilentError,
+)
 from comfreyshelf.logs import change
 from comfreyshelf.tasks import Poller
 
--- /dev/null
+++ b/comfreyshelf/fleet/orderer.py
@@ -0,0 +1,99 @@
+"""The part of a target process that carries out the owner's orders on its runner."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from comfreyshelf.fleet.bounds import monotonic
+from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.target import TargetState
+from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.logs import change
+from comfreyshelf.metrics import Metrics
+
+_ORDER_THREADS = 4
+
+
+class Orderer:
+    """Carries out orders on the runner, several at a time."""
+
+    def __init__(self, state: TargetState, runner: Runner, metrics: Metrics) -> None:
+        self._state = state
+        self._runner = runner
+        self._metrics = metrics
+        self._pool = ThreadPoolExecutor(_ORDER_THREADS, "order")
+        # Starts of this process that got no answer.
+        self._unanswered: set[tuple[str, int]] = set()
+
+    def carry_out(self, orders: Orders) -> None:
+        """Start on all orders that are not under way."""
+        todo = self._state.accept(orders)
+        for stop in todo.stops:
+            self._pool.submit(self._stop, stop)
+        for start in todo.starts:
+            self._pool.submit(self._start, start)
+        for refused in todo.refusals:
+            # A copy of the order may have been carried out without an answer, so the run counts
+            # as rejected only once it is stopped and listed nowhere.
+            self._pool.submit(self._stop, StopOrder(refused.task, refused.run))
+
+    def _start(self, order: StartOrder) -> None:
+        state = self._state
+        began = monotonic()
+        outcome, deadline = "started", state.deadline_ms()
+        try:
+            if deadline is None:
+                outcome = "no contact to an owner"
+                return
+            self._runner.start(state.token, order, deadline)
+            state.started(order)
+        except RefusedError as exc:
+            outcome = exc.reason
+            self._metrics.count(f'starts_refused{{reason="{exc.reason}"}}')
+            self._reject(order, exc.reason)
+        except (StoreBusyError, StoreSilentError) as exc:
+            self._unanswered.add((order.task, order.run))
+            # The owner repeats the order until the run is listed or rejected.
+            outcome = str(exc)
+            self._metrics.count("starts_unanswered")
+        finally:
+            state.finished(order.task)
+            change(
+                "start",
+                task=order.task,
+                run=order.run,
+                token=state.token,
+                outcome=outcome,
+                took_ms=round((monotonic() - began) * 1000, 1),
+            )
+
+    def _reject(self, order: StartOrder, reason: str) -> None:
+        """Make the refusal final, as an earlier copy of the order may still arrive.
+
+        If such a copy got no answer it may have started, so its end or absence has to be listed.
+        """
+        try:
+            self._runner.stop(self._state.token, StopOrder(order.task, order.run))
+        except (StoreBusyError, StoreSilentError, RefusedError) as exc:
+            change("refused start stays open", task=order.task, run=order.run, why=str(exc))
+            return
+        if (order.task, order.run) in self._unanswered:
+            self._unanswered.discard((order.task, order.run))
+            self._state.stopped(StopOrder(order.task, order.run))
+        else:
+            self._state.reject(order.task, order.run, reason)
+
+    def _stop(self, order: StopOrder) -> None:
+        state = self._state
+        outcome = "stopped"
+        try:
+            self._runner.stop(state.token, order)
+            state.stopped(order)
+        except (StoreBusyError, StoreSilentError, RefusedError) as exc:
+            outcome = str(exc)
+        finally:
+            state.finished(order.task)
+            change("stop", task=order.task, run=order.run, token=state.token, outcome=outcome)
+
+    def close(self) -> None:
+        """Wait for what is under way."""
+        self._pool.shutdown(wait=True, cancel_futures=True)
--- /dev/null
+++ b/comfreyshelf/fleet/owner_link.py
@@ -0,0 +1,113 @@
+"""The pipe from a target process to the owner of the schedule."""
+
+import threading
+
+import msgspec
+import pynng
+
+from comfreyshelf.fleet import messages
+from comfreyshelf.fleet.bounds import REPORT_INTERVAL_S, monotonic
+from comfreyshelf.fleet.orderer import Orderer
+from comfreyshelf.fleet.store import OWNER_GROUP, Store, StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.target import TargetState
+from comfreyshelf.logs import change
+from comfreyshelf.tasks import Poller
+
+# Without orders for this long, the owner is looked up again.
+OWNER_SILENT_S = 1.5
+LOOKUP_INTERVAL_S = 0.4
+_SEND_TIMEOUT_MS = 200
+_RECEIVE_TIMEOUT_MS = 2000
+
+
+class OwnerLink(Poller):
+    """The pipe to the owner: reports go out, orders come in."""
+
+    def __init__(self, state: TargetState, store: Store, orderer: Orderer) -> None:
+        super().__init__("owner-link")
+        self._state = state
+        self._store = store
+        self._orderer = orderer
+        self._socket: pynng.Pair1 | None = None
+        self._address = ""
+        self._heard_at = monotonic()
+        self._answered_at = float("-inf")
+        self._looked_up_at = float("-inf")
+
+    def poll(self) -> None:
+        now = monotonic()
+        if self._socket is None or now - self._heard_at > OWNER_SILENT_S:
+            self._look_up(now)
+        if self._socket is None:
+            self.wait(LOOKUP_INTERVAL_S / 2)
+            return
+        self._state.news.wait(REPORT_INTERVAL_S)
+        self._state.news.clear()
+        report = self._state.report()
+        if report is not None:
+            try:
+                self._socket.send(messages.encode(report))
+            except pynng.exceptions.NNGException as exc:
+                change("report not sent", owner=self._address, why=str(exc))
+                self._look_up(monotonic())
+
+    def _look_up(self, now: float) -> None:
+        if now - self._looked_up_at < LOOKUP_INTERVAL_S:
+            return
+        self._looked_up_at = now
+        try:
+            member = self._store.leader(OWNER_GROUP)
+        except (StoreBusyError, StoreSilentError, msgspec.DecodeError) as exc:
+            change("owner lookup failed", why=str(exc))
+            return
+        address = member.partition("@")[2].partition("/")[0]
+        answers = now - self._answered_at < OWNER_SILENT_S
+        if not address or (address == self._address and answers):
+            return
+        # A pipe may have gone silent without an error, so the same address is dialled again too.
+        self._close()
+        change("owner found", owner=member)
+        self._address = address
+        self._heard_at = now
+        socket = pynng.Pair1(
+            send_timeout=_SEND_TIMEOUT_MS,
+            recv_timeout=_RECEIVE_TIMEOUT_MS,
+            reconnect_time_min=50,
+            reconnect_time_max=300,
+        )
+        socket.dial(f"tcp://{address}", block=False)
+        self._socket = socket
+        threading.Thread(target=self._receive, args=(socket,), daemon=True).start()
+        self._state.news.set()
+
+    def _receive(self, socket: pynng.Pair1) -> None:
+        while True:
+            try:
+                orders = messages.decode_orders(socket.recv())
+            except pynng.exceptions.Timeout:
+                if socket is not self._socket:
+                    return
+                continue
+            except pynng.exceptions.Closed:
+                return
+            except msgspec.DecodeError as exc:
+                change("orders cannot be decoded", why=str(exc))
+                continue
+            if not orders.token:
+                # The far end does not own the schedule.
+                self._answered_at = monotonic()
+                self._heard_at = float("-inf")
+                self._state.news.set()
+                continue
+            self._heard_at = self._answered_at = monotonic()
+            self._orderer.carry_out(orders)
+
+    def _close(self) -> None:
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def stop(self) -> None:
+        """End the thread and close the pipe."""
+        super().stop()
+        self._close()
--- a/comfreyshelf/fleet/store.py
+++ b/comfreyshelf/fleet/store.py
@@ -6,6 +6,9 @@
 
 from comfreyshelf.errors import UserError
 
+# The group whose leader owns the schedule.
+OWNER_GROUP = "owner"
+
 
 class StoreBusyError(UserError):
     """The store refused a call and did nothing."""
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -4,10 +4,14 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.codec import Codec
+from comfreyshelf.fleet.looker import Looker
+from comfreyshelf.fleet.orderer import Orderer
+from comfreyshelf.fleet.owner_link import OwnerLink
 from comfreyshelf.fleet.relay import Relay
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import Store
-from comfreyshelf.fleet.target import Looker, Orderer, OwnerLink, Runner, TargetState
+from comfreyshelf.fleet.target import TargetState
+from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
 from comfreyshelf.ids import TargetId
 from comfreyshelf.kernel import Kernel
--- /dev/null
+++ b/comfreyshelf/fleet/target_runner.py
@@ -0,0 +1,37 @@
+"""The interface to the runner on a target process's machine."""
+
+from abc import ABC, abstractmethod
+
+from comfreyshelf.errors import UserError
+from comfreyshelf.fleet.jobs import Holdings, Token
+from comfreyshelf.fleet.messages import StartOrder, StopOrder
+
+
+class RefusedError(UserError):
+    """The runner refused a call; `reason` is its own word."""
+
+    def __init__(self, message: str, reason: str) -> None:
+        super().__init__(message, "see the reason")
+        self.reason = reason
+
+
+class Runner(ABC):
+    """The runner on this machine; calls raise StoreBusyError, StoreSilentError or RefusedError."""
+
+    @abstractmethod
+    def hold(
+        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+    ) -> Holdings:
+        """Renew the lease up to a time on the runner's clock, and list its runs."""
+
+    @abstractmethod
+    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+        """Start a run."""
+
+    @abstractmethod
+    def stop(self, token: Token, order: StopOrder) -> None:
+        """Stop a run."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close all connections."""
--- a/comfreyshelf/platform/runner.py
+++ b/comfreyshelf/platform/runner.py
@@ -7,7 +7,7 @@
 from comfreyshelf.fleet.http import JSON, Caller
 from comfreyshelf.fleet.jobs import EndedRow, EndKind, Holdings, Incarnation, RunningRow, Token
 from comfreyshelf.fleet.messages import StartOrder, StopOrder
-from comfreyshelf.fleet.target import RefusedError, Runner
+from comfreyshelf.fleet.target_runner import RefusedError, Runner
 
 CALL_TIMEOUT_S = 0.8
 # A look that waits for an end is answered a little later than it asked for.
