--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -12,6 +12,25 @@
 _LENGTH = struct.Struct(">I")
 _HEAD = struct.Struct(">QQ")
 
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "q",
+            "host": "h.example",
+            "path-prefix": "/q/",
+            "service": "permit",
+            "priority": 1,
+            "max-attempts": 3,
+            "stretch": 3.0,
+            "target-latency-ms": 1000,
+        }
+    ],
+    "tenants": [{"name": "a", "api-keys": ["key"], "guaranteed": {"gpu": 8}}],
+    "limits": {"max-body-bytes": 100000},
+}
+JOB = {"task-spec": "x", "steps": [{"count": 5, "cpu": 1000, "gpu": 2, "est-runtime-ms": 300}]}
+
 
 class StoreStandin:
     """Partition 0 of any topic, fenced producers, and one group whose first member leads.
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -4,7 +4,6 @@
 import socket
 import time
 from collections import Counter
-from contextlib import suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -21,8 +20,6 @@
 from comfreyshelf.fleet.bounds import Bounds, monotonic
 from comfreyshelf.fleet.entry import EntryProcess
 from comfreyshelf.fleet.followers import Keeper
-from comfreyshelf.fleet.front import Front
-from comfreyshelf.fleet.http import Answer
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.jobs import Holdings, Incarnation, JobPhase, Progress, Token
 from comfreyshelf.fleet.member import Member
@@ -33,8 +30,6 @@
 from comfreyshelf.fleet.store import (
     KeyedRecord,
     Membership,
-    StoreBusyError,
-    StoreSilentError,
 )
 from comfreyshelf.fleet.target import TargetState
 from comfreyshelf.fleet.target_process import TargetProcess
@@ -45,25 +40,8 @@
 from comfreyshelf.platform.settings import read_settings
 from comfreyshelf.platform.store import LogStore, decode_batch, encode_records
 from comfreyshelf.platform.wire import PlatformCodec, decode_announcement
-from features.platform_standins import RunnerStandin, StoreStandin
-
-CONFIG = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "q",
-            "host": "h.example",
-            "path-prefix": "/q/",
-            "service": "permit",
-            "priority": 1,
-            "max-attempts": 3,
-            "stretch": 3.0,
-            "target-latency-ms": 1000,
-        }
-    ],
-    "tenants": [{"name": "a", "api-keys": ["key"], "guaranteed": {"gpu": 8}}],
-    "limits": {"max-body-bytes": 100000},
-}
+from features.platform_standins import CONFIG, JOB, RunnerStandin, StoreStandin
+
 BEAT = {
     "service": "permit",
     "zone": "z",
@@ -73,7 +51,6 @@
     "labels": ["a", "r1"],
     "born": 10,
 }
-JOB = {"task-spec": "x", "steps": [{"count": 5, "cpu": 1000, "gpu": 2, "est-runtime-ms": 300}]}
 HEAD = 16
 
 
@@ -281,79 +258,6 @@
     context.relay = Relay(free_address(), lambda: [address_of(peer)], Metrics())
 
 
-def make_relay(context: Context, peers: list[str]) -> None:
-    """A relay with a direct way and a way through peers that `context.answer` decides."""
-    context.relay = Relay("127.0.0.1:1", lambda: peers, Metrics())
-    context.asked = []
-
-    def ask(way: str) -> Answer:
-        context.asked.append(way)
-        return context.answer(way)
-
-    context.relay.direct = lambda *call: ask("store")
-    context.relay._relayed = lambda address, *call: ask(address)
-
-
-def ask_store(context: Context) -> None:
-    with suppress(StoreBusyError, StoreSilentError):
-        context.relay.call("GET", "/v1/log-owners", 1.0, b"", "")
-
-
-def answer_nothing(way: str) -> Answer:
-    raise StoreSilentError(f"{way} gave no answer", "ask again")
-
-
-@given("a relay whose store is down")
-def relay_down(context: Context) -> None:
-    make_relay(context, [])
-
-
-@given("a relay whose store is down, with two peers that are gone")
-def relay_no_peers(context: Context) -> None:
-    make_relay(context, ["peer-1", "peer-2"])
-    context.answer = answer_nothing
-
-
-@when("a call that began in the outage fails after a newer one has worked")
-def old_call_fails(context: Context) -> None:
-    def meanwhile(way: str) -> Answer:
-        context.answer = lambda way: Answer(200, b"")
-        ask_store(context)
-        return answer_nothing(way)
-
-    context.answer = meanwhile
-    ask_store(context)
-    assert len(context.asked) == 2
-
-
-@when("a call fails that no newer one has followed")
-def newest_fails(context: Context) -> None:
-    context.answer = answer_nothing
-    ask_store(context)
-
-
-@then("the store counts as reachable")
-def counts_reachable(context: Context) -> None:
-    assert context.relay.reachable
-
-
-@then("the store counts as out of reach")
-def counts_out_of_reach(context: Context) -> None:
-    assert not context.relay.reachable
-
-
-@when("two calls fail, one right after the other")
-def two_calls(context: Context) -> None:
-    ask_store(context)
-    context.asked.clear()
-    ask_store(context)
-
-
-@then("the second one asked the store after the first peer")
-def store_second(context: Context) -> None:
-    assert context.asked == ["peer-1", "store", "peer-2"], context.asked
-
-
 @when("the entry appends through its relay")
 def relayed(context: Context) -> None:
     LogStore(context.relay).append("jobs", [KeyedRecord("j/1", b"x")])
@@ -365,51 +269,6 @@
     assert context.relay.reachable
 
 
-class FakeStore:
-    """Counts appends; `answers` gives what each of them raises, None for success."""
-
-    def __init__(self, answers: list[Exception | None]) -> None:
-        self.answers = answers
-        self.appends = 0
-
-    def append(self, records_given: list[KeyedRecord]) -> None:
-        self.appends += 1
-        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
-        if answer is not None:
-            raise answer
-
-
-class FakeClock:
-    """A clock that only pauses move."""
-
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def read(self) -> float:
-        return self.now
-
-    def pause(self, seconds: float) -> None:
-        self.now += seconds
-
-
-def make_front(context: Context, reachable: bool, answers: list[Exception | None]) -> None:
-    codec = PlatformCodec()
-    config = codec.config(json.dumps(CONFIG).encode())
-    context.fake = FakeStore(answers)
-    context.clock = FakeClock()
-    context.front = Front(
-        codec,
-        JobBook(),
-        lambda: config,
-        context.fake.append,
-        lambda: None,
-        lambda: reachable,
-        Metrics(),
-        context.clock.read,
-        context.clock.pause,
-    )
-
-
 ORDER = StartOrder("a" * 16 + ".0.0.0", 1, "x", "")
 
 
@@ -505,56 +364,6 @@
     assert context.process._settings.peers == ("127.0.0.1:4",)
 
 
-@given("a front whose store is away")
-def store_away(context: Context) -> None:
-    make_front(context, False, [StoreBusyError("away", "wait")])
-
-
-@given("a front whose store answers nothing and then refuses")
-def store_silent(context: Context) -> None:
-    silent = StoreSilentError("no answer", "ask")
-    make_front(context, True, [silent, StoreBusyError("busy", "wait")])
-
-
-@when("a job is submitted with a deadline of 1 second")
-def submitted(context: Context) -> None:
-    headers = {"HTTP_HOST": "h.example", "HTTP_X_API_KEY": "key", "HTTP_DEADLINE_MS": "1000"}
-    began = context.clock.now
-    call = Call("POST", "/q/" + "1" * 16, headers, json.dumps(JOB).encode())
-    context.reply = context.front.handle(call)
-    context.took = context.clock.now - began
-
-
-@then("it is refused within half a second as not run, and nothing was appended")
-def true_refusal(context: Context) -> None:
-    assert context.reply.status == 503 and context.reply.retry_after_s > 0
-    assert context.fake.appends == 0
-    assert 0.3 < context.took < 0.5, context.took
-
-
-@then("it is refused at once as not run")
-def refused_at_once(context: Context) -> None:
-    assert context.reply.status == 503 and context.reply.retry_after_s > 0
-    assert context.took == 0, context.took
-
-
-@given("a front whose store refuses one append and takes the next")
-def store_busy_once(context: Context) -> None:
-    make_front(context, True, [StoreBusyError("busy", "wait"), None])
-
-
-@then("it is accepted with the second append")
-def accepted_second(context: Context) -> None:
-    assert context.reply.status == 200, context.reply
-    assert context.fake.appends == 2
-
-
-@then("the answer does not claim that it has not run")
-def no_claim(context: Context) -> None:
-    assert context.reply.status == 504, context.reply
-    assert context.fake.appends > 1
-
-
 class Deployment:
     """Entries and target processes on loopback, each with its own services."""
 
