--- a/comfreyshelf/explain.py
+++ b/comfreyshelf/explain.py
@@ -1,6 +1,6 @@
-"""Explains one request or job from the structured log lines of all processes."""
+"""Explains requests, jobs and lost work from the structured log lines of all processes."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -32,9 +32,32 @@
 )
 
 
+class LostWork(msgspec.Struct):
+    """Runs that ended without success for one cause, and the core-seconds lost with them."""
+
+    runs: int = 0
+    core_s: float = 0.0
+
+
+def sum_lost_work(texts: Iterable[str]) -> dict[str, LostWork]:
+    """The work thrown away by cause, most first; reads the text once, line by line."""
+    causes: dict[str, LostWork] = {}
+    for line in iterate_lines(text for text in texts if '"run ended"' in text):
+        if line.get("how") == "done" or "cause" not in line:
+            continue
+        lost = causes.setdefault(str(line["cause"]), LostWork())
+        lost.runs += 1
+        lost.core_s += float(str(line.get("lost_core_s", 0.0)))
+    return dict(sorted(causes.items(), key=lambda item: -item[1].core_s))
+
+
 def read_lines(texts: Iterable[str]) -> list[dict[str, object]]:
-    """Decode log lines, each from its first brace on, and sort them by time; skip other text."""
-    lines = []
+    """Decode log lines and sort them by time."""
+    return sorted(iterate_lines(texts), key=lambda line: float(str(line["time"])))
+
+
+def iterate_lines(texts: Iterable[str]) -> Iterator[dict[str, object]]:
+    """Decode log lines, each from its first brace on; skip other text."""
     for text in texts:
         start = text.find("{")
         if start < 0:
@@ -44,8 +67,7 @@
         except msgspec.DecodeError:
             continue
         if all(name in line for name in ("time", "process", "event")):
-            lines.append(line)
-    return sorted(lines, key=lambda line: float(line["time"]))
+            yield line
 
 
 def select_job_lines(lines: list[dict[str, object]], job: JobId) -> list[dict[str, object]]:
--- a/comfreyshelf/fleet/bounds.py
+++ b/comfreyshelf/fleet/bounds.py
@@ -11,14 +11,22 @@
 # Allowance for the time between a report and the orders that answer it.
 ANSWER_MARGIN_S = 0.4
 REPORT_INTERVAL_S = 1.0
+# Time for stops, the ends that they cause, and starts to reach the targets and the owner.
+RECLAIM_MARGIN_S = 1.0
 # No new work is placed on a target that has not reported for this long.
 SUSPECT_AFTER_S = 1.6
+# No new work is placed on a target whose runner has not listed its runs for this long.
+LISTING_SUSPECT_S = 2.5
+# An owner resigns if the store has not confirmed its membership for this long. Until then it keeps
+# the leases of targets that report to it.
+MEMBERSHIP_TIMEOUT_S = 10.0
 
 
 class Bounds(msgspec.Struct, frozen=True):
     """Time limits of one deployment, in seconds.
 
     `early_start_s` is how long before its time an occurrence of a periodic job may start.
+    `reclaim_s` is how soon a job that its organisation's guarantee covers has to run.
     """
 
     lease_s: float = 6.0
@@ -28,12 +36,26 @@
     early_start_s: float = 0.25
     checkpoint_s: float = 0.5
     grace_s: float = 6.0
+    reclaim_s: float = 2.7
+
+    @property
+    def reclaim_patience_s(self) -> float:
+        """How long a job that a guarantee covers may wait for runs to end before it stops some."""
+        return max(0.0, self.reclaim_s - self.stop_grace_s - RECLAIM_MARGIN_S)
 
     @property
     def runs_lapsed_after_s(self) -> float:
         """Time after a target's last report by which the lease of its runs has certainly lapsed."""
         return CONTACT_GRACE_S + self.lease_s * CLOCK_DRIFT_FACTOR + ANSWER_MARGIN_S
 
+    @property
+    def unreported_runs_lapsed_after_s(self) -> float:
+        """Time after a takeover by which the runs of a target that never reported have lapsed.
+
+        The target may have been in contact with the previous owner until that one resigned.
+        """
+        return MEMBERSHIP_TIMEOUT_S + self.runs_lapsed_after_s
+
 
 def monotonic() -> float:
     """Monotonic clock in seconds that, unlike time.monotonic, runs on while the VM is suspended."""
--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -65,7 +65,7 @@
             settings.front_address, FRONT_THREADS, caller_api.handle, caller_api.max_body
         )
         election = LeaderElection(
-            store, f"{settings.name}@{settings.pipe_address}", self._owner.send
+            store, f"{settings.name}@{settings.pipe_address}", settings.cores, self._owner.send
         )
         self._election = election
         self._owner.connect(self._job_sync, store, self._hub, election.end_term)
--- a/comfreyshelf/fleet/entry_sync.py
+++ b/comfreyshelf/fleet/entry_sync.py
@@ -94,11 +94,15 @@
     def __init__(self, job_sync: JobSync) -> None:
         super().__init__("job-reader")
         self._job_sync = job_sync
+        # After a failure, a short read tells whether the store answers at all.
+        self._wait_ms = READ_WAIT_MS
 
     def poll(self) -> None:
         try:
-            self._job_sync.read(READ_WAIT_MS)
+            self._job_sync.read(self._wait_ms)
+            self._wait_ms = READ_WAIT_MS
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self._wait_ms = 0
             self.wait(RETRY_S)
 
 
@@ -116,6 +120,8 @@
         self._codec = codec
         self._on_change = on_change
         self._next_offset = -1
+        # After a failure, a short read tells whether the store answers at all.
+        self._wait_ms = READ_WAIT_MS
         self.config: FleetConfig | None = None
 
     def poll(self) -> None:
@@ -124,14 +130,16 @@
             if self._next_offset < 0:
                 batch = self._store.read_newest(topic)
             else:
-                batch = self._store.read(topic, self._next_offset, READ_WAIT_MS)
+                batch = self._store.read(topic, self._next_offset, self._wait_ms)
         except ExpiredError as exc:
             log_event("configuration records expired", why=str(exc))
             self._next_offset = -1
             return
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
+            self._wait_ms = 0
             self.wait(RETRY_S)
             return
+        self._wait_ms = READ_WAIT_MS
         self._next_offset = batch.next_offset
         newest = [r for r in batch.records if r.key == self._codec.config_key and r.value]
         if newest:
--- a/comfreyshelf/fleet/http.py
+++ b/comfreyshelf/fleet/http.py
@@ -5,7 +5,7 @@
 import msgspec
 import urllib3
 
-from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.store import NotListeningError, StoreBusyError, StoreSilentError
 
 CONNECT_TIMEOUT_S = 0.6
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -54,7 +54,8 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as exc:
-            raise StoreBusyError(
+            error = NotListeningError if _is_refused(exc) else StoreBusyError
+            raise error(
                 f"cannot connect to {self.address}: {exc}",
                 "check that it runs and can be reached, then retry",
             ) from exc
@@ -73,3 +74,8 @@
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
+
+
+def _is_refused(exc: BaseException) -> bool:
+    """Whether a connection attempt was refused, rather than left without an answer."""
+    return isinstance(exc.__cause__ or exc.__context__, ConnectionRefusedError)
--- a/comfreyshelf/fleet/leader_election.py
+++ b/comfreyshelf/fleet/leader_election.py
@@ -1,5 +1,6 @@
 """Leader election for ownership of the schedule, through a group of the store."""
 
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -25,6 +26,11 @@
 REBALANCE_JOIN_INTERVAL_S = 0.03
 # How often an entry outside the group checks whether the group has a leader.
 WATCH_INTERVAL_S = 0.3
+# An entry that finds the group without a leader waits a random time up to this limit and looks
+# again, because each entry that joins moves the lead. A VM with more than REFERENCE_CORES waits
+# for less, as the owner plans faster there.
+MAX_CANDIDATE_DELAY_S = 0.3
+REFERENCE_CORES = 0.5
 # A member that has not led for this long leaves the group.
 NON_LEADER_TIMEOUT_S = 3.0
 # A stopping entry gives other entries this long to take the lead before it joins.
@@ -42,11 +48,18 @@
     """
 
     def __init__(
-        self, store: Store, name_prefix: str, on_membership: Callable[[Membership], None]
+        self,
+        store: Store,
+        name_prefix: str,
+        cores: float,
+        on_membership: Callable[[Membership], None],
     ) -> None:
         super().__init__("member")
         self._store = store
         self._name_prefix = name_prefix
+        self._max_delay_s = MAX_CANDIDATE_DELAY_S * min(1.0, REFERENCE_CORES / cores)
+        self._rng = random.Random(name_prefix)
+        self._is_candidate = False
         self._on_membership = on_membership
         self._generation = 0
         self._member_name = ""
@@ -73,18 +86,27 @@
         now = monotonic()
         if self._store.find_leader(OWNER_GROUP):
             self._leader_seen_at = now
+            self._is_candidate = False
             self._on_membership(Membership(self._generation, False))
             return WATCH_INTERVAL_S
         if self.stopping and now - self._leader_seen_at < STOPPING_WAIT_S:
             return WATCH_INTERVAL_S
+        if not self._is_candidate:
+            self._is_candidate = True
+            return self._rng.uniform(0.0, self._max_delay_s)
+        self._is_candidate = False
         self._member_name = f"{self._name_prefix}/{time.time_ns() // 1_000_000}"
         self._leader_seen_at = monotonic()
         return 0.0
 
     def _renew_membership(self) -> float:
         """Renew the membership; returns the seconds until the next renewal."""
-        membership = self._store.join(
-            OWNER_GROUP, self._member_name, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
+        requested_at = monotonic()
+        membership = msgspec.structs.replace(
+            self._store.join(
+                OWNER_GROUP, self._member_name, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
+            ),
+            requested_at=requested_at,
         )
         has_new_generation = membership.generation != self._generation
         self._generation = membership.generation
--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -19,7 +19,9 @@
     `sent_at` is on the sender's clock. `Orders` return it as `report_sent_at`, which tells the
     target process when it last had contact. `lists_known` is false until the target has listed its
     runs to this process. A target that is `gone` has left for good and runs nothing. `machine`
-    names the VM, which runs one target at a time.
+    names the VM, which runs one target at a time. `listed_at` is when the target's runner last
+    listed its runs, on the sender's clock. If the runner is not `runner_up`, it runs nothing and
+    starts nothing until a later report says otherwise.
     """
 
     sent_at: float
@@ -31,6 +33,8 @@
     rejected: tuple[Rejection, ...]
     machine: str
     gone: bool = False
+    listed_at: float = 0.0
+    runner_up: bool = True
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -1,12 +1,13 @@
 """The owner's decisions: which tasks run on which targets, from reports and accepted jobs."""
 
-import math
 from collections import Counter
 from collections.abc import Callable
 
+import msgspec
+
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.durations import DurationEstimator
-from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
+from comfreyshelf.fleet.guarantee import ClaimForecast, covered_jobs, may_borrow
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     EndKind,
@@ -16,22 +17,22 @@
     RunNumber,
     TaskName,
     Token,
-    full_task_name,
     parse_task_name,
     split_full_name,
 )
+from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
 from comfreyshelf.fleet.messages import Orders, Report, StartOrder, StopOrder
-from comfreyshelf.fleet.placing import Assignment, CandidateTarget, PlanningCapacity
+from comfreyshelf.fleet.placing import (
+    Assignment,
+    CandidateTarget,
+    PlacementLimits,
+    PlanningCapacity,
+)
 from comfreyshelf.fleet.preemption_cost import is_worth_preempting, make_victim
 from comfreyshelf.fleet.targets import TargetView, new_target_view
 from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
-# For this long after the last urgent job was accepted, guarantees may be claimed at any moment.
-GUARANTEE_CLAIM_WINDOW_S = 8.0
-# A new owner assumes for this long that guarantees may be claimed, as it does not know which urgent
-# jobs were accepted and ended before its term.
-NEW_OWNER_CAUTION_S = 12.0
 # Capacity is reserved for at most this many units that fit nowhere yet, in order of their ranks.
 MAX_RESERVED_UNITS = 3
 # A run is stalled if it made no progress for longer than both MIN_STALL_S and this share of the
@@ -46,6 +47,21 @@
     """Default event logger, which logs nothing."""
 
 
+class _PlanningPass(msgspec.Struct):
+    """State of one planning pass.
+
+    `unclaimed_accelerators` are free and not expected to be claimed by guarantees. `reserved_units`
+    counts the units that had capacity reserved although they fit nowhere yet.
+    """
+
+    now: float
+    unix_now: float
+    covered_ids: set[JobId]
+    capacity: PlanningCapacity
+    unclaimed_accelerators: int = 0
+    reserved_units: int = 0
+
+
 class OwnerCore:
     """Scheduling decisions during one term of an owner.
 
@@ -66,8 +82,15 @@
         # Runs that earlier owners ordered on targets which have not reported to this owner yet.
         self._unreported_runs: dict[TargetId, list[ActiveRun]] = {}
         self._dirty_jobs: set[JobId] = set()
-        # When the newest urgent job was accepted, in seconds since the Unix epoch.
-        self._last_urgent_accepted_at = 0.0
+        # Runs and targets with changes that the next `mark_stored` confirms, and ended jobs.
+        self._unstored_runs: list[ActiveRun] = []
+        self._targets_with_new_ends: set[TargetId] = set()
+        self._ended_jobs: set[JobId] = set()
+        # Jobs whose planning raised an error; they wait until the next owner takes over.
+        self._failed_jobs: set[JobId] = set()
+        # Whether something happened since the last planning pass that may change its result.
+        self.needs_plan = True
+        self._claim_forecast = ClaimForecast()
         self._durations = DurationEstimator()
 
     # Jobs
@@ -77,21 +100,25 @@
         job = stored.job
         if job is None:
             return
+        self.needs_plan = True
         tracked = self.jobs.get(job.id)
         if tracked is None:
-            if stored.progress.phase.is_final:
+            is_takeover = now <= self._term_started_at
+            # Clocks of entries differ, so a job that arrives during this term counts as accepted
+            # now, whatever time its record states.
+            accepted_at = min(unix_now, job.accepted_at) if is_takeover else unix_now
+            is_final = stored.progress.phase.is_final
+            queue = self.config.queue_by_name(job.queue)
+            if queue is not None and queue.priority == 0 and (is_takeover or not is_final):
+                self._claim_forecast.record(job, accepted_at)
+            if is_final:
                 return
             progress = Progress(
                 stored.progress.phase, dict(stored.progress.tasks), stored.progress.ended_at
             )
-            tracked = TrackedJob(
-                job, progress, self.config.queue_by_name(job.queue), self._durations
-            )
-            # Clocks of entries differ, so a job that arrives during this term counts as accepted
-            # now, whatever time its record states.
-            tracked.accepted_at = (
-                unix_now if now > self._term_started_at else min(unix_now, job.accepted_at)
-            )
+            tracked = TrackedJob(job, progress, queue, self._durations)
+            tracked.accepted_at = accepted_at
+            tracked.check_progress()
             self.jobs[job.id] = tracked
             for name, task in progress.tasks.items():
                 if task.target and not task.done:
@@ -114,6 +141,7 @@
             now,
             is_stored=True,
         )
+        tracked.active_runs[name] = active
         view = self.targets.get(task.target)
         if view is None:
             self._unreported_runs.setdefault(task.target, []).append(active)
@@ -123,6 +151,7 @@
     def configure(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
         self.config = config
+        self.needs_plan = True
         for tracked in self.jobs.values():
             tracked.queue = config.queue_by_name(tracked.job.queue) or tracked.queue
 
@@ -139,6 +168,7 @@
             old = view
             view = new_target_view(report, now)
             self.targets[target] = view
+            self.needs_plan = True
             if old is not None:
                 self._drop_runs(old, unix_now, "its target started again")
             for active in self._unreported_runs.pop(target, []):
@@ -149,7 +179,7 @@
             self.log_event("target joined", target=target, incarnation=report.incarnation)
         if report.announcement.draining and not view.drain_until:
             view.drain_until = now + report.announcement.drain_left_ms / 1000
-            view.orders_changed = True
+            view.orders_changed = self.needs_plan = True
             self.log_event(
                 "target drains", target=target, left_ms=report.announcement.drain_left_ms
             )
@@ -158,11 +188,17 @@
         view.announcement = report.announcement
         view.seen_at = now
         view.report_sent_at = report.sent_at
+        view.listed_at = report.listed_at or report.sent_at
         if report.gone:
             self._drop_runs(view, unix_now, "its target left")
             del self.targets[target]
             return
+        if not report.runner_up:
+            view.lists_known = False
+            self._drop_runs(view, unix_now, "its runner is down")
+            return
         if report.lists_known:
+            self.needs_plan = self.needs_plan or not view.lists_known
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
@@ -179,8 +215,10 @@
                 self._drop_unreported_runs(target, "its machine runs another target")
 
     def _drop_unreported_runs(self, target: TargetId, why: str) -> None:
+        self.needs_plan = True
         for active in self._unreported_runs.pop(target):
             active.tracked.task_progress(active.task).target = TargetId("")
+            active.tracked.active_runs.pop(active.task, None)
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event(
                 "run lost", task=active.full_name, run=active.run, target=target, why=why
@@ -192,7 +230,8 @@
         for end in sorted(report.ended, key=lambda row: row.number):
             if end.number > view.processed_ends:
                 view.processed_ends = end.number
-                view.orders_changed = True
+                view.orders_changed = self.needs_plan = True
+                self._targets_with_new_ends.add(view.id)
                 self._handle_ended_row(
                     view, end.task, end.run, end.kind, end.checkpoint, now, unix_now
                 )
@@ -213,12 +252,13 @@
             if active is None or active.run != row.run:
                 view.stop_unwanted(row)
                 continue
-            active.update_progress(row.percent, now, report.sent_at)
+            active.update_progress(row.percent, now, view.listed_at)
             if row.checkpoint:
                 for member in active.tracked.gang_members(active.task):
                     active.tracked.task_progress(member).checkpoint = row.checkpoint
         for name in [name for name in view.unwanted_runs if name not in listed]:
             del view.unwanted_runs[name]
+            self.needs_plan = True
 
     def _handle_ended_row(
         self,
@@ -252,7 +292,8 @@
         unix_now: float,
     ) -> None:
         view.active_runs.pop(active.full_name, None)
-        view.orders_changed = True
+        active.tracked.active_runs.pop(active.task, None)
+        view.orders_changed = self.needs_plan = True
         tracked, task = active.tracked, active.tracked.task_progress(active.task)
         task.target = TargetId("")
         self._dirty_jobs.add(tracked.job.id)
@@ -266,6 +307,10 @@
             percent=active.percent,
             first_percent=active.first_percent,
             expected_s=round(tracked.task_duration_s(active.step_number), 1),
+            cause=active.stop_cause or kind.value,
+            lost_core_s=round(
+                lost_core_s(active, kind, bool(checkpoint or task.checkpoint), now), 1
+            ),
         )
         if checkpoint:
             for member in tracked.gang_members(active.task):
@@ -307,7 +352,7 @@
         """Stop the other members of a gang after one of its runs ended without success."""
         for name in active.tracked.gang_members(active.task):
             if name != active.task:
-                self._order_stop(active.tracked, name, None)
+                self._order_stop(active.tracked, name, None, StopCause.GANG_BROKEN)
 
     def _complete_task(
         self, tracked: TrackedJob, task: TaskName, run: int, unix_now: float
@@ -319,7 +364,7 @@
             progress.checkpoint = ""
             # Gang members of the same run end by themselves; a later run has to be stopped.
             if progress.run != run:
-                self._order_stop(tracked, name, None)
+                self._order_stop(tracked, name, None, StopCause.SUPERSEDED)
         if tracked.is_done():
             self._finish_job(tracked, JobPhase.COMPLETED, unix_now, "all tasks are done")
 
@@ -328,6 +373,8 @@
             return
         tracked.set_phase(phase, unix_now)
         self._dirty_jobs.add(tracked.job.id)
+        self._ended_jobs.add(tracked.job.id)
+        self.needs_plan = True
         self.log_event(
             "job ended",
             job=tracked.job.id,
@@ -336,24 +383,27 @@
             took_s=round(unix_now - tracked.accepted_at, 2),
         )
         for name in list(tracked.progress.tasks):
-            self._order_stop(tracked, name, None)
+            self._order_stop(tracked, name, None, STOP_CAUSE_BY_PHASE[phase])
 
-    def _order_stop(self, tracked: TrackedJob, name: TaskName, now: float | None) -> None:
+    def _order_stop(
+        self, tracked: TrackedJob, name: TaskName, now: float | None, cause: StopCause
+    ) -> None:
         """Order the active run of a task, if there is one, to stop.
 
         If `now` is None, the stop counts from the target's last report, or from the start of the
         term for a target that has not reported yet.
         """
-        full_name = full_task_name(tracked.job.id, name)
-        for view in self.targets.values():
-            active = view.active_runs.get(full_name)
-            if active is not None and active.stopping_since is None:
-                active.stopping_since = now if now is not None else view.seen_at
-                view.orders_changed = True
-        for runs in self._unreported_runs.values():
-            for active in runs:
-                if active.full_name == full_name and active.stopping_since is None:
-                    active.stopping_since = now if now is not None else self._term_started_at
+        active = tracked.active_runs.get(name)
+        if active is None or active.stopping_since is not None:
+            return
+        active.stop_cause = cause.value
+        view = self.targets.get(active.target)
+        self.needs_plan = True
+        if view is None or active.full_name not in view.active_runs:
+            active.stopping_since = now if now is not None else self._term_started_at
+            return
+        active.stopping_since = now if now is not None else view.seen_at
+        view.orders_changed = True
 
     def _drop_runs(self, view: TargetView, unix_now: float, why: str) -> None:
         """Mark all runs of a target as lost, as the target can no longer run them."""
@@ -371,80 +421,79 @@
         It drops targets whose lease has lapsed, stops runs that have to move, and places units that
         may start.
         """
+        self.needs_plan = False
         self._drop_silent_targets(now, unix_now)
         self._update_remaining_times(now)
         self._stop_draining_and_stalled_runs(now)
-        reserved_units = 0
-        covered_ids = covered_jobs(self.jobs.values(), self.config, unix_now)
-        capacity = PlanningCapacity(self._list_candidates(now, unix_now, covered_ids))
-        unclaimed_accelerators = self._unclaimed_accelerators(capacity, now, unix_now)
-        ranked = sorted(
-            self.jobs.values(), key=lambda t: (t.job.id not in covered_ids, t.sort_key(unix_now))
+        jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
+        covered_ids = covered_jobs(jobs, self.config, unix_now)
+        planning = _PlanningPass(
+            now,
+            unix_now,
+            covered_ids,
+            PlanningCapacity(self._list_candidates(now, unix_now, covered_ids)),
         )
-        for tracked in ranked:
-            is_covered = tracked.job.id in covered_ids
-            is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
-            # Steps of which a task could not be placed. Their other tasks have the same demand and
-            # could not be placed either.
-            blocked_steps: set[tuple[int, int]] = set()
-            for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
-                needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
-                if (unit.occurrence, unit.step_number) not in blocked_steps:
-                    if needed_accelerators > unclaimed_accelerators and not may_borrow(
-                        tracked, unit, is_in_time
-                    ):
-                        why = "guarantees may claim the room"
-                    else:
-                        why = self._place_unit(capacity, tracked, unit, is_covered, now, unix_now)
-                    self._log_wait(tracked, unit, why, unix_now)
-                    if not why:
-                        unclaimed_accelerators -= 0 if is_covered else needed_accelerators
-                        continue
-                    blocked_steps.add((unit.occurrence, unit.step_number))
-                if reserved_units < MAX_RESERVED_UNITS and tracked.priority <= 1 and is_in_time:
-                    reserved_units += self._reserve_for_blocked(capacity, unit)
+        planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
+        jobs.sort(key=lambda t: (t.job.id not in covered_ids, t.sort_key(unix_now)))
+        for tracked in jobs:
+            try:
+                self._place_job(tracked, planning)
+            except Exception as exc:  # One bad job must not keep all others from being planned.
+                self._failed_jobs.add(tracked.job.id)
+                self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
+
+    def _place_job(self, tracked: TrackedJob, planning: "_PlanningPass") -> None:
+        """Place the units of a job that may start, in one planning pass."""
+        unix_now = planning.unix_now
+        is_covered = tracked.job.id in planning.covered_ids
+        is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
+        # Steps of which a task could not be placed. Their other tasks have the same demand and
+        # could not be placed either.
+        blocked_steps: set[tuple[int, int]] = set()
+        for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
+            needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
+            if (unit.occurrence, unit.step_number) not in blocked_steps:
+                if needed_accelerators > planning.unclaimed_accelerators and not may_borrow(
+                    tracked, unit, is_in_time
+                ):
+                    why = "guarantees may claim the room"
+                else:
+                    why = self._place_unit(tracked, unit, is_covered, planning)
+                self._log_wait(tracked, unit, why, unix_now)
+                if not why:
+                    planning.unclaimed_accelerators -= 0 if is_covered else needed_accelerators
+                    continue
+                blocked_steps.add((unit.occurrence, unit.step_number))
+            if (
+                planning.reserved_units < MAX_RESERVED_UNITS
+                and tracked.priority <= 1
+                and is_in_time
+            ):
+                planning.reserved_units += self._reserve_for_blocked(planning.capacity, unit)
 
     def _update_remaining_times(self, now: float) -> None:
         for tracked in self.jobs.values():
             tracked.begin_planning_pass()
-        for view in self.targets.values():
-            for active in view.active_runs.values():
+            for active in tracked.active_runs.values():
                 if active.stopping_since is None:
-                    active.tracked.remaining_s_by_task[active.task] = active.remaining_s(now)
-
-    def _unclaimed_accelerators(
-        self, capacity: PlanningCapacity, now: float, unix_now: float
-    ) -> float:
-        """Number of free accelerators beyond those that guarantees may still claim.
+                    tracked.remaining_s_by_task[active.task] = active.remaining_s(now)
 
-        The result is infinite if no urgent job was accepted within GUARANTEE_CLAIM_WINDOW_S and
-        the owner's term is older than NEW_OWNER_CAUTION_S.
-        """
-        urgent = [t for t in self.jobs.values() if t.priority == 0]
-        self._last_urgent_accepted_at = max(
-            [self._last_urgent_accepted_at, *(t.accepted_at for t in urgent)]
-        )
-        is_past_caution_period = now - self._term_started_at > NEW_OWNER_CAUTION_S
-        if (
-            is_past_caution_period
-            and unix_now - self._last_urgent_accepted_at > GUARANTEE_CLAIM_WINDOW_S
-        ):
-            return math.inf
+    def _unclaimed_accelerators(self, capacity: PlanningCapacity, unix_now: float) -> int:
+        """Number of free accelerators beyond those that guarantees are expected to claim."""
         free = sum(candidate.free.accelerators for candidate in capacity.candidates.values())
         used: Counter[OrganisationId] = Counter()
         for view in self.targets.values():
             for active in view.active_runs.values():
                 if active.tracked.priority == 0:
                     used[active.tracked.job.organisation] += active.demand.accelerators
-        claims = (max(0, o.guaranteed - used[o.id]) for o in self.config.organisations)
-        return free - sum(claims)
+        return free - self._claim_forecast.expected_accelerators(self.config, used, unix_now)
 
     def _drop_silent_targets(self, now: float, unix_now: float) -> None:
         for view in list(self.targets.values()):
             if now - view.seen_at > self.bounds.runs_lapsed_after_s:
                 self._drop_runs(view, unix_now, f"no report for {now - view.seen_at:.1f} s")
                 del self.targets[view.id]
-        if now - self._term_started_at > self.bounds.runs_lapsed_after_s:
+        if now - self._term_started_at > self.bounds.unreported_runs_lapsed_after_s:
             for target in list(self._unreported_runs):
                 self._drop_unreported_runs(target, "its target never reported")
 
@@ -456,26 +505,33 @@
                     continue
                 if view.drain_until:
                     if active.remaining_s(now) > view.drain_until - now:
-                        self._stop_run(active, now, "target drains")
-                elif self._is_stalled(active, now):
+                        self._stop_run(active, now, StopCause.DRAINED)
+                elif self._is_stalled(active):
                     active.tracked.avoided_targets.add(view.id)
                     view.record_failure(active.tracked.job.id, now)
-                    self._stop_run(active, now, "no progress")
+                    self._stop_run(active, now, StopCause.STALLED)
 
-    def _is_stalled(self, active: ActiveRun, now: float) -> bool:
+    @staticmethod
+    def _is_stalled(active: ActiveRun) -> bool:
         if active.percent >= 100:
             # A gang member at 100 percent waits for the other members.
             return False
         stall_limit_s = max(
             MIN_STALL_S, STALL_ESTIMATE_SHARE * active.tracked.task_duration_s(active.step_number)
         )
-        return not active.step.lasting and now - active.percent_changed_at > stall_limit_s
+        return not active.step.lasting and active.stalled_s > stall_limit_s
 
-    def _stop_run(self, active: ActiveRun, now: float, why: str) -> None:
+    def _stop_run(
+        self, active: ActiveRun, now: float, cause: StopCause, for_job: JobId | None = None
+    ) -> None:
         self.log_event(
-            "run stopped", task=active.full_name, run=active.run, target=active.target, why=why
+            "run stopped",
+            task=active.full_name,
+            run=active.run,
+            target=active.target,
+            why=cause.value if for_job is None else f"{cause.value}, for {for_job}",
         )
-        self._order_stop(active.tracked, active.task, now)
+        self._order_stop(active.tracked, active.task, now, cause)
 
     def _list_candidates(
         self, now: float, unix_now: float, covered_ids: set[JobId]
@@ -490,19 +546,20 @@
                 if active.stopping_since is not None:
                     candidate.releasing += active.demand
                 elif active.tracked.job.id not in covered_ids:
-                    candidate.victims.append(make_victim(active, now, unix_now))
+                    victim = make_victim(active, now, unix_now)
+                    candidate.victims.append(victim)
+                    if victim.ends_soon:
+                        candidate.ending += active.demand
             candidate.victims.sort(key=lambda victim: victim.total_loss)
             candidates[view.id] = candidate
         return candidates
 
     def _place_unit(
         self,
-        capacity: PlanningCapacity,
         tracked: TrackedJob,
         unit: Unit,
         is_covered: bool,
-        now: float,
-        unix_now: float,
+        planning: "_PlanningPass",
     ) -> str:
         """Order the start of a unit, or the stop of its victims.
 
@@ -510,13 +567,18 @@
         reserved that is being released.
         """
         # A job covered by its guarantee may preempt even urgent runs, if these are not covered.
-        preempt_above = -1 if is_covered else tracked.priority
+        capacity, now, unix_now = planning.capacity, planning.now, planning.unix_now
+        is_patient = unix_now - tracked.accepted_at < self.bounds.reclaim_patience_s
+        limits = PlacementLimits(
+            preempt_above=-1 if is_covered else tracked.priority,
+            allow_rack_spread=is_covered,
+            wait_for_ends=tracked.priority == 0 and (is_patient or not is_covered),
+        )
         assignment = capacity.find_assignment(
             unit,
             tracked.avoided_targets,
             self._task_counter(tracked, unit),
-            preempt_above,
-            is_covered,
+            limits,
         )
         if assignment is None:
             return "no room"
@@ -528,7 +590,8 @@
             return ""
         for victim in assignment.victims:
             capacity.mark_releasing(victim)
-            self._stop_run(victim, now, f"makes room for {tracked.job.id}")
+            cause = StopCause.RECLAIMED if is_covered else StopCause.PREEMPTED
+            self._stop_run(victim, now, cause, tracked.job.id)
         return ""
 
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
@@ -584,6 +647,8 @@
                 tracked, name, run, target, view.incarnation, unit.step.demand, view.machine, now
             )
             view.active_runs[active.full_name] = active
+            tracked.active_runs[name] = active
+            self._unstored_runs.append(active)
             view.orders_changed = True
         tracked.set_phase(JobPhase.RUNNING, 0.0)
         self._dirty_jobs.add(tracked.job.id)
@@ -609,29 +674,29 @@
     def mark_stored(self) -> None:
         """Record that all changes are stored, so that starts are ordered and ends acknowledged."""
         self._dirty_jobs.clear()
-        for view in self.targets.values():
-            view.acknowledged_ends = view.processed_ends
-            for active in view.active_runs.values():
-                active.is_stored = True
-        for job in [t.job.id for t in self.jobs.values() if t.progress.phase.is_final]:
-            if not self._has_runs(job):
+        for target in self._targets_with_new_ends:
+            if (view := self.targets.get(target)) is not None:
+                view.acknowledged_ends = view.processed_ends
+                view.orders_changed = True
+        self._targets_with_new_ends.clear()
+        for active in self._unstored_runs:
+            active.is_stored = True
+        self._unstored_runs.clear()
+        for job in list(self._ended_jobs):
+            if not self.jobs[job].active_runs:
+                self._ended_jobs.discard(job)
                 del self.jobs[job]
 
-    def _has_runs(self, job: JobId) -> bool:
-        return any(
-            active.tracked.job.id == job
-            for view in self.targets.values()
-            for active in view.active_runs.values()
-        ) or any(a.tracked.job.id == job for runs in self._unreported_runs.values() for a in runs)
-
-    def orders_for(self, view: TargetView) -> Orders:
+    def orders_for(self, view: TargetView, with_stops: bool = True) -> Orders:
         """All open orders for a target.
 
         A start is repeated until the target lists the run or rejects it, a stop until the run has
-        ended.
+        ended. Stops are left for a later message unless `with_stops`: unlike starts, they are not
+        proven by an append under the owner's epoch.
         """
         view.orders_changed = False
-        starts, stops = [], list(view.unwanted_runs.values())
+        starts: list[StartOrder] = []
+        stops = list(view.unwanted_runs.values())
         for active in view.active_runs.values():
             if active.stopping_since is not None:
                 stops.append(StopOrder(active.full_name, active.run))
@@ -642,6 +707,9 @@
                         active.full_name, active.run, active.tracked.job.payload, task.resumed_from
                     )
                 )
+        if stops and not with_stops:
+            stops.clear()
+            view.orders_changed = True
         return Orders(
             self.token,
             view.incarnation,
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -6,10 +6,15 @@
 import msgspec
 
 from comfreyshelf.errors import UserError
-from comfreyshelf.fleet.bounds import monotonic
+from comfreyshelf.fleet.bounds import MEMBERSHIP_TIMEOUT_S, monotonic
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.hub import Hub
-from comfreyshelf.fleet.job_table import JobTable, progress_record, removal_records
+from comfreyshelf.fleet.job_table import (
+    JobTable,
+    StoredJob,
+    progress_record,
+    removal_records,
+)
 from comfreyshelf.fleet.jobs import FleetConfig, Token
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
@@ -31,8 +36,10 @@
 
 # Name under which the store fences the owner's writes.
 WRITER_NAME = "owner"
-# An owner resigns if the store has not confirmed its membership for this long.
-MEMBERSHIP_TIMEOUT_S = 10.0
+# The lead is certain for this long after the store was asked to confirm it, or after an append
+# under its epoch was sent that succeeded. It is shorter than MEMBER_TTL_MS, and leaves time for the
+# orders to arrive.
+LEAD_CERTAIN_S = 1.0
 TICK_S = 0.25
 # How often the records of ended jobs are removed from the store.
 REMOVAL_INTERVAL_S = 10.0
@@ -78,6 +85,8 @@
         self._retry_write_at = float("-inf")
         self._last_write_succeeded = True
         self._membership_confirmed_at = float("-inf")
+        # When the last append was sent that the store carried out under this owner's epoch.
+        self._append_confirmed_at = float("-inf")
         self._last_removal_at = 0.0
 
     def connect(
@@ -110,13 +119,13 @@
             case JobChanged(job):
                 stored = self._job_table.get(job)
                 if self._core is not None and stored is not None:
-                    self._core.load_job(stored, monotonic(), self._unix_now())
+                    self._load_job(self._core, stored, monotonic())
         if self._inbox.empty():
-            self._plan_and_send()
+            self._plan_and_send(is_tick=False)
 
     def tick(self) -> None:
         """Plan for deadlines and timeouts that have passed, and update the metrics."""
-        self._plan_and_send()
+        self._plan_and_send(is_tick=True)
         self._update_metrics()
 
     def _update_metrics(self) -> None:
@@ -140,7 +149,7 @@
         return monotonic() + self._wall_clock_offset_s
 
     def _apply_membership(self, membership: Membership) -> None:
-        self._membership_confirmed_at = monotonic()
+        self._membership_confirmed_at = membership.requested_at
         self._generation = membership.generation
         if not membership.is_leader and self._core is not None:
             self._resign("another member leads", is_still_leader=False)
@@ -166,9 +175,17 @@
         self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
         self._core.log_event = log_event
         for stored in self._job_table.accepted_jobs():
-            self._core.load_job(stored, now, self._unix_now())
+            self._load_job(self._core, stored, now)
         log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
+    def _load_job(self, core: OwnerCore, stored: StoredJob, now: float) -> None:
+        """Load a job; one whose records make no sense must not keep all others from loading."""
+        try:
+            core.load_job(stored, now, self._unix_now())
+        except Exception as exc:
+            self._metrics.count("jobs_not_loaded")
+            log_event("job not loaded", job=stored.job.id if stored.job else "", why=repr(exc))
+
     def _resign(self, why: str, is_still_leader: bool = True) -> None:
         log_event("owner resigned", why=why)
         core, self._core = self._core, None
@@ -184,14 +201,16 @@
         if self._hub is not None:
             self._hub.send(target, NOT_OWNER_ORDERS)
 
-    def _plan_and_send(self) -> None:
+    def _plan_and_send(self, is_tick: bool) -> None:
+        """Plan, at a tick or if something happened that may change the plan, and send orders."""
         core = self._core
         if core is None or self._hub is None:
             return
         if monotonic() - self._membership_confirmed_at > MEMBERSHIP_TIMEOUT_S:
             self._resign("membership is not confirmed")
             return
-        core.plan(monotonic(), self._unix_now())
+        if is_tick or core.needs_plan:
+            core.plan(monotonic(), self._unix_now())
         if self._store_changes(core):
             self._send_orders(core)
 
@@ -219,6 +238,7 @@
         Returns False if they were not stored, or if that is unknown.
         """
         assert self._job_sync is not None
+        sent_at = monotonic()
         try:
             self._job_sync.append(records, Writer(WRITER_NAME, core.token, self._next_sequence))
         except FencedError as exc:
@@ -234,6 +254,7 @@
         if not self._last_write_succeeded:
             log_event("progress is stored again", records=len(records))
         self._last_write_succeeded = True
+        self._append_confirmed_at = sent_at
         self._unanswered_append = None
         self._next_sequence += 1
         return True
@@ -256,6 +277,10 @@
 
     def _send_orders(self, core: OwnerCore) -> None:
         assert self._hub is not None
+        proven_at = max(self._membership_confirmed_at, self._append_confirmed_at)
+        is_lead_certain = monotonic() - proven_at <= LEAD_CERTAIN_S
+        if not is_lead_certain:
+            self._metrics.count("orders_without_stops")
         for view in core.targets.values():
             if view.orders_changed:
-                self._hub.send(view.id, core.orders_for(view))
+                self._hub.send(view.id, core.orders_for(view, with_stops=is_lead_certain))
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -16,12 +16,13 @@
     """A run that may be preempted, with the cost of doing so in core-seconds.
 
     `lost_work` is the work that is thrown away, `lateness_loss` what the job loses if the
-    preemption makes it miss its objective.
+    preemption makes it miss its objective. A run that `ends_soon` is worth waiting for.
     """
 
     active: ActiveRun
     lost_work: float
     lateness_loss: float = 0.0
+    ends_soon: bool = False
 
     @property
     def total_loss(self) -> float:
@@ -33,24 +34,27 @@
     """A target that may be given work, with its free resources and those that could be freed.
 
     `free` excludes the resources in `releasing`, which runs hold that are being stopped. `victims`
-    are sorted by their total loss in ascending order.
+    are sorted by their total loss in ascending order; `ending` is what those hold that end soon.
     """
 
     announcement: Announcement
     free: Resources
     releasing: Resources = Resources()
+    ending: Resources = Resources()
     victims: list[Victim] = []
 
-    def can_hold_with_preemption(self, demand: Resources, preempt_above: int) -> bool:
-        """Whether a task would fit if all runs that it may preempt were stopped.
+    def room_after_ends(self, free: Resources, limits: "PlacementLimits") -> Resources:
+        """The room once the runs have ended that are being stopped, or that end soon."""
+        room = free + self.releasing
+        return room + self.ending if limits.wait_for_ends else room
 
-        It may preempt runs whose priority number is higher than `preempt_above`.
-        """
-        room = self.free + self.releasing
+    def can_hold_with_preemption(self, demand: Resources, limits: "PlacementLimits") -> bool:
+        """Whether a task would fit if all runs that it may preempt were stopped."""
+        room = self.room_after_ends(self.free, limits)
         for victim in self.victims:
             if room.can_hold(demand):
                 return True
-            if victim.active.tracked.priority > preempt_above:
+            if limits.may_preempt(victim):
                 room += victim.active.demand
         return room.can_hold(demand)
 
@@ -64,6 +68,26 @@
         )
 
 
+class PlacementLimits(msgspec.Struct, frozen=True):
+    """What may be done to place a unit.
+
+    Runs whose priority number is higher than `preempt_above` may be preempted. With
+    `allow_rack_spread`, a unit that should run in one rack is spread over several if no rack has
+    enough capacity now; without, only if no rack would have enough even if it were empty. With
+    `wait_for_ends`, the unit rather waits for runs that end soon than preempts runs.
+    """
+
+    preempt_above: int
+    allow_rack_spread: bool = False
+    wait_for_ends: bool = False
+
+    def may_preempt(self, victim: Victim) -> bool:
+        """Whether a run may be stopped; one that is waited for may not."""
+        if self.wait_for_ends and victim.ends_soon:
+            return False
+        return victim.active.tracked.priority > self.preempt_above
+
+
 class Assignment(msgspec.Struct):
     """A target for each task of a unit, in the order of the tasks.
 
@@ -91,43 +115,22 @@
         unit: Unit,
         avoided: set[TargetId],
         count_tasks: Callable[[TargetId], int],
-        preempt_above: int,
-        allow_rack_spread: bool,
+        limits: PlacementLimits,
     ) -> Assignment | None:
         """Find the cheapest assignment for a unit without reserving it; None if there is none.
 
         Targets in `avoided` are used only if no others suffice. `count_tasks` tells how many tasks
-        of the unit's step a target has already. Runs whose priority number is higher than
-        `preempt_above` may be preempted. With `allow_rack_spread`, a unit that should run in one
-        rack is spread over several if no rack has enough capacity now; without, only if no rack
-        would have enough even if it were empty.
+        of the unit's step a target has already.
         """
         step = unit.step
-        key = (
-            unit.service,
-            step,
-            len(unit.tasks),
-            frozenset(avoided),
-            preempt_above,
-            allow_rack_spread,
-        )
+        key = (unit.service, step, len(unit.tasks), frozenset(avoided), limits)
         if not step.per_target and key in self._cache:
             return self._cache[key]
-        assignment = self._find_cheapest(
-            unit,
-            self._eligible(unit, avoided, count_tasks),
-            count_tasks,
-            preempt_above,
-            allow_rack_spread,
-        )
+        eligible = self._eligible(unit, avoided, count_tasks)
+        assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         if assignment is None and avoided:
-            assignment = self._find_cheapest(
-                unit,
-                self._eligible(unit, set(), count_tasks),
-                count_tasks,
-                preempt_above,
-                allow_rack_spread,
-            )
+            eligible = self._eligible(unit, set(), count_tasks)
+            assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         self._cache[key] = assignment
         return assignment
 
@@ -161,8 +164,7 @@
         unit: Unit,
         eligible: list[CandidateTarget],
         count_tasks: Callable[[TargetId], int],
-        preempt_above: int,
-        allow_rack_spread: bool,
+        limits: PlacementLimits,
     ) -> Assignment | None:
         step = unit.step
         groups: list[list[CandidateTarget]] = []
@@ -178,7 +180,7 @@
         within_rack = [
             assignment
             for assignment in (
-                self._assign_greedily(unit, group, count_tasks, preempt_above) for group in groups
+                self._assign_greedily(unit, group, count_tasks, limits) for group in groups
             )
             if assignment is not None
         ]
@@ -186,11 +188,11 @@
             return min(
                 within_rack, key=lambda assignment: (not assignment.can_start_now, assignment.cost)
             )
-        if not allow_rack_spread and any(
+        if not limits.allow_rack_spread and any(
             self._max_tasks_when_empty(unit, group) >= len(unit.tasks) for group in groups
         ):
             return None
-        return self._assign_greedily(unit, eligible, count_tasks, preempt_above)
+        return self._assign_greedily(unit, eligible, count_tasks, limits)
 
     @staticmethod
     def _max_tasks_when_empty(unit: Unit, group: list[CandidateTarget]) -> int:
@@ -203,13 +205,11 @@
         unit: Unit,
         group: list[CandidateTarget],
         count_tasks: Callable[[TargetId], int],
-        preempt_above: int,
+        limits: PlacementLimits,
     ) -> Assignment | None:
         demand, max_per_target = unit.step.demand, unit.step.per_target
         group = [
-            candidate
-            for candidate in group
-            if candidate.can_hold_with_preemption(demand, preempt_above)
+            candidate for candidate in group if candidate.can_hold_with_preemption(demand, limits)
         ]
         free = {candidate.announcement.id: candidate.free for candidate in group}
         counts = {
@@ -224,7 +224,7 @@
                 target = candidate.announcement.id
                 if max_per_target and counts[target] >= max_per_target:
                     continue
-                option = _cost_one_task(candidate, free[target], demand, preempted, preempt_above)
+                option = _cost_one_task(candidate, free[target], demand, preempted, limits)
                 if option is not None and (best is None or option[0] < best[0]):
                     best = (option[0], candidate, option[1], option[2])
             if best is None:
@@ -263,7 +263,7 @@
     free: Resources,
     demand: Resources,
     preempted: dict[int, ActiveRun],
-    preempt_above: int,
+    limits: PlacementLimits,
 ) -> tuple[float, list[ActiveRun], bool] | None:
     """The cost of one more task on a candidate, its victims, and whether it can start at once.
 
@@ -279,7 +279,7 @@
             [],
             True,
         )
-    room = free + candidate.releasing
+    room = candidate.room_after_ends(free, limits)
     victims: list[ActiveRun] = []
     cost = WAIT_COST_CORE_S
     late_jobs = {active.tracked.job.id for active in preempted.values()}
@@ -288,7 +288,7 @@
         if room.can_hold(demand):
             break
         active = victim.active
-        if active.tracked.priority > preempt_above and id(active) not in preempted:
+        if limits.may_preempt(victim) and id(active) not in preempted:
             room += active.demand
             victims.append(active)
             # Count each loss once: a gang ends with any of its members, and a job becomes late with
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -10,10 +10,15 @@
 URGENT_LOSS_CORE_S = 1e6
 # Loss of a job that misses its objective, in core-seconds for each core-second of its work, by
 # priority; the last item applies to all further priorities.
-LATENESS_WEIGHTS = (3.4, 1.5, 0.2)
+LATENESS_WEIGHTS = (3.4, 0.4, 0.1)
 # A unit beyond its guarantee may preempt runs whose loss is at most this share of its gain, by
 # priority; the last item applies to all further priorities.
-PREEMPT_GAIN_SHARES = (0.3, 0.3)
+PREEMPT_GAIN_SHARES = (0.15, 0.15)
+# Each earlier run of a task raises the loss of stopping it again by this share, so that stops
+# spread over many jobs.
+REPEATED_STOP_LOSS_SHARE = 0.5
+# Urgent work rather waits this long for a run to end than stops one.
+ENDING_SOON_S = 1.0
 # A unit that is not urgent preempts nothing while its slack exceeds this many times its run time.
 WAIT_SLACK_RATIO = 0.5
 
@@ -35,6 +40,7 @@
         max(RESTART_LOSS_S, worked_s)
         * step.demand.core_equivalents
         * len(tracked.gang_members(active.task))
+        * (1 + REPEATED_STOP_LOSS_SHARE * (active.run - 1))
     )
     is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
     becomes_late = (
@@ -46,6 +52,7 @@
         active,
         lost_core_s,
         lateness_weight(tracked.priority) * tracked.core_seconds if becomes_late else 0.0,
+        active.is_confirmed and remaining_s <= ENDING_SOON_S,
     )
 
 
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -44,9 +44,19 @@
         self.is_store_reachable = True
 
     def call(
-        self, method: str, path: str, timeout_s: float, body: bytes, content_type: str
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes,
+        content_type: str,
+        is_long_poll: bool = False,
     ) -> HttpResponse:
-        """Send one call; raises StoreBusyError only if the store cannot have carried it out."""
+        """Send one call; raises StoreBusyError only if the store cannot have carried it out.
+
+        A long poll without an answer says nothing about other calls, so it does not count as a
+        failure of the route; the caller repeats it as a short call, which does.
+        """
         failure: StoreBusyError | StoreSilentError | None = None
         started_at = monotonic()
         give_up_at = started_at + timeout_s * MAX_TIMEOUT_FACTOR
@@ -61,6 +71,9 @@
                         address, method, path, timeout_s, body, content_type
                     )
             except (StoreBusyError, StoreSilentError) as exc:
+                if is_long_poll and isinstance(exc, StoreSilentError):
+                    self._metrics.count("long_polls_unanswered")
+                    raise
                 self._metrics.count(f'store_failures{{kind="{type(exc).__name__}"}}')
                 self._record_failure(address, exc)
                 if failure is None or isinstance(exc, StoreSilentError):
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from comfreyshelf.fleet.bounds import monotonic
-from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.store import NotListeningError, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
 from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.logs import log_event
@@ -39,6 +39,7 @@
                 state.token, state.acknowledged, deadline_ms, self._wait_ms(deadline_ms)
             )
         except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
+            state.record_connection(isinstance(exc, NotListeningError))
             if self._is_runner_up:
                 log_event("runner lost", target=state.target, why=str(exc))
             self._is_runner_up = False
--- a/comfreyshelf/fleet/settings.py
+++ b/comfreyshelf/fleet/settings.py
@@ -10,7 +10,8 @@
 
     Metrics are served at `/metrics` of `metrics_address` if that is given.
     `front_address` and `ready_address` are empty on a target process, `runner_address` on an entry.
-    `peers` are control addresses of entries; some may be out of date.
+    `cores` is how many cores the process may use on average. `peers` are control addresses of
+    entries; some may be out of date.
     """
 
     name: str
@@ -25,6 +26,7 @@
     runner_address: str = ""
     metrics_address: str = ""
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    cores: float = 1.0
 
     @property
     def pipe_address(self) -> str:
--- a/comfreyshelf/fleet/store.py
+++ b/comfreyshelf/fleet/store.py
@@ -18,6 +18,10 @@
     """A call got no usable answer; it may have been carried out, or may still be."""
 
 
+class NotListeningError(StoreBusyError):
+    """The machine refused the connection, because no process listens at the address."""
+
+
 class FencedError(UserError):
     """The store rejected an append, usually because a writer with a higher epoch exists.
 
@@ -57,10 +61,15 @@
 
 
 class Membership(msgspec.Struct, frozen=True):
-    """A member's place in a group; the leader holds the group's only partition."""
+    """A member's place in a group; the leader holds the group's only partition.
+
+    `requested_at` is when the store was asked, on the monotonic clock: the membership lasts for its
+    time to live from then, however late the answer is read.
+    """
 
     generation: int
     is_leader: bool
+    requested_at: float = float("-inf")
 
 
 class Store(ABC):
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -9,10 +9,15 @@
 from comfreyshelf.ids import TargetId
 from comfreyshelf.logs import log_event
 
+# A runner whose machine refuses connections for this long is down. The pause excludes a single
+# refusal while it starts.
+REFUSED_AFTER_S = 0.3
+
 
 class PendingOrders(NamedTuple):
-    """Orders to carry out now; the runs in `refused_starts` must never start."""
+    """Orders to carry out now, under `token`; the runs in `refused_starts` must never start."""
 
+    token: Token
     starts: list[StartOrder]
     stops: list[StopOrder]
     refused_starts: list[StartOrder]
@@ -29,6 +34,10 @@
         self._gone = False
         self._listing: RunListing | None = None
         self._listed_at = 0.0
+        # When the last listing that was answered had been requested.
+        self._listing_requested_at = monotonic()
+        # Since when each connection to the runner was refused; None if the last one was not.
+        self._refused_since: float | None = None
         # Confirmed starts by task that no listing has shown yet.
         self._unlisted_starts: dict[str, RunningRow] = {}
         # Confirmed stops by task: the run, and when a stopped run has ended at the latest.
@@ -100,6 +109,10 @@
             if self._listing is not None and self._listing.incarnation != listing.incarnation:
                 self._reset()
             previous = self._listing
+            self._listing_requested_at = requested_at
+            if self._is_runner_down():
+                self.report_due.set()
+            self._refused_since = None
             self._listing = listing
             self._listed_at = monotonic()
             listed_runs = {(row.task, row.run) for row in listing.running}
@@ -133,15 +146,37 @@
     def lease_deadline_ms(self) -> int | None:
         """Return when a lease that starts now ends, in milliseconds on the runner's clock.
 
-        Returns None before the first listing or without recent contact to an owner.
+        Returns None before the first listing, without recent contact to an owner, and if the runner
+        has not listed its runs lately: it may have carried out calls that it did not answer, so
+        only leases that are not renewed tell when its runs have lapsed.
         """
         with self._lock:
             now = monotonic()
-            if self._listing is None or now - self.last_contact_at > CONTACT_GRACE_S:
+            last_contact_at = min(self.last_contact_at, self._listing_requested_at)
+            if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
                 return None
             elapsed_s = now - self._listed_at
             return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
 
+    def record_connection(self, is_refused: bool) -> None:
+        """Record whether the runner's machine refused the connection of a listing that failed."""
+        with self._lock:
+            was_down = self._is_runner_down()
+            if not is_refused:
+                self._refused_since = None
+            elif self._refused_since is None:
+                self._refused_since = monotonic()
+            if self._is_runner_down() and not was_down:
+                log_event("runner down", target=self.target)
+                self._unlisted_starts.clear()
+                self.report_due.set()
+
+    def _is_runner_down(self) -> bool:
+        """Whether the runner runs nothing: its process has ended, or all leases have lapsed."""
+        now, refused_since = monotonic(), self._refused_since
+        is_refused = refused_since is not None and now - refused_since >= REFUSED_AFTER_S
+        return is_refused or (now - self._listing_requested_at > self._bounds.runs_lapsed_after_s)
+
     def report(self) -> Report | None:
         """Return the report to send now; None before the first heartbeat."""
         with self._lock:
@@ -161,6 +196,8 @@
                 tuple(self._rejected.values()),
                 self._machine,
                 self._gone,
+                self._listed_at,
+                not self._is_runner_down(),
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
@@ -171,14 +208,14 @@
         """
         with self._lock:
             if orders.token < self.token:
-                return PendingOrders([], [], [])
+                return PendingOrders(orders.token, [], [], [])
             if orders.token > self.token:
                 log_event("owner changed", token=orders.token, before=self.token)
             self.token = orders.token
             self.last_contact_at = max(self.last_contact_at, orders.report_sent_at)
             announcement = self._announcement
             if announcement is None or orders.incarnation != announcement.incarnation:
-                return PendingOrders([], [], [])
+                return PendingOrders(orders.token, [], [], [])
             if orders.acknowledged > self.acknowledged:
                 self.acknowledged = orders.acknowledged
                 self.new_acknowledgement.set()
@@ -204,8 +241,8 @@
                 order.task for order in stops
             }
             if announcement.draining or self._gone:
-                return PendingOrders([], stops, starts)
-            return PendingOrders(starts, stops, [])
+                return PendingOrders(orders.token, [], stops, starts)
+            return PendingOrders(orders.token, starts, stops, [])
 
     def record_started(self, order: StartOrder) -> None:
         """Record that the runner has confirmed a start."""
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from comfreyshelf.fleet.bounds import SUSPECT_AFTER_S
+from comfreyshelf.fleet.bounds import LISTING_SUSPECT_S, SUSPECT_AFTER_S
 from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunningRow
 from comfreyshelf.fleet.messages import Report, StopOrder
 from comfreyshelf.fleet.tracked_job import ActiveRun
@@ -16,7 +16,8 @@
 class TargetView(msgspec.Struct):
     """A target as last reported, and the runs on it.
 
-    `seen_at` is when the owner received the last report, on the owner's clock. Ended runs are
+    `seen_at` is when the owner received the last report, on the owner's clock; `report_sent_at` and
+    `listed_at`, when the runner last listed its runs, are on the target's clock. Ended runs are
     numbered: those up to `processed_ends` have been handled, and those up to `acknowledged_ends`
     are in the store as well. `unwanted_runs` are stop orders for listed runs that the owner does
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
@@ -28,6 +29,7 @@
     seen_at: float
     machine: str
     report_sent_at: float = 0.0
+    listed_at: float = 0.0
     lists_known: bool = False
     active_runs: dict[str, ActiveRun] = {}
     unwanted_runs: dict[str, StopOrder] = {}
@@ -49,6 +51,7 @@
             self.lists_known
             and not self.announcement.draining
             and now - self.seen_at < SUSPECT_AFTER_S
+            and self.report_sent_at - self.listed_at < LISTING_SUSPECT_S
             and now >= self.quarantined_until
             and not self.unwanted_runs
         )
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.durations import DurationEstimator
 from comfreyshelf.fleet.jobs import (
     Incarnation,
@@ -45,6 +46,13 @@
 # The progress in a report may be up to 1 s out of date, which distorts shorter samples.
 MIN_SAMPLE_PERCENT = 30
 MIN_SAMPLE_S = 1.0
+# Most of the time between two listings of a run that counts as time without progress. Over a longer
+# gap nobody watched the run.
+MAX_LISTING_GAP_S = 2.0
+
+
+class ProgressError(UserError):
+    """The stored progress of a job does not fit the job."""
 
 
 class Outlook(Enum):
@@ -74,8 +82,8 @@
     The start is ordered only once the run `is_stored`; it `is_confirmed` once the target has
     listed it. `machine` is where the target runs. `first_percent` is the progress when the target
     first listed the run. `started_at`, `stopping_since` and `percent_changed_at` are on the owner's
-    clock; `first_reported_at` and `percent_reported_at` are times at which reports were sent, on
-    the target's clock.
+    clock; `first_reported_at`, `percent_reported_at` and `listed_at` are times of listings, on
+    the target's clock. `stalled_s` is for how long listings have shown the run without progress.
     """
 
     tracked: "TrackedJob"
@@ -89,11 +97,14 @@
     is_stored: bool = False
     is_confirmed: bool = False
     stopping_since: float | None = None
+    stop_cause: str = ""
     first_percent: int = 0
     percent: int = 0
     percent_changed_at: float = 0.0
     first_reported_at: float = 0.0
     percent_reported_at: float = 0.0
+    listed_at: float = 0.0
+    stalled_s: float = 0.0
     is_duration_recorded: bool = False
 
     @property
@@ -116,15 +127,20 @@
         """Key that is equal for all members of a gang, and unique for any other task."""
         return self.tracked.job.id, self.tracked.gang_members(self.task)[0]
 
-    def update_progress(self, percent: int, now: float, sent_at: float) -> None:
-        """Record the progress from a report; `sent_at` is when the target sent it."""
+    def update_progress(self, percent: int, now: float, listed_at: float) -> None:
+        """Record the progress from a report; `listed_at` is when the runner listed the run."""
         if not self.is_confirmed:
-            self.started_at, self.first_percent, self.first_reported_at = now, percent, sent_at
+            self.started_at, self.first_percent, self.first_reported_at = now, percent, listed_at
+            self.listed_at = listed_at
         self.is_confirmed = True
         if percent != self.percent or not self.percent_changed_at:
-            self.percent, self.percent_changed_at, self.percent_reported_at = percent, now, sent_at
-        # Reports delayed by a link arrive together, so speed is measured by their sending times.
-        gained_percent, elapsed_s = percent - self.first_percent, sent_at - self.first_reported_at
+            self.percent, self.percent_changed_at = percent, now
+            self.percent_reported_at, self.stalled_s = listed_at, 0.0
+        else:
+            self.stalled_s += min(MAX_LISTING_GAP_S, max(0.0, listed_at - self.listed_at))
+        self.listed_at = listed_at
+        # Reports delayed by a link arrive together, so speed is measured by the listings' times.
+        gained_percent, elapsed_s = percent - self.first_percent, listed_at - self.first_reported_at
         if (
             not self.is_duration_recorded
             and gained_percent >= MIN_SAMPLE_PERCENT
@@ -161,6 +177,8 @@
         self.job = job
         self.progress = progress
         self.queue = queue
+        # The active run of each task that has one.
+        self.active_runs: dict[TaskName, ActiveRun] = {}
         # When the job was accepted by the owner's wall clock, in seconds since the Unix epoch.
         self.accepted_at = job.accepted_at
         self._durations = durations
@@ -179,6 +197,16 @@
         self._critical_path_s: float | None = None
         self._remaining_critical_path_s: float | None = None
 
+    def check_progress(self) -> None:
+        """Raise ProgressError if the stored progress names a task that the job does not have."""
+        for name in self.progress.tasks:
+            _, step_number, index = parse_task_name(name)
+            steps = self.job.steps
+            if step_number >= len(steps) or index >= steps[step_number].count:
+                raise ProgressError(
+                    f"job {self.job.id} has no task {name}", "cancel the job and submit it again"
+                )
+
     def begin_planning_pass(self) -> None:
         """Discard the values that were valid for the last planning pass only."""
         self.remaining_s_by_task.clear()
--- a/comfreyshelf/platform/settings.py
+++ b/comfreyshelf/platform/settings.py
@@ -29,6 +29,15 @@
     early_ms: float = 250
     checkpoint_s: float = msgspec.field(default=0.5, name="checkpoint-s")
     grace_s: float = msgspec.field(default=6, name="grace-s")
+    # How soon after its acceptance a job that a guarantee covers has to run.
+    reclaim_ms: float = msgspec.field(default=2700, name="reclaim-ms")
+
+
+class _LimitsSettings(msgspec.Struct, rename="kebab"):
+    # The share of one core that the process may use.
+    cpu_share: float = 1.0
+    # Despite its name, how many times as fast as usual that core is.
+    cores: float = 1.0
 
 
 class _NodeSettings(msgspec.Struct, rename="kebab"):
@@ -46,6 +55,7 @@
     # Despite its name, the address of the runner; on target processes only.
     app: str = ""
     bounds: _BoundsSettings = msgspec.field(default_factory=_BoundsSettings)
+    limits: _LimitsSettings = msgspec.field(default_factory=_LimitsSettings)
 
 
 def read_settings(path: Path) -> FleetSettings:
@@ -77,5 +87,7 @@
             bounds.early_ms / 1000,
             bounds.checkpoint_s,
             bounds.grace_s,
+            bounds.reclaim_ms / 1000,
         ),
+        max(0.01, node.limits.cpu_share * node.limits.cores),
     )
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -39,7 +39,13 @@
     """Sends calls to the store, directly or through a peer."""
 
     def call(
-        self, method: str, path: str, timeout_s: float, body: bytes, content_type: str
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes,
+        content_type: str,
+        is_long_poll: bool = False,
     ) -> HttpResponse:
         """Send one call; raises StoreBusyError or StoreSilentError."""
 
@@ -149,7 +155,7 @@
 
     def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
         query = {"topic": _KEYED_PREFIX + topic, "part": 0, "from": offset, "wait-ms": wait_ms}
-        answer = self._get("log-read", query, READ_SLACK_S + wait_ms / 1000)
+        answer = self._get("log-read", query, READ_SLACK_S + wait_ms / 1000, wait_ms > 0)
         if answer.status == 410:
             raise ExpiredError(f"offset {offset} of {topic} expired", "read the newest records")
         self._check(answer)
@@ -201,8 +207,11 @@
         rows = _owner_rows(answer.body)
         return next((row[2] for row in rows if row[1] == 0), "")
 
-    def _get(self, call: str, query: dict[str, object], timeout_s: float) -> HttpResponse:
-        return self._transport.call("GET", f"/v1/{call}?{urlencode(query)}", timeout_s, b"", "")
+    def _get(
+        self, call: str, query: dict[str, object], timeout_s: float, is_long_poll: bool = False
+    ) -> HttpResponse:
+        path = f"/v1/{call}?{urlencode(query)}"
+        return self._transport.call("GET", path, timeout_s, b"", "", is_long_poll)
 
     def _post(self, call: str, fields: dict[str, object]) -> bytes:
         body = msgspec.json.encode(fields)
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -14,6 +14,13 @@
       | failed    | it ended as failed: it failed 2 times  |
       | lost      | a run was lost: no report for 9.0 s    |
 
+  Scenario: Work that was thrown away is summed up by cause
+    # Guards against a table that leaves out runs, counts finished ones, or needs all lines of a
+    # day in memory.
+    Given log lines of 2 runs that were preempted, 1 that failed and 1 that was done
+    When the lost work is printed
+    Then preemption comes first with 300 core-seconds of 2 runs, then the failure with 50 of 1
+
   Scenario: A job that no line names is a user error
     # Guards against a traceback or an empty answer when the operator gives the wrong logs.
     When an explanation of an unknown job is requested
--- a/features/fleet_outage.feature
+++ b/features/fleet_outage.feature
@@ -9,6 +9,14 @@
     When a call fails and no later one has been made
     Then the store counts as unreachable
 
+  Scenario: A long poll without an answer does not count as a lost store
+    # Guards against an entry that says that the store is lost, and sends all calls through peers,
+    # because long polls hear nothing for a second while the store drops old records.
+    Given a relay whose store is down, with two peers that do not answer
+    When a long poll gets no answer
+    Then the store counts as reachable
+    And no peer was asked
+
   Scenario: The store itself is tried again before a second peer
     # Guards against an entry that asks one peer after another, though none of them answers, while
     # the store itself can be reached again.
--- a/features/fleet_owner.feature
+++ b/features/fleet_owner.feature
@@ -92,10 +92,25 @@
   Scenario: The least urgent work leaves room for guarantees unless it keeps checkpoints
     # Guards against work that cannot be stopped without loss on accelerators that an organisation
     # with a guarantee may claim.
-    Given an organisation with a guarantee of 24 accelerators has urgent work
+    Given an organisation with a guarantee of 24 accelerators uses 12 of them for urgent work
     When a least urgent job of 16 tasks of 1 accelerator is accepted
     Then at most 8 accelerators of it run
 
+  Scenario: A new owner does not keep targets idle for guarantees that nobody uses
+    # Guards against least urgent work that waits beside idle targets after each takeover, because
+    # the sum of all guarantees, which may be as large as the fleet, is kept free.
+    Given an organisation with a guarantee of 24 accelerators has had no urgent work
+    And a new owner takes over
+    When a least urgent job of 16 tasks of 1 accelerator is accepted
+    Then all 16 tasks of it run at once
+
+  Scenario: Guarantees that were used some time ago do not keep targets idle
+    # Guards against least urgent work that waits for long after the last urgent job has ended.
+    Given an organisation with a guarantee of 24 accelerators has had no urgent work
+    And its last urgent job was accepted 9 seconds ago and has ended
+    When a least urgent job of 16 tasks of 1 accelerator is accepted
+    Then all 16 tasks of it run at once
+
   Scenario: Steps wait for their dependencies and occurrences for their time
     # Guards against a step that starts before the one it depends on, and against an occurrence of a
     # repeated job that starts early.
--- /dev/null
+++ b/features/fleet_pauses.feature
@@ -0,0 +1,129 @@
+Feature: Silent, paused and restarted processes neither lose work nor act on lapsed permissions
+
+  Scenario: A run is not stopped for the time in which its owner was paused
+    # Guards against an owner that wakes up, takes the time that it slept for a standstill of all
+    # runs, and orders them to stop, although another entry has taken over meanwhile.
+    Given an owner whose job runs on one of 4 targets
+    When the owner is paused for 9 seconds, and the next report shows the same progress
+    Then no run was stopped
+
+  Scenario: A run is not stopped while its runner does not answer
+    # Guards against giving up runs of a runner that is only slow to list them: the target process
+    # repeats the last listing, so the progress seems to stand still.
+    Given an owner whose job runs on one of 4 targets
+    When reports of 9 seconds repeat one listing of the run
+    Then no run was stopped
+
+  Scenario: A runner that does not answer gets no new work
+    # Guards against starts on a runner that hangs, beside idle targets.
+    Given an owner whose job runs on one of 4 targets
+    When reports of 9 seconds repeat one listing of the run
+    And four more such jobs are accepted
+    Then none of them runs on that target
+
+  Scenario: The runs of a runner that is down start elsewhere at once
+    # Guards against waiting for ever for a runner that has crashed for good: its target process
+    # lives and reports the runs that the runner listed last.
+    Given an owner whose job runs on one of 4 targets
+    When the target process reports that its runner is down
+    Then the job's task starts on another target as run 2
+
+  Scenario: A new owner waits for the leases that the previous owner may have kept
+    # Guards against a second run of a task on another target: the previous owner was cut off from
+    # the store and from the new owner, but answered the target's reports until it resigned.
+    Given an owner whose job runs on one of 4 targets
+    And the target is cut off from the owner that takes over
+    When 18 seconds pass
+    Then the job's task is not ordered again
+    When 2 seconds pass
+    Then the job's task starts on another target as run 2
+
+  Scenario: A job whose planning raises an error costs only itself
+    # Guards against one bad record that ends each planning pass, so that no job is placed.
+    Given an owner whose job raises an error whenever it is planned
+    When four more such jobs are accepted
+    Then these jobs run, and one line tells which job cannot be planned
+
+  Scenario: A job whose stored progress makes no sense costs only itself
+    # Guards against one bad record that ends the takeover of every new owner.
+    Given stored jobs, one of which has progress of a step that it does not have
+    When an entry is elected as owner
+    Then it has loaded the other jobs, and counts the one that it has not
+
+  Scenario: An owner appends under the epoch of its election
+    # Guards against appends that the store cannot refuse after the next election.
+    Given stored jobs of one task each
+    When an entry is elected as owner in generation 7
+    Then all its appends carry epoch 7
+
+  Scenario: An owner whose appends are fenced sends no orders and resigns
+    # Guards against two owners that both order work around a takeover.
+    Given stored jobs of one task each
+    And an entry is elected as owner in generation 7
+    When the store refuses its appends, as a newer owner was elected
+    And a target reports to it
+    Then the target gets no start, and is told that the entry does not own the schedule
+
+  Scenario: An owner orders no stops before its lead is confirmed again after a pause
+    # Guards against an owner that acts after its lead has lapsed: stops are not appended to the
+    # store, so that no fence refuses them.
+    Given an entry is elected as owner in generation 7
+    When it is paused for 3 seconds, and a target reports a run that it does not know
+    Then the target gets no stop
+    When the store confirms its lead
+    Then the target is told to stop that run
+
+  Scenario: A confirmation of the lead counts from when the store was asked
+    # Guards against a pause between asking the store and reading its answer.
+    Given an entry is elected as owner in generation 7
+    When a confirmation of its lead that was asked for 3 seconds ago arrives
+    And a target reports a run that it does not know
+    Then the target gets no stop
+
+  Scenario: An entry does not join the group while another one does
+    # Guards against entries that all join at once when the leader is lost: each one that joins
+    # moves the lead, so that the schedule changes hands several times.
+    Given an entry that finds the group without a leader
+    When another entry joins the group before the first one does
+    Then the first entry does not join
+
+  Scenario: A target process ignores the orders of an earlier owner
+    # Guards against an earlier owner that starts or stops runs, or keeps a lease alive.
+    Given a target process that has orders of an owner with token 5
+    When an owner with token 4 orders a start and a stop
+    Then nothing is carried out, and the contact with an owner is not renewed
+
+  Scenario: An order is carried out under the token that it came with, or not at all
+    # Guards against an order of an earlier owner that waits in a queue, and is carried out under
+    # the token of the next owner.
+    Given a target process whose runner answers no call
+    And an order of an owner with token 5 waits for a free thread
+    When an owner with token 6 sends orders, and the runner answers again
+    Then the order that waited is not carried out
+
+  Scenario: An order that waited while the process was paused is not carried out
+    # Guards against an order that is carried out seconds after its owner gave it.
+    Given a target process whose runner answers no call
+    And an order of an owner with token 5 waits for a free thread
+    When the process is paused for 3 seconds, and the runner answers again
+    Then the order that waited is not carried out
+
+  Scenario: A runner that refuses connections is reported as down
+    # Guards against work that waits for a crashed runner, and against a single refusal that counts
+    # as a crash.
+    Given a target process whose runner has listed a run
+    When the runner refuses one connection
+    Then its target process reports it as up
+    When it refuses connections for half a second more
+    Then its target process reports it as down
+    When it lists its runs again
+    Then its target process reports it as up
+
+  Scenario: A lease is not renewed while the runner does not answer
+    # Guards against calls without an answer that renew the lease for ever, so that nobody knows
+    # when the runs have lapsed.
+    Given a target process whose runner has listed a run
+    When the runner answers no call for 3 seconds
+    Then the lease is not renewed, and its target process reports it as up
+    When the runner answers no call for 7 more seconds
+    Then its target process reports it as down
--- a/features/fleet_planning.feature
+++ b/features/fleet_planning.feature
@@ -9,6 +9,24 @@
     When a job of 4 tasks of 8 accelerators is submitted
     Then it runs on the two targets of its own service only
 
+  Scenario: Urgent work waits for a run that is about to end instead of stopping one
+    # Guards against throwing away the work of a run although another one leaves room within a
+    # second, long before the guarantee has to be served.
+    Given less urgent work on all targets, one run of which is about to end
+    When an urgent job within its guarantee is submitted
+    Then no run is stopped, and the urgent job starts when that run has ended
+
+  Scenario: Urgent work does not wait too long for a run that should have ended
+    # Guards against a guarantee that is not served in time because of a wrong estimate.
+    Given less urgent work on all targets, one run of which is about to end
+    When an urgent job within its guarantee is submitted, and that run goes on for 2 seconds
+    Then a run has been stopped, and the urgent job runs
+
+  Scenario: Work that was stopped before is not stopped again and again
+    # Guards against a storm of urgent jobs that stops and restarts the same work each time.
+    Given two equal runs on one target, one of which is the third run of its task
+    Then the other one is stopped first
+
   Scenario: A running job counts as in time until its runs would end too late
     # Guards against a running job that counts as late, and is stopped first, because a new start
     # would miss the objective although its present run will not.
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -119,6 +119,13 @@
         self.core.load_job(StoredJob(job), self.now, self.unix_now)
         return job
 
+    def take_over(self) -> None:
+        """Replace the owner by a new one, which knows what the old one has stored."""
+        self.core = OwnerCore(CONFIG, Bounds(), Token(self.core.token + 1), self.now)
+        for job, progress in self.log.items():
+            stored = StoredJob(self.jobs[job], job in self.cancelled, progress)
+            self.core.load_job(stored, self.now, self.unix_now)
+
     def store(self) -> None:
         for job, progress in self.core.changes():
             self.log[job] = progress
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -58,3 +58,35 @@
 def names_missing_logs(context: Context) -> None:
     assert context.result.exit_code != 0
     assert "give the logs of all entries" in str(context.result.exception)
+
+
+@given("log lines of 2 runs that were preempted, 1 that failed and 1 that was done")
+def write_run_lines(context: Context) -> None:
+    rows = [
+        ("done", "done", 0.0),
+        ("failed", "failed", 50.0),
+        ("stopped", "preempted by more urgent work", 100.0),
+        ("stopped", "preempted by more urgent work", 200.0),
+    ]
+    context.texts = [
+        json.dumps(
+            {"time": 1.0, "process": "e", "event": "run ended", "how": how}
+            | {"cause": cause, "lost_core_s": core_s}
+        )
+        for how, cause, core_s in rows
+    ]
+
+
+@when("the lost work is printed")
+def print_lost_work(context: Context) -> None:
+    context.result = CliRunner().invoke(app, ["lost-work"], input="\n".join(context.texts) + "\n")
+
+
+@then("preemption comes first with 300 core-seconds of 2 runs, then the failure with 50 of 1")
+def check_lost_work(context: Context) -> None:
+    rows = [line.split() for line in context.result.output.splitlines()]
+    assert [(row[0], row[2], row[4]) for row in rows] == [
+        ("300", "2", "preempted"),
+        ("50", "1", "failed"),
+        ("350", "3", "all"),
+    ], context.result.output
--- a/features/steps/fleet_outage_steps.py
+++ b/features/steps/fleet_outage_steps.py
@@ -69,6 +69,17 @@
     call_store(context)
 
 
+@when("a long poll gets no answer")
+def fail_long_poll(context: Context) -> None:
+    with suppress(StoreSilentError):
+        context.relay.call("GET", "/v1/log-read", 2.0, b"", "", is_long_poll=True)
+
+
+@then("no peer was asked")
+def no_peer_asked(context: Context) -> None:
+    assert context.asked_addresses == ["store"], context.asked_addresses
+
+
 @then("the store counts as reachable")
 def counts_reachable(context: Context) -> None:
     assert context.relay.is_store_reachable
--- a/features/steps/fleet_owner_steps.py
+++ b/features/steps/fleet_owner_steps.py
@@ -7,17 +7,14 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     EndKind,
     JobPhase,
     Resources,
     RunningRow,
-    Token,
     split_full_name,
 )
-from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.tracked_job import Outlook
 from comfreyshelf.ids import (
     JobId,
@@ -165,11 +162,7 @@
 @given("a new owner takes over")
 @when("a new owner takes over")
 def elect_new_owner(context: Context) -> None:
-    world = context.world
-    world.core = OwnerCore(CONFIG, Bounds(), Token(2), world.now)
-    for job, progress in world.log.items():
-        entry = StoredJob(world.jobs[job], job in world.cancelled, progress)
-        world.core.load_job(entry, world.now, world.unix_now)
+    context.world.take_over()
 
 
 @given("its caller cancels the job while there is no owner")
@@ -256,10 +249,10 @@
     assert target is not context.ran_on and row.run == 2
 
 
-@given("an organisation with a guarantee of 24 accelerators has urgent work")
+@given("an organisation with a guarantee of 24 accelerators uses 12 of them for urgent work")
 def start_guaranteed_job(context: Context) -> None:
-    small = Resources(1000, 1000, 0)
-    context.world.accept("urgent", (step(1, demand=small),), queue="urgent", organisation="sure")
+    demand = Resources(1000, 1000, 4)
+    context.world.accept("urgent", (step(3, demand=demand),), queue="urgent", organisation="sure")
     context.world.settle()
 
 
@@ -274,6 +267,25 @@
     assert len(context.world.starts("least")) == 8
 
 
+@given("an organisation with a guarantee of 24 accelerators has had no urgent work")
+def have_no_urgent_work(context: Context) -> None:
+    assert max(organisation.guaranteed for organisation in CONFIG.organisations) == 24
+
+
+@given("its last urgent job was accepted {seconds:d} seconds ago and has ended")
+def end_urgent_job(context: Context, seconds: int) -> None:
+    start_guaranteed_job(context)
+    for target in context.world.targets:
+        for task in list(target.running):
+            target.end(task, EndKind.DONE)
+    context.world.wait(seconds)
+
+
+@then("all 16 tasks of it run at once")
+def check_all_started(context: Context) -> None:
+    assert len(context.world.starts("least")) == 16
+
+
 @when("a job of two dependent steps, to run twice 10 seconds apart, is accepted")
 def accept_dependent_steps(context: Context) -> None:
     world = context.world
--- /dev/null
+++ b/features/steps/fleet_pauses_steps.py
@@ -0,0 +1,444 @@
+"""Steps for processes that are paused, silent or restarted, with simulated clocks."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.fleet import order_executor, target_state
+from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.job_table import job_record, progress_record
+from comfreyshelf.fleet.jobs import (
+    Announcement,
+    Incarnation,
+    Job,
+    Progress,
+    QueueName,
+    Resources,
+    RunListing,
+    RunningRow,
+    TaskName,
+    TaskProgress,
+    Token,
+)
+from comfreyshelf.fleet.leader_election import LeaderElection
+from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.order_executor import OrderExecutor
+from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.store import Membership
+from comfreyshelf.fleet.target_runner import Runner
+from comfreyshelf.fleet.target_state import TargetState
+from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, ZoneId
+from comfreyshelf.metrics import Metrics
+from features.owner_task_world import FakeStore, OwnerTaskWorld
+from features.owner_world import FakeTarget, World, step
+
+ORDER_THREADS = 4
+
+
+@given("an owner whose job runs on one of 4 targets")
+def start_job(context: Context) -> None:
+    context.world = World()
+    context.world.accept("job", (step(1),))
+    context.world.settle()
+    context.target, context.row = context.world.run_of("job")
+
+
+@when("the owner is paused for {seconds:d} seconds, and the next report shows the same progress")
+def pause_owner(context: Context, seconds: int) -> None:
+    context.world.now += seconds
+    context.world.settle(1)
+
+
+@when("reports of {seconds:d} seconds repeat one listing of the run")
+def repeat_listing(context: Context, seconds: int) -> None:
+    world, target = context.world, context.target
+    listed_at, make_report = world.now, target.report
+    target.report = lambda now: msgspec.structs.replace(make_report(now), listed_at=listed_at)
+    world.wait(seconds, progress=False)
+
+
+@then("no run was stopped")
+def check_nothing_stopped(context: Context) -> None:
+    assert context.row.task in context.target.running
+    assert context.world.starts("job") == [(context.row.task, 1)]
+
+
+@when("four more such jobs are accepted")
+def accept_more_jobs(context: Context) -> None:
+    for number in range(4):
+        context.world.accept(f"more{number}", (step(1),))
+    context.world.settle()
+
+
+@then("none of them runs on that target")
+def check_target_avoided(context: Context) -> None:
+    assert len(context.world.starts("more")) == 3
+    assert [task for task, _ in context.target.started] == [context.row.task]
+
+
+@when("the target process reports that its runner is down")
+def report_runner_down(context: Context) -> None:
+    make_report = context.target.report
+    context.target.report = lambda now: msgspec.structs.replace(make_report(now), runner_up=False)
+    context.world.settle()
+
+
+@then("the job's task starts on another target as run 2")
+def check_started_elsewhere(context: Context) -> None:
+    assert context.world.starts("job")[-1] == (context.row.task, 2), context.world.starts("job")
+    assert len(context.target.started) == 1
+
+
+@given("the target is cut off from the owner that takes over")
+def take_over_without_target(context: Context) -> None:
+    context.world.silent.add(context.target.id)
+    context.world.take_over()
+
+
+@when("{seconds:d} seconds pass")
+def pass_time(context: Context, seconds: int) -> None:
+    context.world.wait(seconds)
+
+
+@then("the job's task is not ordered again")
+def check_not_ordered_again(context: Context) -> None:
+    assert len(context.world.starts("job")) == 1
+
+
+@given("an owner whose job raises an error whenever it is planned")
+def accept_bad_job(context: Context) -> None:
+    context.world = World()
+    context.events = []
+    context.world.core.log_event = lambda event, **fields: context.events.append((event, fields))
+    context.world.accept("bad", (step(1),))
+    bad = context.world.core.jobs[JobId("bad")]
+    bad.startable_units = mock.Mock(side_effect=IndexError("no such step"))
+
+
+@then("these jobs run, and one line tells which job cannot be planned")
+def check_others_planned(context: Context) -> None:
+    context.world.wait(3)
+    assert len(context.world.starts("more")) == 4
+    lines = [fields for event, fields in context.events if event == "job cannot be planned"]
+    assert [fields["job"] for fields in lines] == ["bad"], lines
+
+
+def store_job(context: Context, name: str, progress: Progress | None = None) -> None:
+    job = Job(JobId(name), OrganisationId("other"), QueueName("usual"), "", (step(1),), 0.0)
+    records = [job_record(job)]
+    if progress is not None:
+        records.append(progress_record(job.id, progress))
+    context.owner.store.append("jobs", records)
+
+
+@given("stored jobs, one of which has progress of a step that it does not have")
+def store_bad_job(context: Context) -> None:
+    context.owner = OwnerTaskWorld(context.stack)
+    task = TaskProgress(target=TargetId("t0"))
+    store_job(context, "bad", Progress(tasks={TaskName("0.7.0"): task}))
+    store_job(context, "good")
+
+
+@given("stored jobs of one task each")
+def store_jobs(context: Context) -> None:
+    context.owner = OwnerTaskWorld(context.stack)
+    for name in ("one", "two"):
+        store_job(context, name)
+
+
+@when("an entry is elected as owner")
+def elect_owner(context: Context) -> None:
+    elect_in_generation(context, 3)
+
+
+@given("an entry is elected as owner in generation {generation:d}")
+@when("an entry is elected as owner in generation {generation:d}")
+def elect_in_generation(context: Context, generation: int) -> None:
+    if "owner" not in context:
+        context.owner = OwnerTaskWorld(context.stack)
+    context.owner.elect(generation)
+
+
+@then("it has loaded the other jobs, and counts the one that it has not")
+def check_other_jobs_loaded(context: Context) -> None:
+    report_to_owner(context)
+    assert [job.id for job in started_jobs(context)] == ["good"]
+    assert "jobs_not_loaded 1" in context.owner.metrics.render().replace("comfreyshelf_", "")
+
+
+def report_to_owner(context: Context, *running: RunningRow) -> None:
+    target = FakeTarget(0)
+    target.running = {row.task: row for row in running}
+    context.owner.report(target.report(context.owner.now))
+
+
+def started_jobs(context: Context) -> list[Job]:
+    ids = [order.task.partition(".")[0] for _, o in context.owner.hub.sent for order in o.starts]
+    core: OwnerCore = context.owner.task._core
+    return [core.jobs[JobId(job)].job for job in dict.fromkeys(ids)]
+
+
+@then("all its appends carry epoch {epoch:d}")
+def check_epoch(context: Context, epoch: int) -> None:
+    report_to_owner(context)
+    assert started_jobs(context)
+    assert {writer.epoch for writer in context.owner.store.writers} == {epoch}
+
+
+@when("the store refuses its appends, as a newer owner was elected")
+def fence_owner(context: Context) -> None:
+    context.owner.store.fence = 8
+
+
+@when("a target reports to it")
+def target_reports(context: Context) -> None:
+    report_to_owner(context)
+
+
+@then("the target gets no start, and is told that the entry does not own the schedule")
+def check_owner_resigned(context: Context) -> None:
+    orders = [orders for _, orders in context.owner.hub.sent]
+    assert not any(o.starts for o in orders)
+    assert orders[-1].token == 0
+
+
+@when("it is paused for 3 seconds, and a target reports a run that it does not know")
+def report_after_pause(context: Context) -> None:
+    context.owner.now += 3
+    report_unknown_run(context)
+
+
+@when("a target reports a run that it does not know")
+def report_unknown_run(context: Context) -> None:
+    report_to_owner(context, RunningRow("unknown.0.0.0", 1, "", 50))
+
+
+@when("a confirmation of its lead that was asked for 3 seconds ago arrives")
+def confirm_late(context: Context) -> None:
+    context.owner.now += 3
+    context.owner.confirm(7, asked_ago_s=3.0)
+
+
+@then("the target gets no stop")
+def check_no_stop(context: Context) -> None:
+    assert not any(orders.stops for _, orders in context.owner.hub.sent)
+
+
+@when("the store confirms its lead")
+def confirm_lead(context: Context) -> None:
+    context.owner.confirm(7)
+
+
+@then("the target is told to stop that run")
+def check_stop_sent(context: Context) -> None:
+    assert context.owner.hub.sent[-1][1].stops == (StopOrder("unknown.0.0.0", 1),)
+
+
+class GroupStore(FakeStore):
+    """A store whose group is led by `leader`; it counts the calls that join the group."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.leader = ""
+        self.joins = 0
+
+    def find_leader(self, group: str) -> str:
+        return self.leader
+
+    def join(self, group: str, member: str, topic: str, ttl_ms: int, generation: int) -> Membership:
+        self.joins += 1
+        return Membership(1, True)
+
+
+@given("an entry that finds the group without a leader")
+def find_no_leader(context: Context) -> None:
+    context.group = GroupStore()
+    context.election = LeaderElection(context.group, "e@x", 1.0, lambda membership: None)
+    context.election.poll()
+
+
+@when("another entry joins the group before the first one does")
+def join_other_entry(context: Context) -> None:
+    context.group.leader = "other@y/1"
+
+
+@then("the first entry does not join")
+def check_not_joined(context: Context) -> None:
+    for _ in range(3):
+        context.election.poll()
+    assert context.group.joins == 0
+
+
+class HangingRunner(Runner):
+    """A runner that answers no stop until `answers` is set; `stopped` lists the calls."""
+
+    def __init__(self) -> None:
+        self.answers = threading.Event()
+        self.stopped: list[tuple[Token, str]] = []
+        self.started: list[tuple[Token, str]] = []
+
+    def renew_lease(
+        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+    ) -> RunListing:
+        return make_listing()
+
+    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+        self.started.append((token, order.task))
+
+    def stop(self, token: Token, order: StopOrder) -> None:
+        self.stopped.append((token, order.task))
+        assert self.answers.wait(10)
+
+    def close(self) -> None:
+        """There are no connections."""
+
+
+def make_listing(*running: RunningRow) -> RunListing:
+    return RunListing(0, Incarnation(1), running, ())
+
+
+@contextmanager
+def target_process(context: Context) -> Iterator[None]:
+    """A target process without threads for its links, on a simulated clock."""
+    context.clock = 100.0
+    with (
+        mock.patch.object(target_state, "monotonic", lambda: context.clock),
+        mock.patch.object(order_executor, "monotonic", lambda: context.clock),
+    ):
+        context.state = TargetState(Bounds(), "m")
+        context.state.announce(
+            Announcement(
+                TargetId("t"),
+                ServiceId("permit"),
+                ZoneId("z"),
+                RackId("r"),
+                (),
+                Resources(),
+                False,
+                0,
+                Incarnation(1),
+                1,
+                0,
+            )
+        )
+        context.runner = HangingRunner()
+        context.executor = OrderExecutor(context.state, context.runner, Metrics())
+        yield
+        context.runner.answers.set()
+        context.executor.close()
+
+
+def start_target_process(context: Context) -> None:
+    context.stack.enter_context(target_process(context))
+    context.state.apply_listing(make_listing(), context.clock)
+
+
+def send_orders(
+    context: Context, token: int, starts: tuple[StartOrder, ...], stops: tuple[StopOrder, ...]
+) -> None:
+    context.executor.execute(Orders(Token(token), 1, context.clock, 0, starts, stops))
+
+
+@given("a target process that has orders of an owner with token {token:d}")
+def take_first_orders(context: Context, token: int) -> None:
+    start_target_process(context)
+    send_orders(context, token, (), ())
+
+
+@when("an owner with token {token:d} orders a start and a stop")
+def send_old_orders(context: Context, token: int) -> None:
+    context.clock += 2.0
+    send_orders(context, token, (StartOrder("a", 1, "", ""),), (StopOrder("b", 1),))
+
+
+@then("nothing is carried out, and the contact with an owner is not renewed")
+def check_orders_ignored(context: Context) -> None:
+    context.runner.answers.set()
+    context.executor.close()
+    assert not context.runner.started and not context.runner.stopped
+    assert context.state.last_contact_at == context.clock - 2.0
+
+
+@given("a target process whose runner answers no call")
+def start_hanging_runner(context: Context) -> None:
+    start_target_process(context)
+
+
+@given("an order of an owner with token {token:d} waits for a free thread")
+def fill_order_threads(context: Context, token: int) -> None:
+    stops = tuple(StopOrder(f"busy{number}", 1) for number in range(ORDER_THREADS))
+    send_orders(context, token, (), (*stops, StopOrder("waiting", 1)))
+    assert not any(task == "waiting" for _, task in context.runner.stopped)
+
+
+@when("an owner with token {token:d} sends orders, and the runner answers again")
+def send_newer_orders(context: Context, token: int) -> None:
+    send_orders(context, token, (), ())
+    context.runner.answers.set()
+
+
+@when("the process is paused for {seconds:d} seconds, and the runner answers again")
+def pause_target_process(context: Context, seconds: int) -> None:
+    context.clock += seconds
+    context.runner.answers.set()
+
+
+@then("the order that waited is not carried out")
+def check_order_dropped(context: Context) -> None:
+    context.executor.close()
+    assert sorted(task for _, task in context.runner.stopped) == [
+        f"busy{number}" for number in range(ORDER_THREADS)
+    ]
+    assert {token for token, _ in context.runner.stopped} == {5}
+
+
+@given("a target process whose runner has listed a run")
+def list_one_run(context: Context) -> None:
+    start_target_process(context)
+    send_orders(context, 5, (), ())
+    list_runs(context)
+
+
+@when("it lists its runs again")
+def list_runs(context: Context) -> None:
+    context.state.apply_listing(make_listing(RunningRow("job.0.0.0", 1, "", 1)), context.clock)
+
+
+@when("the runner refuses one connection")
+def refuse_connection(context: Context) -> None:
+    context.state.record_connection(is_refused=True)
+
+
+@when("it refuses connections for half a second more")
+def refuse_connections(context: Context) -> None:
+    context.clock += 0.5
+    context.state.record_connection(is_refused=True)
+
+
+@then("its target process reports it as up")
+def check_runner_up(context: Context) -> None:
+    assert context.state.report().runner_up
+
+
+@then("its target process reports it as down")
+def check_runner_down(context: Context) -> None:
+    assert not context.state.report().runner_up
+
+
+@when("the runner answers no call for {seconds:d} seconds")
+@when("the runner answers no call for {seconds:d} more seconds")
+def stay_silent(context: Context, seconds: int) -> None:
+    context.clock += seconds
+    context.state.record_connection(is_refused=False)
+
+
+@then("the lease is not renewed, and its target process reports it as up")
+def check_lease_not_renewed(context: Context) -> None:
+    send_orders(context, 5, (), ())
+    assert context.state.lease_deadline_ms() is None
+    check_runner_up(context)
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -4,8 +4,13 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet.guarantee import covered_jobs
-from comfreyshelf.fleet.jobs import Resources, RunningRow, TaskName
-from comfreyshelf.fleet.placing import WAIT_COST_CORE_S, CandidateTarget, PlanningCapacity
+from comfreyshelf.fleet.jobs import EndKind, Resources, RunningRow, RunNumber, TaskName
+from comfreyshelf.fleet.placing import (
+    WAIT_COST_CORE_S,
+    CandidateTarget,
+    PlacementLimits,
+    PlanningCapacity,
+)
 from comfreyshelf.fleet.preemption_cost import make_victim
 from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, Unit
 from comfreyshelf.ids import JobId, ServiceId
@@ -35,6 +40,65 @@
     assert [bool(target.running) for target in context.world.targets] == [False, False, True, True]
 
 
+@given("less urgent work on all targets, one run of which is about to end")
+def fill_targets_with_ending_run(context: Context) -> None:
+    world = context.world
+    world.accept("usual", (step(4),))
+    world.settle()
+    world.wait(10)
+    context.ending = world.targets[0]
+    (row,) = context.ending.running.values()
+    context.ending.running[row.task] = RunningRow(row.task, row.run, "", 98)
+    world.run_round()
+
+
+@when("an urgent job within its guarantee is submitted")
+def submit_covered_job(context: Context) -> None:
+    context.world.accept("urgent", (step(1),), queue="urgent", organisation="sure")
+    context.world.settle()
+
+
+@when("an urgent job within its guarantee is submitted, and that run goes on for 2 seconds")
+def submit_covered_job_and_wait(context: Context) -> None:
+    submit_covered_job(context)
+    context.world.wait(2, progress=False)
+
+
+@then("no run is stopped, and the urgent job starts when that run has ended")
+def check_waits_for_end(context: Context) -> None:
+    assert not any(target.ended for target in context.world.targets)
+    assert not context.world.starts("urgent")
+    context.ending.end(next(iter(context.ending.running)), EndKind.DONE)
+    context.world.settle()
+    assert context.world.starts("urgent") == [("urgent.0.0.0", 1)]
+
+
+@then("a run has been stopped, and the urgent job runs")
+def check_stopped_after_patience(context: Context) -> None:
+    kinds = [end.kind for target in context.world.targets for end in target.ended]
+    assert kinds == [EndKind.STOPPED], kinds
+    assert context.world.starts("urgent")
+
+
+@given("two equal runs on one target, one of which is the third run of its task")
+def run_twice_stopped_task(context: Context) -> None:
+    world = context.world
+    world.accept("usual", (step(2, demand=Resources(1000, 1000, 4)),))
+    world.settle()
+    context.runs = sorted(
+        (active for view in world.core.targets.values() for active in view.active_runs.values()),
+        key=lambda active: active.task,
+    )
+    context.runs[0].run = RunNumber(3)
+
+
+@then("the other one is stopped first")
+def check_first_victim(context: Context) -> None:
+    world = context.world
+    first, second = (make_victim(run, world.now, world.unix_now) for run in context.runs)
+    assert second.total_loss < first.total_loss
+
+
 @given("a job of 1 task of 8 accelerators is nearly done, 58 of its 61 seconds used")
 def run_until_nearly_done(context: Context) -> None:
     # The objective is 3 x 20 s + 1 s = 61 s; 58 s after its submission the run has 2 s left.
@@ -171,10 +235,10 @@
         make_victim(active, world.now, world.unix_now) for active in view.active_runs.values()
     ]
     assert all(victim.lateness_loss > 0 for victim in victims)
-    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), Resources(), victims)
+    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), victims=victims)
     unit = Unit(SERVICE, step(1), 0, 0, (TaskName("0.0.0"),))
     choice = PlanningCapacity({view.id: slot}).find_assignment(
-        unit, set(), lambda target: 0, 0, True
+        unit, set(), lambda target: 0, PlacementLimits(0, True)
     )
     assert choice is not None and len(choice.victims) == 8
     work_lost = sum(victim.lost_work for victim in victims)
@@ -269,10 +333,10 @@
     victims = [
         make_victim(active, world.now, world.unix_now) for active in view.active_runs.values()
     ]
-    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), Resources(), victims)
+    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), victims=victims)
     unit = Unit(SERVICE, step(1), 0, 0, (TaskName("0.0.0"),))
     choice = PlanningCapacity({view.id: slot}).find_assignment(
-        unit, set(), lambda target: 0, 0, True
+        unit, set(), lambda target: 0, PlacementLimits(0, True)
     )
     assert choice is not None and len(choice.victims) == 2
     assert abs(choice.cost - WAIT_COST_CORE_S - victims[0].total_loss) < 1e-6, choice.cost
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -178,7 +178,7 @@
         fleet_settings = FleetSettings("e", "z", "127.0.0.1", "", "", 0)
         self.owner = OwnerTask(fleet_settings, self.job_table, Metrics())
         self.memberships: list[Membership] = []
-        self.member = LeaderElection(self.store, "e@x", self.memberships.append)
+        self.member = LeaderElection(self.store, "e@x", 1.0, self.memberships.append)
         hub = Hub("127.0.0.1:0", lambda report: None)
         self.owner.connect(self.job_sync, self.store, hub, self.member.end_term)
         self.owner.handle(PlatformCodec().decode_config(json.dumps(CONFIG).encode()))
