--- a/comfreyshelf/fleet/entry_sync.py
+++ b/comfreyshelf/fleet/entry_sync.py
@@ -46,9 +46,14 @@
         self._next_offset = -1
         self.last_read_at = float("-inf")
 
-    def append(self, records: list[KeyedRecord], writer: Writer | None = None) -> None:
+    def append(
+        self,
+        records: list[KeyedRecord],
+        writer: Writer | None = None,
+        max_timeout_s: float = float("inf"),
+    ) -> None:
         """Append records to the store, then apply them to the job table."""
-        first_offset = self._store.append(JOBS_TOPIC, records, writer)
+        first_offset = self._store.append(JOBS_TOPIC, records, writer, max_timeout_s)
         self._apply(
             [
                 KeyedRecord(record.key, record.value, first_offset + index)
--- a/comfreyshelf/fleet/http_api.py
+++ b/comfreyshelf/fleet/http_api.py
@@ -26,6 +26,10 @@
 APPEND_RETRY_LIMIT_S = 2.2
 APPEND_RETRY_DEADLINE_SHARE = 0.45
 APPEND_RETRY_PAUSE_S = 0.1
+# An append may go through a peer after the store itself gave no answer, so each route gets a share
+# of the time that is left, but no less than the store needs for an answer.
+APPEND_ROUTE_SHARE = 0.5
+MIN_APPEND_TIMEOUT_S = 0.2
 _JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 DEFAULT_MAX_BODY_BYTES = 262_144
 
@@ -33,8 +37,9 @@
 class CallerApi:
     """Handles callers' requests.
 
-    `append` stores records and applies them to the job table, `catch_up` applies the records that
-    other entries have stored.
+    `append` stores one record, with a limit in seconds, and applies it to the job table; `catch_up`
+    applies the records that other entries have stored. `is_store_reachable` tells whether the last
+    call to the store succeeded, `is_store_answering` whether it answers now.
     """
 
     def __init__(
@@ -42,9 +47,10 @@
         codec: Codec,
         job_table: JobTable,
         get_config: Callable[[], FleetConfig | None],
-        append: Callable[[list[KeyedRecord]], None],
+        append: Callable[[KeyedRecord, float], None],
         catch_up: Callable[[], None],
         is_store_reachable: Callable[[], bool],
+        is_store_answering: Callable[[], bool],
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
@@ -55,6 +61,7 @@
         self._append = append
         self._catch_up = catch_up
         self._is_store_reachable = is_store_reachable
+        self._is_store_answering = is_store_answering
         self._metrics = metrics
         self._clock = clock
         self._sleep = sleep
@@ -130,7 +137,8 @@
         """Store a record, with retries.
 
         Raises StoreBusyError if the record is not stored and never will be, and StoreSilentError if
-        that is unknown.
+        that is unknown. An append without an answer leaves that open, and the caller may not repeat
+        its request then; so nothing is appended to a store that does not answer.
         """
         deadline_s, started_at = self._caller_deadline_s(call), self._clock()
         attempts = self._attempts.get_or_add(record.key, started_at, deadline_s)
@@ -140,12 +148,15 @@
         silent_error: StoreSilentError | None = None
         if attempts.unanswered:
             silent_error = StoreSilentError("an earlier append got no answer", "ask again")
+        elif not self._is_store_answering():
+            raise StoreBusyError("the store cannot be reached", "try again later")
         while True:
             attempt_started_at = self._clock()
             busy_error = StoreBusyError("the store cannot be reached", "try again later")
             if silent_error is not None or self._is_store_reachable():
+                left_s = give_up_at - attempt_started_at
                 try:
-                    self._append([record])
+                    self._append(record, max(MIN_APPEND_TIMEOUT_S, APPEND_ROUTE_SHARE * left_s))
                     attempts.unanswered = False
                     return
                 except StoreSilentError as exc:
--- a/comfreyshelf/fleet/leader_election.py
+++ b/comfreyshelf/fleet/leader_election.py
@@ -60,6 +60,7 @@
         self._max_delay_s = MAX_CANDIDATE_DELAY_S * min(1.0, REFERENCE_CORES / cores)
         self._rng = random.Random(name_prefix)
         self._is_candidate = False
+        self._renewed_at = float("-inf")
         self._on_membership = on_membership
         self._generation = 0
         self._member_name = ""
@@ -96,18 +97,21 @@
             return self._rng.uniform(0.0, self._max_delay_s)
         self._is_candidate = False
         self._member_name = f"{self._name_prefix}/{time.time_ns() // 1_000_000}"
-        self._leader_seen_at = monotonic()
+        self._leader_seen_at = self._renewed_at = monotonic()
         return 0.0
 
     def _renew_membership(self) -> float:
         """Renew the membership; returns the seconds until the next renewal."""
         requested_at = monotonic()
+        if requested_at - self._renewed_at > MEMBER_TTL_MS / 1000 and self._has_lost_lead():
+            return WATCH_INTERVAL_S
         membership = msgspec.structs.replace(
             self._store.join(
                 OWNER_GROUP, self._member_name, OWNER_TOPIC, MEMBER_TTL_MS, self._generation
             ),
             requested_at=requested_at,
         )
+        self._renewed_at = requested_at
         has_new_generation = membership.generation != self._generation
         self._generation = membership.generation
         if not self._term_ended.is_set():
@@ -119,6 +123,18 @@
         # A partition moves only after its previous holder has joined with the new generation.
         return REBALANCE_JOIN_INTERVAL_S if has_new_generation else JOIN_INTERVAL_S
 
+    def _has_lost_lead(self) -> bool:
+        """Whether another member leads, after the membership may have lapsed in a pause.
+
+        Renewing it then would join the group again, and move the lead away from that member.
+        """
+        leader = self._store.find_leader(OWNER_GROUP)
+        if not leader or leader == self._member_name:
+            return False
+        self._member_name = ""
+        self._on_membership(Membership(self._generation, False))
+        return True
+
     def _leave(self) -> None:
         member_name, self._member_name = self._member_name, ""
         if not member_name:
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -27,6 +28,7 @@
     CandidateTarget,
     PlacementLimits,
     PlanningCapacity,
+    Victim,
 )
 from comfreyshelf.fleet.preemption_cost import is_worth_preempting, make_victim
 from comfreyshelf.fleet.targets import TargetView, new_target_view
@@ -77,6 +79,8 @@
         self.token = token
         self.targets: dict[TargetId, TargetView] = {}
         self.jobs: dict[JobId, TrackedJob] = {}
+        # The newest target that each machine has reported.
+        self._target_by_machine: dict[str, TargetId] = {}
         self.log_event: EventLogger = _discard_event
         self._term_started_at = now
         # Runs that earlier owners ordered on targets which have not reported to this owner yet.
@@ -160,7 +164,7 @@
     def handle_report(self, report: Report, now: float, unix_now: float) -> None:
         """Process the report of a target process."""
         target = report.announcement.id
-        self._drop_replaced_targets(report, now, unix_now)
+        self._drop_replaced_target(report, unix_now)
         view = self.targets.get(target)
         if view is not None and report.incarnation < view.incarnation:
             return
@@ -202,17 +206,21 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
-    def _drop_replaced_targets(self, report: Report, now: float, unix_now: float) -> None:
+    def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
-        for view in list(self.targets.values()):
-            if view.machine == report.machine and view.id != report.announcement.id:
-                if view.incarnation > report.incarnation:
-                    continue
+        target = report.announcement.id
+        previous = self._target_by_machine.get(report.machine, target)
+        if previous != target:
+            view = self.targets.get(previous)
+            if view is not None and view.incarnation > report.incarnation:
+                return
+            if view is not None:
                 self._drop_runs(view, unix_now, "its machine runs another target")
-                del self.targets[view.id]
-        for target, runs in list(self._unreported_runs.items()):
-            if target != report.announcement.id and runs[0].machine == report.machine:
-                self._drop_unreported_runs(target, "its machine runs another target")
+                del self.targets[previous]
+        self._target_by_machine[report.machine] = target
+        for other, runs in list(self._unreported_runs.items()):
+            if other != target and runs[0].machine == report.machine:
+                self._drop_unreported_runs(other, "its machine runs another target")
 
     def _drop_unreported_runs(self, target: TargetId, why: str) -> None:
         self.needs_plan = True
@@ -545,12 +553,7 @@
                 candidate.free -= active.demand
                 if active.stopping_since is not None:
                     candidate.releasing += active.demand
-                elif active.tracked.job.id not in covered_ids:
-                    victim = make_victim(active, now, unix_now)
-                    candidate.victims.append(victim)
-                    if victim.ends_soon:
-                        candidate.ending += active.demand
-            candidate.victims.sort(key=lambda victim: victim.total_loss)
+            candidate.list_victims = partial(_list_victims, view, covered_ids, now, unix_now)
             candidates[view.id] = candidate
         return candidates
 
@@ -718,3 +721,16 @@
             tuple(starts),
             tuple(stops),
         )
+
+
+def _list_victims(
+    view: TargetView, covered_ids: set[JobId], now: float, unix_now: float
+) -> list[Victim]:
+    """The runs of a target that may be preempted, by their total loss in ascending order."""
+    victims = [
+        make_victim(active, now, unix_now)
+        for active in view.active_runs.values()
+        if active.stopping_since is None and active.tracked.job.id not in covered_ids
+    ]
+    victims.sort(key=lambda victim: victim.total_loss)
+    return victims
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -35,18 +35,37 @@
 
     `free` excludes the resources in `releasing`, which runs hold that are being stopped. `victims`
     are sorted by their total loss in ascending order; `ending` is what those hold that end soon.
+    Both are worked out by `list_victims` when they are first needed, as most tasks need none.
     """
 
     announcement: Announcement
     free: Resources
     releasing: Resources = Resources()
-    ending: Resources = Resources()
-    victims: list[Victim] = []
+    list_victims: Callable[[], list[Victim]] = list
+    _victims: list[Victim] | None = None
+    _ending: Resources = Resources()
+
+    @property
+    def victims(self) -> list[Victim]:
+        """The runs that may be preempted, by their total loss in ascending order."""
+        if self._victims is None:
+            self._victims = self.list_victims()
+            for victim in self._victims:
+                if victim.ends_soon:
+                    self._ending += victim.active.demand
+        return self._victims
+
+    def release(self, active: ActiveRun) -> None:
+        """Count the resources of a preempted run as being released."""
+        self.releasing += active.demand
+        self._victims = [other for other in self.victims if other.active is not active]
 
     def room_after_ends(self, free: Resources, limits: "PlacementLimits") -> Resources:
         """The room once the runs have ended that are being stopped, or that end soon."""
         room = free + self.releasing
-        return room + self.ending if limits.wait_for_ends else room
+        if limits.wait_for_ends and self.victims:
+            room += self._ending
+        return room
 
     def can_hold_with_preemption(self, demand: Resources, limits: "PlacementLimits") -> bool:
         """Whether a task would fit if all runs that it may preempt were stopped."""
@@ -142,9 +161,7 @@
 
     def mark_releasing(self, victim: ActiveRun) -> None:
         """Count the resources of a preempted run as being released."""
-        candidate = self.candidates[victim.target]
-        candidate.releasing += victim.demand
-        candidate.victims = [other for other in candidate.victims if other.active is not victim]
+        self.candidates[victim.target].release(victim)
         self._cache.clear()
 
     def _eligible(
@@ -177,22 +194,37 @@
             for candidate in eligible:
                 racks.setdefault(candidate.announcement.rack, []).append(candidate)
             groups += list(racks.values())
-        within_rack = [
-            assignment
-            for assignment in (
-                self._assign_greedily(unit, group, count_tasks, limits) for group in groups
-            )
-            if assignment is not None
-        ]
-        if within_rack:
-            return min(
-                within_rack, key=lambda assignment: (not assignment.can_start_now, assignment.cost)
-            )
+        within_rack = self._assign_to_one(unit, groups, count_tasks, limits)
+        if within_rack is not None:
+            return within_rack
         if not limits.allow_rack_spread and any(
             self._max_tasks_when_empty(unit, group) >= len(unit.tasks) for group in groups
         ):
             return None
-        return self._assign_greedily(unit, eligible, count_tasks, limits)
+        return self._assign_to_one(unit, [eligible], count_tasks, limits)
+
+    def _assign_to_one(
+        self,
+        unit: Unit,
+        groups: list[list[CandidateTarget]],
+        count_tasks: Callable[[TargetId], int],
+        limits: PlacementLimits,
+    ) -> Assignment | None:
+        """Find the cheapest assignment within one group, without preemption if that is possible."""
+        for needs_free_room in (True, False):
+            assignments = [
+                assignment
+                for group in groups
+                if (
+                    assignment := self._assign_greedily(
+                        unit, group, count_tasks, limits, needs_free_room
+                    )
+                )
+                is not None
+            ]
+            if assignments:
+                return min(assignments, key=lambda found: (not found.can_start_now, found.cost))
+        return None
 
     @staticmethod
     def _max_tasks_when_empty(unit: Unit, group: list[CandidateTarget]) -> int:
@@ -206,10 +238,14 @@
         group: list[CandidateTarget],
         count_tasks: Callable[[TargetId], int],
         limits: PlacementLimits,
+        needs_free_room: bool,
     ) -> Assignment | None:
         demand, max_per_target = unit.step.demand, unit.step.per_target
         group = [
-            candidate for candidate in group if candidate.can_hold_with_preemption(demand, limits)
+            candidate
+            for candidate in group
+            if candidate.free.can_hold(demand)
+            or (not needs_free_room and candidate.can_hold_with_preemption(demand, limits))
         ]
         free = {candidate.announcement.id: candidate.free for candidate in group}
         counts = {
@@ -224,6 +260,8 @@
                 target = candidate.announcement.id
                 if max_per_target and counts[target] >= max_per_target:
                     continue
+                if needs_free_room and not free[target].can_hold(demand):
+                    continue
                 option = _cost_one_task(candidate, free[target], demand, preempted, limits)
                 if option is not None and (best is None or option[0] < best[0]):
                     best = (option[0], candidate, option[1], option[2])
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -39,7 +39,7 @@
     lost_core_s = (
         max(RESTART_LOSS_S, worked_s)
         * step.demand.core_equivalents
-        * len(tracked.gang_members(active.task))
+        * active.gang_size
         * (1 + REPEATED_STOP_LOSS_SHARE * (active.run - 1))
     )
     is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -39,7 +39,7 @@
         self._direct_failed_at = float("-inf")
         self._active_peer = ""
         # When a call last succeeded, on the monotonic clock.
-        self._last_success_at = float("-inf")
+        self.last_success_at = float("-inf")
         # False if a call failed on every route and no other call succeeded since it began.
         self.is_store_reachable = True
 
@@ -82,7 +82,7 @@
             self._record_success(address)
             return answer
         # A long read that began before an outage may fail after newer calls have succeeded.
-        if self._last_success_at < started_at:
+        if self.last_success_at < started_at:
             self.is_store_reachable = False
         assert failure is not None
         raise failure
@@ -137,7 +137,7 @@
     def _record_success(self, address: str) -> None:
         self.is_store_reachable = True
         with self._lock:
-            self._last_success_at = monotonic()
+            self.last_success_at = monotonic()
             regained = not address and self._direct_failed_at != float("-inf")
             if not address:
                 self._direct_failed_at = float("-inf")
--- a/comfreyshelf/fleet/store.py
+++ b/comfreyshelf/fleet/store.py
@@ -80,8 +80,17 @@
     """
 
     @abstractmethod
-    def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
-        """Append all records or none and return the offset of the first; raises FencedError."""
+    def append(
+        self,
+        topic: str,
+        records: list[KeyedRecord],
+        writer: Writer | None = None,
+        max_timeout_s: float = float("inf"),
+    ) -> int:
+        """Append all records or none and return the offset of the first; raises FencedError.
+
+        An append counts as unanswered after `max_timeout_s` at the latest.
+        """
 
     @abstractmethod
     def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -84,6 +84,7 @@
     first listed the run. `started_at`, `stopping_since` and `percent_changed_at` are on the owner's
     clock; `first_reported_at`, `percent_reported_at` and `listed_at` are times of listings, on
     the target's clock. `stalled_s` is for how long listings have shown the run without progress.
+    `gang_key` is equal for all members of a gang, and unique for any other task.
     """
 
     tracked: "TrackedJob"
@@ -106,27 +107,24 @@
     listed_at: float = 0.0
     stalled_s: float = 0.0
     is_duration_recorded: bool = False
-
-    @property
-    def full_name(self) -> str:
-        """The full name of the task."""
-        return full_task_name(self.tracked.job.id, self.task)
-
-    @property
-    def step_number(self) -> int:
-        """The number of the step that the task belongs to."""
-        return parse_task_name(self.task)[1]
+    # Worked out once from the task's name, as each planning pass asks for them.
+    full_name: str = ""
+    step_number: int = 0
+    gang_key: tuple[JobId, TaskName] = (JobId(""), TaskName(""))
+    gang_size: int = 1
+
+    def __post_init__(self) -> None:
+        self.full_name = full_task_name(self.tracked.job.id, self.task)
+        _, self.step_number, _ = parse_task_name(self.task)
+        members = self.tracked.gang_members(self.task)
+        self.gang_key = (self.tracked.job.id, members[0])
+        self.gang_size = len(members)
 
     @property
     def step(self) -> Step:
         """The step that the task belongs to."""
         return self.tracked.job.steps[self.step_number]
 
-    @property
-    def gang_key(self) -> tuple[JobId, TaskName]:
-        """Key that is equal for all members of a gang, and unique for any other task."""
-        return self.tracked.job.id, self.tracked.gang_members(self.task)[0]
-
     def update_progress(self, percent: int, now: float, listed_at: float) -> None:
         """Record the progress from a report; `listed_at` is when the runner listed the run."""
         if not self.is_confirmed:
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -125,7 +125,13 @@
         self._transport = transport
         self._append_timeout_s = APPEND_TIMEOUT_S
 
-    def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
+    def append(
+        self,
+        topic: str,
+        records: list[KeyedRecord],
+        writer: Writer | None = None,
+        max_timeout_s: float = float("inf"),
+    ) -> int:
         query: dict[str, object] = {"topic": _KEYED_PREFIX + topic, "part": 0}
         if writer is not None:
             query |= {
@@ -133,7 +139,7 @@
                 "epoch": writer.epoch,
                 "sequence": writer.sequence,
             }
-        timeout_s = self._append_timeout_s
+        timeout_s = min(self._append_timeout_s, max_timeout_s)
         try:
             answer = self._transport.call(
                 "POST",
@@ -143,7 +149,7 @@
                 "application/octet-stream",
             )
         except StoreSilentError:
-            self._append_timeout_s = min(MAX_APPEND_TIMEOUT_S, 2 * timeout_s)
+            self._append_timeout_s = min(MAX_APPEND_TIMEOUT_S, 2 * self._append_timeout_s)
             raise
         self._append_timeout_s = APPEND_TIMEOUT_S
         if answer.status == 200:
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -87,6 +87,13 @@
     When another entry joins the group before the first one does
     Then the first entry does not join
 
+  Scenario: A member that was paused does not join again while another one leads
+    # Guards against an entry that wakes from a pause, renews its membership and so takes the lead
+    # from the entry that was elected meanwhile.
+    Given an entry that was elected as leader
+    When it is paused for 3 seconds while another entry joins the group
+    Then it does not join, and knows that it does not lead
+
   Scenario: A target process ignores the orders of an earlier owner
     # Guards against an earlier owner that starts or stops runs, or keeps a lease alive.
     Given a target process that has orders of an owner with token 5
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -24,7 +24,13 @@
         self.writers: list[Writer] = []
         self.fence = 0
 
-    def append(self, topic: str, records: list[KeyedRecord], writer: Writer | None = None) -> int:
+    def append(
+        self,
+        topic: str,
+        records: list[KeyedRecord],
+        writer: Writer | None = None,
+        max_timeout_s: float = float("inf"),
+    ) -> int:
         if writer is not None:
             self.writers.append(writer)
             if writer.epoch < self.fence:
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet import order_executor, target_state
+from comfreyshelf.fleet import leader_election, order_executor, target_state
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.job_table import job_record, progress_record
 from comfreyshelf.fleet.jobs import (
@@ -267,6 +267,34 @@
     context.group.leader = "other@y/1"
 
 
+@given("an entry that was elected as leader")
+def elect_leader(context: Context) -> None:
+    context.now = 50.0
+    context.stack.enter_context(
+        mock.patch.object(leader_election, "monotonic", lambda: context.now)
+    )
+    context.group = GroupStore()
+    context.memberships = []
+    context.election = LeaderElection(context.group, "e@x", 1.0, context.memberships.append)
+    for _ in range(3):
+        context.election.poll()
+    assert context.memberships[-1].is_leader
+
+
+@when("it is paused for 3 seconds while another entry joins the group")
+def pause_leader(context: Context) -> None:
+    context.joins_before = context.group.joins
+    context.now += 3
+    join_other_entry(context)
+    context.election.poll()
+
+
+@then("it does not join, and knows that it does not lead")
+def check_not_joined_again(context: Context) -> None:
+    assert context.group.joins == context.joins_before
+    assert not context.memberships[-1].is_leader
+
+
 @then("the first entry does not join")
 def check_not_joined(context: Context) -> None:
     for _ in range(3):
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -235,7 +235,9 @@
         make_victim(active, world.now, world.unix_now) for active in view.active_runs.values()
     ]
     assert all(victim.lateness_loss > 0 for victim in victims)
-    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), victims=victims)
+    slot = CandidateTarget(
+        view.announcement, Resources(64000, 262144, 0), list_victims=lambda: victims
+    )
     unit = Unit(SERVICE, step(1), 0, 0, (TaskName("0.0.0"),))
     choice = PlanningCapacity({view.id: slot}).find_assignment(
         unit, set(), lambda target: 0, PlacementLimits(0, True)
@@ -333,7 +335,9 @@
     victims = [
         make_victim(active, world.now, world.unix_now) for active in view.active_runs.values()
     ]
-    slot = CandidateTarget(view.announcement, Resources(64000, 262144, 0), victims=victims)
+    slot = CandidateTarget(
+        view.announcement, Resources(64000, 262144, 0), list_victims=lambda: victims
+    )
     unit = Unit(SERVICE, step(1), 0, 0, (TaskName("0.0.0"),))
     choice = PlanningCapacity({view.id: slot}).find_assignment(
         unit, set(), lambda target: 0, PlacementLimits(0, True)
