--- a/comfreyshelf/fleet/leader_election.py
+++ b/comfreyshelf/fleet/leader_election.py
@@ -60,6 +60,7 @@
         self._max_delay_s = MAX_CANDIDATE_DELAY_S * min(1.0, REFERENCE_CORES / cores)
         self._rng = random.Random(name_prefix)
         self._is_candidate = False
+        self._is_leader = False
         self._renewed_at = float("-inf")
         self._on_membership = on_membership
         self._generation = 0
@@ -116,27 +117,32 @@
         self._generation = membership.generation
         if not self._term_ended.is_set():
             self._on_membership(membership)
+        was_leader, self._is_leader = self._is_leader, membership.is_leader
         if membership.is_leader:
             self._leader_seen_at = monotonic()
+        elif was_leader and self._has_lost_lead():
+            return WATCH_INTERVAL_S
         elif monotonic() - self._leader_seen_at > NON_LEADER_TIMEOUT_S:
             self._leave()
         # A partition moves only after its previous holder has joined with the new generation.
         return REBALANCE_JOIN_INTERVAL_S if has_new_generation else JOIN_INTERVAL_S
 
     def _has_lost_lead(self) -> bool:
-        """Whether another member leads, after the membership may have lapsed in a pause.
+        """Whether another member leads now; if so, this one leaves the group.
 
-        Renewing it then would join the group again, and move the lead away from that member.
+        Staying in it, or renewing a membership that has lapsed in a pause, could move the lead away
+        from that member.
         """
         leader = self._store.find_leader(OWNER_GROUP)
         if not leader or leader == self._member_name:
             return False
-        self._member_name = ""
+        self._leave()
         self._on_membership(Membership(self._generation, False))
         return True
 
     def _leave(self) -> None:
         member_name, self._member_name = self._member_name, ""
+        self._is_leader = False
         if not member_name:
             return
         try:
--- a/features/fleet_owner.feature
+++ b/features/fleet_owner.feature
@@ -108,8 +108,8 @@
     # Guards against least urgent work that waits for long after the last urgent job has ended.
     Given an organisation with a guarantee of 24 accelerators has had no urgent work
     And its last urgent job was accepted 9 seconds ago and has ended
-    When a least urgent job of 16 tasks of 1 accelerator is accepted
-    Then all 16 tasks of it run at once
+    When a least urgent job of 32 tasks of 1 accelerator is accepted
+    Then all 32 tasks of it run at once
 
   Scenario: Steps wait for their dependencies and occurrences for their time
     # Guards against a step that starts before the one it depends on, and against an occurrence of a
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -18,7 +18,7 @@
     # Guards against starts on a runner that hangs, beside idle targets.
     Given an owner whose job runs on one of 4 targets
     When reports of 9 seconds repeat one listing of the run
-    And four more such jobs are accepted
+    And four jobs of 7 accelerators are accepted
     Then none of them runs on that target
 
   Scenario: The runs of a runner that is down start elsewhere at once
@@ -41,7 +41,7 @@
   Scenario: A job whose planning raises an error costs only itself
     # Guards against one bad record that ends each planning pass, so that no job is placed.
     Given an owner whose job raises an error whenever it is planned
-    When four more such jobs are accepted
+    When four jobs of 7 accelerators are accepted
     Then these jobs run, and one line tells which job cannot be planned
 
   Scenario: A job whose stored progress makes no sense costs only itself
@@ -94,6 +94,13 @@
     When it is paused for 3 seconds while another entry joins the group
     Then it does not join, and knows that it does not lead
 
+  Scenario: A member that has lost the lead leaves the group
+    # Guards against a former owner that stays a member and is given the lead back, so that the
+    # schedule changes hands once more while it cannot reach the store.
+    Given an entry that was elected as leader
+    When the store gives the lead to another member
+    Then the entry leaves the group and does not join again
+
   Scenario: A target process ignores the orders of an earlier owner
     # Guards against an earlier owner that starts or stops runs, or keeps a lease alive.
     Given a target process that has orders of an owner with token 5
--- a/features/steps/fleet_owner_steps.py
+++ b/features/steps/fleet_owner_steps.py
@@ -256,9 +256,9 @@
     context.world.settle()
 
 
-@when("a least urgent job of 16 tasks of 1 accelerator is accepted")
-def accept_least_urgent_job(context: Context) -> None:
-    context.world.accept("least", (step(16, demand=Resources(1000, 1000, 1)),), queue="least")
+@when("a least urgent job of {count:d} tasks of 1 accelerator is accepted")
+def accept_least_urgent_job(context: Context, count: int) -> None:
+    context.world.accept("least", (step(count, demand=Resources(1000, 1000, 1)),), queue="least")
     context.world.settle()
 
 
@@ -281,9 +281,9 @@
     context.world.wait(seconds)
 
 
-@then("all 16 tasks of it run at once")
-def check_all_started(context: Context) -> None:
-    assert len(context.world.starts("least")) == 16
+@then("all {count:d} tasks of it run at once")
+def check_all_started(context: Context, count: int) -> None:
+    assert len(context.world.starts("least")) == count
 
 
 @when("a job of two dependent steps, to run twice 10 seconds apart, is accepted")
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -43,7 +43,7 @@
 @given("an owner whose job runs on one of 4 targets")
 def start_job(context: Context) -> None:
     context.world = World()
-    context.world.accept("job", (step(1),))
+    context.world.accept("job", (step(1, demand=Resources(1000, 1000, 1)),))
     context.world.settle()
     context.target, context.row = context.world.run_of("job")
 
@@ -68,10 +68,11 @@
     assert context.world.starts("job") == [(context.row.task, 1)]
 
 
-@when("four more such jobs are accepted")
+@when("four jobs of 7 accelerators are accepted")
 def accept_more_jobs(context: Context) -> None:
     for number in range(4):
-        context.world.accept(f"more{number}", (step(1),))
+        # One fits beside the first job, two do not fit on one target.
+        context.world.accept(f"more{number}", (step(1, demand=Resources(1000, 1000, 7)),))
     context.world.settle()
 
 
@@ -245,14 +246,17 @@
     def __init__(self) -> None:
         super().__init__()
         self.leader = ""
-        self.joins = 0
+        self.joins = self.leaves = 0
 
     def find_leader(self, group: str) -> str:
         return self.leader
 
     def join(self, group: str, member: str, topic: str, ttl_ms: int, generation: int) -> Membership:
         self.joins += 1
-        return Membership(1, True)
+        return Membership(1, not self.leader)
+
+    def leave(self, group: str, member: str) -> None:
+        self.leaves += 1
 
 
 @given("an entry that finds the group without a leader")
@@ -289,6 +293,21 @@
     context.election.poll()
 
 
+@when("the store gives the lead to another member")
+def give_lead_away(context: Context) -> None:
+    join_other_entry(context)
+
+
+@then("the entry leaves the group and does not join again")
+def check_left_group(context: Context) -> None:
+    for _ in range(3):
+        context.election.poll()
+    assert context.group.leaves == 1
+    context.joins_before = context.group.joins
+    context.election.poll()
+    check_not_joined_again(context)
+
+
 @then("it does not join, and knows that it does not lead")
 def check_not_joined_again(context: Context) -> None:
     assert context.group.joins == context.joins_before
