--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -1,4 +1,4 @@
-"""The owner's decisions: which tasks run on which targets, from reports and accepted jobs."""
+"""The owner's decisions: which runs have to stop, and which tasks start on which targets."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -7,22 +7,10 @@
 import msgspec
 
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.durations import DurationEstimator
-from comfreyshelf.fleet.guarantee import ClaimForecast, covered_jobs, may_borrow
-from comfreyshelf.fleet.job_table import StoredJob
-from comfreyshelf.fleet.jobs import (
-    EndKind,
-    FleetConfig,
-    JobPhase,
-    Progress,
-    RunNumber,
-    TaskName,
-    Token,
-    parse_task_name,
-    split_full_name,
-)
-from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
-from comfreyshelf.fleet.messages import Orders, Report, StartOrder, StopOrder
+from comfreyshelf.fleet.fleet_state import FleetState
+from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
+from comfreyshelf.fleet.jobs import FleetConfig, JobPhase, RunNumber, Token
+from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.placing import (
     Assignment,
     CandidateTarget,
@@ -30,24 +18,21 @@
     PlanningCapacity,
     Victim,
 )
-from comfreyshelf.fleet.preemption_cost import is_worth_preempting, make_victim
-from comfreyshelf.fleet.targets import TargetView, new_target_view
+from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
+from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
 # Capacity is reserved for at most this many units that fit nowhere yet, in order of their ranks.
 MAX_RESERVED_UNITS = 3
+# Urgent work waits for a run to end only with this much slack, as the run may end later than
+# expected, and stopping another one then takes time too.
+MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
 # A run is stalled if it made no progress for longer than both MIN_STALL_S and this share of the
 # expected duration of its task. It is stopped and, if possible, placed on another target.
 MIN_STALL_S = 4.0
 STALL_ESTIMATE_SHARE = 0.3
 
-EventLogger = Callable[..., None]
-
-
-def _discard_event(event: str, **fields: object) -> None:
-    """Default event logger, which logs nothing."""
-
 
 class _PlanningPass(msgspec.Struct):
     """State of one planning pass.
@@ -64,364 +49,13 @@
     reserved_units: int = 0
 
 
-class OwnerCore:
-    """Scheduling decisions during one term of an owner.
-
-    It does no I/O and reads no clock, so that tests can drive it with a simulated clock. Times
-    called `now` are on the owner's monotonic clock, `unix_now` is in seconds since the Unix epoch.
-    After each batch of events the caller stores `changes()`, calls `mark_stored()`, and only then
-    sends `orders_for()` each target.
-    """
+class OwnerCore(FleetState):
+    """Scheduling decisions during one term of an owner, taken in planning passes."""
 
     def __init__(self, config: FleetConfig, bounds: Bounds, token: Token, now: float) -> None:
-        self.config = config
-        self.bounds = bounds
-        self.token = token
-        self.targets: dict[TargetId, TargetView] = {}
-        self.jobs: dict[JobId, TrackedJob] = {}
-        # The newest target that each machine has reported.
-        self._target_by_machine: dict[str, TargetId] = {}
-        self.log_event: EventLogger = _discard_event
-        self._term_started_at = now
-        # Runs that earlier owners ordered on targets which have not reported to this owner yet.
-        self._unreported_runs: dict[TargetId, list[ActiveRun]] = {}
-        self._dirty_jobs: set[JobId] = set()
-        # Runs and targets with changes that the next `mark_stored` confirms, and ended jobs.
-        self._unstored_runs: list[ActiveRun] = []
-        self._targets_with_new_ends: set[TargetId] = set()
-        self._ended_jobs: set[JobId] = set()
+        super().__init__(config, bounds, token, now)
         # Jobs whose planning raised an error; they wait until the next owner takes over.
         self._failed_jobs: set[JobId] = set()
-        # Whether something happened since the last planning pass that may change its result.
-        self.needs_plan = True
-        self._claim_forecast = ClaimForecast()
-        self._durations = DurationEstimator()
-
-    # Jobs
-
-    def load_job(self, stored: StoredJob, now: float, unix_now: float) -> None:
-        """Load a job from the store, after a takeover or when it was accepted or cancelled."""
-        job = stored.job
-        if job is None:
-            return
-        self.needs_plan = True
-        tracked = self.jobs.get(job.id)
-        if tracked is None:
-            is_takeover = now <= self._term_started_at
-            # Clocks of entries differ, so a job that arrives during this term counts as accepted
-            # now, whatever time its record states.
-            accepted_at = min(unix_now, job.accepted_at) if is_takeover else unix_now
-            is_final = stored.progress.phase.is_final
-            queue = self.config.queue_by_name(job.queue)
-            if queue is not None and queue.priority == 0 and (is_takeover or not is_final):
-                self._claim_forecast.record(job, accepted_at)
-            if is_final:
-                return
-            progress = Progress(
-                stored.progress.phase, dict(stored.progress.tasks), stored.progress.ended_at
-            )
-            tracked = TrackedJob(job, progress, queue, self._durations)
-            tracked.accepted_at = accepted_at
-            tracked.check_progress()
-            self.jobs[job.id] = tracked
-            for name, task in progress.tasks.items():
-                if task.target and not task.done:
-                    self._adopt_run(tracked, name, now)
-        if stored.cancelled and not tracked.progress.phase.is_final:
-            self._finish_job(tracked, JobPhase.CANCELLED, unix_now, "cancelled by its caller")
-
-    def _adopt_run(self, tracked: TrackedJob, name: TaskName, now: float) -> None:
-        """Track the run that an earlier owner ordered for a task."""
-        task = tracked.progress.tasks[name]
-        _, step_number, _ = parse_task_name(name)
-        active = ActiveRun(
-            tracked,
-            name,
-            task.run,
-            task.target,
-            task.incarnation,
-            tracked.job.steps[step_number].demand,
-            task.machine,
-            now,
-            is_stored=True,
-        )
-        tracked.active_runs[name] = active
-        view = self.targets.get(task.target)
-        if view is None:
-            self._unreported_runs.setdefault(task.target, []).append(active)
-        else:
-            view.active_runs[active.full_name] = active
-
-    def configure(self, config: FleetConfig) -> None:
-        """Apply a newer configuration."""
-        self.config = config
-        self.needs_plan = True
-        for tracked in self.jobs.values():
-            tracked.queue = config.queue_by_name(tracked.job.queue) or tracked.queue
-
-    # Reports
-
-    def handle_report(self, report: Report, now: float, unix_now: float) -> None:
-        """Process the report of a target process."""
-        target = report.announcement.id
-        self._drop_replaced_target(report, unix_now)
-        view = self.targets.get(target)
-        if view is not None and report.incarnation < view.incarnation:
-            return
-        if view is None or view.incarnation != report.incarnation:
-            old = view
-            view = new_target_view(report, now)
-            self.targets[target] = view
-            self.needs_plan = True
-            if old is not None:
-                self._drop_runs(old, unix_now, "its target started again")
-            for active in self._unreported_runs.pop(target, []):
-                view.active_runs[active.full_name] = active
-            for active in list(view.active_runs.values()):
-                if active.incarnation != report.incarnation:
-                    self._end_run(view, active, EndKind.LOST, "", now, unix_now)
-            self.log_event("target joined", target=target, incarnation=report.incarnation)
-        if report.announcement.draining and not view.drain_until:
-            view.drain_until = now + report.announcement.drain_left_ms / 1000
-            view.orders_changed = self.needs_plan = True
-            self.log_event(
-                "target drains", target=target, left_ms=report.announcement.drain_left_ms
-            )
-        elif not report.announcement.draining:
-            view.drain_until = 0.0
-        view.announcement = report.announcement
-        view.seen_at = now
-        view.report_sent_at = report.sent_at
-        view.listed_at = report.listed_at or report.sent_at
-        if report.gone:
-            self._drop_runs(view, unix_now, "its target left")
-            del self.targets[target]
-            return
-        if not report.runner_up:
-            view.lists_known = False
-            self._drop_runs(view, unix_now, "its runner is down")
-            return
-        if report.lists_known:
-            self.needs_plan = self.needs_plan or not view.lists_known
-            view.lists_known = True
-            self._process_run_lists(view, report, now, unix_now)
-
-    def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
-        """Drop the targets whose machine now reports another target; it runs one at a time."""
-        target = report.announcement.id
-        previous = self._target_by_machine.get(report.machine, target)
-        if previous != target:
-            view = self.targets.get(previous)
-            if view is not None and view.incarnation > report.incarnation:
-                return
-            if view is not None:
-                self._drop_runs(view, unix_now, "its machine runs another target")
-                del self.targets[previous]
-        self._target_by_machine[report.machine] = target
-        for other, runs in list(self._unreported_runs.items()):
-            if other != target and runs[0].machine == report.machine:
-                self._drop_unreported_runs(other, "its machine runs another target")
-
-    def _drop_unreported_runs(self, target: TargetId, why: str) -> None:
-        self.needs_plan = True
-        for active in self._unreported_runs.pop(target):
-            active.tracked.task_progress(active.task).target = TargetId("")
-            active.tracked.active_runs.pop(active.task, None)
-            self._dirty_jobs.add(active.tracked.job.id)
-            self.log_event(
-                "run lost", task=active.full_name, run=active.run, target=target, why=why
-            )
-
-    def _process_run_lists(
-        self, view: TargetView, report: Report, now: float, unix_now: float
-    ) -> None:
-        for end in sorted(report.ended, key=lambda row: row.number):
-            if end.number > view.processed_ends:
-                view.processed_ends = end.number
-                view.orders_changed = self.needs_plan = True
-                self._targets_with_new_ends.add(view.id)
-                self._handle_ended_row(
-                    view, end.task, end.run, end.kind, end.checkpoint, now, unix_now
-                )
-        for rejection in report.rejected:
-            active = view.active_runs.get(rejection.task)
-            if active is not None and active.run == rejection.run:
-                self.log_event(
-                    "start rejected",
-                    task=rejection.task,
-                    run=rejection.run,
-                    reason=rejection.reason,
-                )
-                self._end_run(view, active, EndKind.REJECTED, "", now, unix_now)
-        listed = set()
-        for row in report.running:
-            listed.add(row.task)
-            active = view.active_runs.get(row.task)
-            if active is None or active.run != row.run:
-                view.stop_unwanted(row)
-                continue
-            active.update_progress(row.percent, now, view.listed_at)
-            if row.checkpoint:
-                for member in active.tracked.gang_members(active.task):
-                    active.tracked.task_progress(member).checkpoint = row.checkpoint
-        for name in [name for name in view.unwanted_runs if name not in listed]:
-            del view.unwanted_runs[name]
-            self.needs_plan = True
-
-    def _handle_ended_row(
-        self,
-        view: TargetView,
-        name: str,
-        run: int,
-        kind: EndKind,
-        checkpoint: str,
-        now: float,
-        unix_now: float,
-    ) -> None:
-        active = view.active_runs.get(name)
-        if active is not None and active.run == run:
-            self._end_run(view, active, kind, checkpoint, now, unix_now)
-            return
-        job, task = split_full_name(name)
-        tracked = self.jobs.get(job)
-        if tracked is None or kind is not EndKind.DONE or tracked.progress.phase.is_final:
-            return
-        # The run was considered lost, but it did finish. The run that replaced it is stopped.
-        self.log_event("late completion accepted", task=name, run=run, target=view.id)
-        self._complete_task(tracked, task, run, unix_now)
-
-    def _end_run(
-        self,
-        view: TargetView,
-        active: ActiveRun,
-        kind: EndKind,
-        checkpoint: str,
-        now: float,
-        unix_now: float,
-    ) -> None:
-        view.active_runs.pop(active.full_name, None)
-        active.tracked.active_runs.pop(active.task, None)
-        view.orders_changed = self.needs_plan = True
-        tracked, task = active.tracked, active.tracked.task_progress(active.task)
-        task.target = TargetId("")
-        self._dirty_jobs.add(tracked.job.id)
-        self.log_event(
-            "run ended",
-            task=active.full_name,
-            run=active.run,
-            target=view.id,
-            how=kind.value,
-            ran_s=round(now - active.started_at, 2),
-            percent=active.percent,
-            first_percent=active.first_percent,
-            expected_s=round(tracked.task_duration_s(active.step_number), 1),
-            cause=active.stop_cause or kind.value,
-            lost_core_s=round(
-                lost_core_s(active, kind, bool(checkpoint or task.checkpoint), now), 1
-            ),
-        )
-        if checkpoint:
-            for member in tracked.gang_members(active.task):
-                tracked.task_progress(member).checkpoint = checkpoint
-        lasting = active.step.lasting
-        if kind is EndKind.DONE:
-            view.record_success()
-            if not active.is_duration_recorded and not task.resumed_from:
-                tracked.record_duration(active.step_number, now - active.started_at)
-            if not lasting:
-                self._complete_task(tracked, active.task, active.run, unix_now)
-        elif kind is EndKind.FAILED:
-            view.record_failure(tracked.job.id, now)
-            tracked.avoided_targets.add(view.id)
-            if not lasting:
-                self._count_failure(tracked, active, unix_now)
-        if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
-            self._break_gang(active)
-
-    def _count_failure(self, tracked: TrackedJob, active: ActiveRun, unix_now: float) -> None:
-        occurrence, step_number, _ = parse_task_name(active.task)
-        gang_run = (occurrence, step_number, active.run)
-        if tracked.job.steps[step_number].gang:
-            if gang_run in tracked.counted_gang_failures:
-                return
-            tracked.counted_gang_failures.add(gang_run)
-        failures = (
-            max(tracked.task_progress(name).failures for name in tracked.gang_members(active.task))
-            + 1
-        )
-        for name in tracked.gang_members(active.task):
-            tracked.task_progress(name).failures = failures
-        if tracked.queue is not None and failures >= tracked.queue.attempts:
-            self._finish_job(
-                tracked, JobPhase.FAILED, unix_now, f"{active.full_name} failed {failures} times"
-            )
-
-    def _break_gang(self, active: ActiveRun) -> None:
-        """Stop the other members of a gang after one of its runs ended without success."""
-        for name in active.tracked.gang_members(active.task):
-            if name != active.task:
-                self._order_stop(active.tracked, name, None, StopCause.GANG_BROKEN)
-
-    def _complete_task(
-        self, tracked: TrackedJob, task: TaskName, run: int, unix_now: float
-    ) -> None:
-        self._dirty_jobs.add(tracked.job.id)
-        for name in tracked.gang_members(task):
-            progress = tracked.task_progress(name)
-            progress.done = True
-            progress.checkpoint = ""
-            # Gang members of the same run end by themselves; a later run has to be stopped.
-            if progress.run != run:
-                self._order_stop(tracked, name, None, StopCause.SUPERSEDED)
-        if tracked.is_done():
-            self._finish_job(tracked, JobPhase.COMPLETED, unix_now, "all tasks are done")
-
-    def _finish_job(self, tracked: TrackedJob, phase: JobPhase, unix_now: float, why: str) -> None:
-        if tracked.progress.phase.is_final:
-            return
-        tracked.set_phase(phase, unix_now)
-        self._dirty_jobs.add(tracked.job.id)
-        self._ended_jobs.add(tracked.job.id)
-        self.needs_plan = True
-        self.log_event(
-            "job ended",
-            job=tracked.job.id,
-            phase=phase.value,
-            why=why,
-            took_s=round(unix_now - tracked.accepted_at, 2),
-        )
-        for name in list(tracked.progress.tasks):
-            self._order_stop(tracked, name, None, STOP_CAUSE_BY_PHASE[phase])
-
-    def _order_stop(
-        self, tracked: TrackedJob, name: TaskName, now: float | None, cause: StopCause
-    ) -> None:
-        """Order the active run of a task, if there is one, to stop.
-
-        If `now` is None, the stop counts from the target's last report, or from the start of the
-        term for a target that has not reported yet.
-        """
-        active = tracked.active_runs.get(name)
-        if active is None or active.stopping_since is not None:
-            return
-        active.stop_cause = cause.value
-        view = self.targets.get(active.target)
-        self.needs_plan = True
-        if view is None or active.full_name not in view.active_runs:
-            active.stopping_since = now if now is not None else self._term_started_at
-            return
-        active.stopping_since = now if now is not None else view.seen_at
-        view.orders_changed = True
-
-    def _drop_runs(self, view: TargetView, unix_now: float, why: str) -> None:
-        """Mark all runs of a target as lost, as the target can no longer run them."""
-        for active in list(view.active_runs.values()):
-            self.log_event(
-                "run lost", task=active.full_name, run=active.run, target=view.id, why=why
-            )
-            self._end_run(view, active, EndKind.LOST, "", view.seen_at, unix_now)
-
-    # Planning
 
     def plan(self, now: float, unix_now: float) -> None:
         """Run one planning pass.
@@ -571,11 +205,15 @@
         """
         # A job covered by its guarantee may preempt even urgent runs, if these are not covered.
         capacity, now, unix_now = planning.capacity, planning.now, planning.unix_now
-        is_patient = unix_now - tracked.accepted_at < self.bounds.reclaim_patience_s
+        waited_s = unix_now - tracked.accepted_at
+        slack_s = tracked.deadline - unix_now - tracked.remaining_critical_path_s
+        may_wait = slack_s > MIN_WAIT_SLACK_S and (
+            not is_covered or waited_s < self.bounds.reclaim_patience_s
+        )
         limits = PlacementLimits(
             preempt_above=-1 if is_covered else tracked.priority,
             allow_rack_spread=is_covered,
-            wait_for_ends=tracked.priority == 0 and (is_patient or not is_covered),
+            wait_for_ends=tracked.priority == 0 and may_wait,
         )
         assignment = capacity.find_assignment(
             unit,
@@ -668,60 +306,6 @@
             version=self.config.version,
         )
 
-    # Changes and orders
-
-    def changes(self) -> list[tuple[JobId, Progress]]:
-        """Progress that has to be stored, of all jobs that changed since the last `mark_stored`."""
-        return [(job, self.jobs[job].progress) for job in self._dirty_jobs]
-
-    def mark_stored(self) -> None:
-        """Record that all changes are stored, so that starts are ordered and ends acknowledged."""
-        self._dirty_jobs.clear()
-        for target in self._targets_with_new_ends:
-            if (view := self.targets.get(target)) is not None:
-                view.acknowledged_ends = view.processed_ends
-                view.orders_changed = True
-        self._targets_with_new_ends.clear()
-        for active in self._unstored_runs:
-            active.is_stored = True
-        self._unstored_runs.clear()
-        for job in list(self._ended_jobs):
-            if not self.jobs[job].active_runs:
-                self._ended_jobs.discard(job)
-                del self.jobs[job]
-
-    def orders_for(self, view: TargetView, with_stops: bool = True) -> Orders:
-        """All open orders for a target.
-
-        A start is repeated until the target lists the run or rejects it, a stop until the run has
-        ended. Stops are left for a later message unless `with_stops`: unlike starts, they are not
-        proven by an append under the owner's epoch.
-        """
-        view.orders_changed = False
-        starts: list[StartOrder] = []
-        stops = list(view.unwanted_runs.values())
-        for active in view.active_runs.values():
-            if active.stopping_since is not None:
-                stops.append(StopOrder(active.full_name, active.run))
-            elif active.is_stored and not active.is_confirmed and view.lists_known:
-                task = active.tracked.task_progress(active.task)
-                starts.append(
-                    StartOrder(
-                        active.full_name, active.run, active.tracked.job.payload, task.resumed_from
-                    )
-                )
-        if stops and not with_stops:
-            stops.clear()
-            view.orders_changed = True
-        return Orders(
-            self.token,
-            view.incarnation,
-            view.report_sent_at,
-            view.acknowledged_ends,
-            tuple(starts),
-            tuple(stops),
-        )
-
 
 def _list_victims(
     view: TargetView, covered_ids: set[JobId], now: float, unix_now: float
--- a/features/fleet_planning.feature
+++ b/features/fleet_planning.feature
@@ -16,6 +16,13 @@
     When an urgent job within its guarantee is submitted
     Then no run is stopped, and the urgent job starts when that run has ended
 
+  Scenario: Urgent work with little slack does not wait for a run to end
+    # Guards against a short urgent job that becomes late because it waits for room for as long as
+    # its whole objective allows.
+    Given less urgent work on all targets, one run of which is about to end
+    When an urgent job of less than half a second is submitted
+    Then a run has been stopped, and the urgent job runs
+
   Scenario: Urgent work does not wait too long for a run that should have ended
     # Guards against a guarantee that is not served in time because of a wrong estimate.
     Given less urgent work on all targets, one run of which is about to end
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -1,5 +1,6 @@
 """Steps for the owner's run time estimates, guarantees and preemption costs."""
 
+import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
@@ -64,6 +65,13 @@
     context.world.wait(2, progress=False)
 
 
+@when("an urgent job of less than half a second is submitted")
+def submit_short_covered_job(context: Context) -> None:
+    short = msgspec.structs.replace(step(1), estimate_ms=400)
+    context.world.accept("urgent", (short,), queue="urgent", organisation="sure")
+    context.world.settle()
+
+
 @then("no run is stopped, and the urgent job starts when that run has ended")
 def check_waits_for_end(context: Context) -> None:
     assert not any(target.ended for target in context.world.targets)
