Count a runner as answering from its last answer, not from when that listing was requested

Cause (read in the diff): a listing is held up to 1.2 s, so the last answered one was requested up to 2.5 s ago in normal running; starts were then dropped as without contact, and repeated. New scenario 'A listing that takes long does not keep runs from starting' fails before.

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -34,8 +34,8 @@
         self._gone = False
         self._listing: RunListing | None = None
         self._listed_at = 0.0
-        # When the last listing that was answered had been requested.
-        self._listing_requested_at = monotonic()
+        # When the runner last answered with a listing, or this process started.
+        self._runner_answered_at = monotonic()
         # Since when each connection to the runner was refused; None if the last one was not.
         self._refused_since: float | None = None
         # Confirmed starts by task that no listing has shown yet.
@@ -109,9 +109,9 @@
             if self._listing is not None and self._listing.incarnation != listing.incarnation:
                 self._reset()
             previous = self._listing
-            self._listing_requested_at = requested_at
             if self._is_runner_down():
                 self.report_due.set()
+            self._runner_answered_at = monotonic()
             self._refused_since = None
             self._listing = listing
             self._listed_at = monotonic()
@@ -152,7 +152,7 @@
         """
         with self._lock:
             now = monotonic()
-            last_contact_at = min(self.last_contact_at, self._listing_requested_at)
+            last_contact_at = min(self.last_contact_at, self._runner_answered_at)
             if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
                 return None
             elapsed_s = now - self._listed_at
@@ -175,7 +175,7 @@
         """Whether the runner runs nothing: its process has ended, or all leases have lapsed."""
         now, refused_since = monotonic(), self._refused_since
         is_refused = refused_since is not None and now - refused_since >= REFUSED_AFTER_S
-        return is_refused or (now - self._listing_requested_at > self._bounds.runs_lapsed_after_s)
+        return is_refused or (now - self._runner_answered_at > self._bounds.runs_lapsed_after_s)
 
     def report(self) -> Report | None:
         """Return the report to send now; None before the first heartbeat."""
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -133,6 +133,13 @@
     When it lists its runs again
     Then its target process reports it as up
 
+  Scenario: A listing that takes long does not keep runs from starting
+    # Guards against starts that are dropped although the runner is well: it may hold a listing for
+    # over a second, so the last one that it answered was requested more than two seconds ago.
+    Given a target process whose runner has listed a run
+    When a listing that was requested 1.3 seconds ago is answered, and 1.3 more seconds pass
+    Then its runs may start under a lease
+
   Scenario: A lease is not renewed while the runner does not answer
     # Guards against calls without an answer that renew the lease for ever, so that nobody knows
     # when the runs have lapsed.
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -484,6 +484,20 @@
     context.state.record_connection(is_refused=False)
 
 
+@when("a listing that was requested 1.3 seconds ago is answered, and 1.3 more seconds pass")
+def answer_slow_listing(context: Context) -> None:
+    requested_at = context.clock
+    context.clock += 1.3
+    context.state.apply_listing(make_listing(), requested_at)
+    context.clock += 1.3
+    send_orders(context, 5, (), ())
+
+
+@then("its runs may start under a lease")
+def check_lease_given(context: Context) -> None:
+    assert context.state.lease_deadline_ms() is not None
+
+
 @then("the lease is not renewed, and its target process reports it as up")
 def check_lease_not_renewed(context: Context) -> None:
     send_orders(context, 5, (), ())
