Report and log what ran on a runner that crashed

Cause of the change: the logs could not tell a task that crashes its runner from one that ran beside it, nor whether a lost run had begun. The target process now keeps which runs its runner has, since when, and whether the start was confirmed; when the runner ends unannounced, it logs and counts that and repeats it in its reports for 30 s, so that the next owner can read it too. The owner logs with each lost run whether it had begun. No decision uses any of this yet.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -47,6 +47,8 @@
         # The newest target that each machine has reported.
         self._target_by_machine: dict[str, TargetId] = {}
         self.log_event: EventLogger = _discard_event
+        # Counts an event in the metrics, by the name of its counter.
+        self.count: Callable[[str], None] = lambda name: None
         self._term_started_at = now
         # Runs that earlier owners ordered on targets which have not reported to this owner yet.
         self._unreported_runs: dict[TargetId, list[ActiveRun]] = {}
@@ -191,9 +193,7 @@
             active.tracked.task_progress(active.task).target = TargetId("")
             active.tracked.active_runs.pop(active.task, None)
             self._dirty_jobs.add(active.tracked.job.id)
-            self.log_event(
-                "run lost", task=active.full_name, run=active.run, target=target, why=why
-            )
+            self._log_lost_run(active, why)
 
     def _process_run_lists(
         self, view: TargetView, report: Report, now: float, unix_now: float
@@ -379,11 +379,21 @@
     def _drop_runs(self, view: TargetView, unix_now: float, why: str) -> None:
         """Mark all runs of a target as lost, as the target can no longer run them."""
         for active in list(view.active_runs.values()):
-            self.log_event(
-                "run lost", task=active.full_name, run=active.run, target=view.id, why=why
-            )
+            self._log_lost_run(active, why)
             self._end_run(view, active, EndKind.LOST, "", view.seen_at, unix_now)
 
+    def _log_lost_run(self, active: ActiveRun, why: str) -> None:
+        """Log that a target can no longer run a run; `listed` is whether it had begun for sure."""
+        self.count("runs_lost")
+        self.log_event(
+            "run lost",
+            task=active.full_name,
+            run=active.run,
+            target=active.target,
+            why=why,
+            listed=active.is_confirmed,
+        )
+
     # Changes and orders
 
     def changes(self) -> list[tuple[JobId, Progress]]:
--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -13,6 +13,24 @@
     reason: str
 
 
+class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that was on a runner when it crashed, `age_s` seconds after its start was sent.
+
+    Unless it `was_started`, its start got no answer, so that the runner may not have begun it.
+    """
+
+    task: str
+    run: int
+    age_s: float
+    was_started: bool
+
+
+class RunnerCrash(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a runner that had not announced it, and the runs that were there."""
+
+    runs: tuple[CrashedRun, ...]
+
+
 class Report(msgspec.Struct, frozen=True, tag="report"):
     """The state of a target, which its target process reports to the owner.
 
@@ -21,7 +39,8 @@
     runs to this process. A target that is `gone` has left for good and runs nothing. `machine`
     names the VM, which runs one target at a time. `listed_at` is when the target's runner last
     listed its runs, on the sender's clock. If the runner is not `runner_up`, it runs nothing and
-    starts nothing until a later report says otherwise.
+    starts nothing until a later report says otherwise. `crashes` repeats the recent crashes of
+    runners on this VM, also of earlier incarnations.
     """
 
     sent_at: float
@@ -35,6 +54,7 @@
     gone: bool = False
     listed_at: float = 0.0
     runner_up: bool = True
+    crashes: tuple[RunnerCrash, ...] = ()
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -58,7 +58,13 @@
             if deadline_ms is None:
                 outcome = "no contact to an owner"
                 return
-            self._runner.start(token, order, deadline_ms)
+            is_first = state.record_start_sent(order)
+            try:
+                self._runner.start(token, order, deadline_ms)
+            except (RefusedError, StoreBusyError):
+                if is_first:
+                    state.record_start_not_done(order)
+                raise
             state.record_started(order)
         except RefusedError as exc:
             outcome = exc.reason
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -174,6 +174,7 @@
         self._wall_clock_offset_s = time.time() - now
         self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
         self._core.log_event = log_event
+        self._core.count = self._metrics.count
         for stored in self._job_table.accepted_jobs():
             self._load_job(self._core, stored, now)
         log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -35,7 +35,7 @@
         self._codec = codec
         self._settings = settings
         self.metrics = Metrics()
-        self._state = TargetState(settings.bounds, settings.ip)
+        self._state = TargetState(settings.bounds, settings.ip, self.metrics)
         relay = Relay(settings.store_address, lambda: list(self._settings.peers), self.metrics)
         self._runner = make_runner(settings.runner_address, lambda: self._state.target)
         self._order_executor = OrderExecutor(self._state, self._runner, self.metrics)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -3,11 +3,15 @@
 import threading
 from typing import NamedTuple
 
+import msgspec
+
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
+from comfreyshelf.fleet.crash_log import CrashLog
 from comfreyshelf.fleet.jobs import Announcement, RunListing, RunningRow, Token
 from comfreyshelf.fleet.messages import Orders, Rejection, Report, StartOrder, StopOrder
 from comfreyshelf.ids import TargetId
 from comfreyshelf.logs import log_event
+from comfreyshelf.metrics import Metrics
 
 # A runner whose machine refuses connections for this long is down. The pause excludes a single
 # refusal while it starts.
@@ -26,12 +30,16 @@
 class TargetState:
     """State shared by the threads of a target process; public methods take the lock."""
 
-    def __init__(self, bounds: Bounds, machine: str) -> None:
+    def __init__(self, bounds: Bounds, machine: str, metrics: Metrics) -> None:
         self._bounds = bounds
+        self._metrics = metrics
         self._machine = machine
         self._lock = threading.Lock()
         self._announcement: Announcement | None = None
         self._gone = False
+        self._crash_log = CrashLog()
+        # When the first of the listings failed that have failed since the last answer.
+        self._failing_since: float | None = None
         self._listing: RunListing | None = None
         self._listed_at = 0.0
         # When the runner last answered with a listing, or this process started.
@@ -91,12 +99,24 @@
                 self.report_due.set()
 
     def _reset(self) -> None:
+        self._record_crash()
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
         self._rejected.clear()
         self.acknowledged = 0
 
+    def _record_crash(self) -> None:
+        """Record the runs of a runner that has ended, unless it had announced its end."""
+        now = monotonic()
+        if self._gone or (self._announcement is not None and self._announcement.draining):
+            self._crash_log.clear()
+            return
+        crash = self._crash_log.record_crash(self._failing_since or now, now)
+        if crash is not None:
+            self._metrics.count("runner_crashes")
+            log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
+
     def apply_listing(self, listing: RunListing, requested_at: float) -> None:
         """Apply the runner's listing of its runs; `requested_at` is when it was requested.
 
@@ -112,8 +132,11 @@
             if self._is_runner_down():
                 self.report_due.set()
             self._runner_answered_at = monotonic()
-            self._refused_since = None
+            self._refused_since = self._failing_since = None
             self._listing = listing
+            self._crash_log.apply_listing(
+                listing.running, listing.ended, requested_at, self._runner_answered_at
+            )
             self._listed_at = monotonic()
             listed_runs = {(row.task, row.run) for row in listing.running}
             listed_runs |= {(row.task, row.run) for row in listing.ended}
@@ -162,12 +185,16 @@
         """Record whether the runner's machine refused the connection of a listing that failed."""
         with self._lock:
             was_down = self._is_runner_down()
+            if self._failing_since is None:
+                self._failing_since = monotonic()
             if not is_refused:
                 self._refused_since = None
             elif self._refused_since is None:
                 self._refused_since = monotonic()
             if self._is_runner_down() and not was_down:
                 log_event("runner down", target=self.target)
+                if is_refused:
+                    self._record_crash()
                 self._unlisted_starts.clear()
                 self.report_due.set()
 
@@ -198,6 +225,7 @@
                 self._gone,
                 self._listed_at,
                 not self._is_runner_down(),
+                self._crash_log.recent_crashes(monotonic()),
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
@@ -244,9 +272,20 @@
                 return PendingOrders(orders.token, [], stops, starts)
             return PendingOrders(orders.token, starts, stops, [])
 
+    def record_start_sent(self, order: StartOrder) -> bool:
+        """Record that a start is sent; returns whether it is the first one sent for its run."""
+        with self._lock:
+            return self._crash_log.start_sent(order.task, order.run, monotonic())
+
+    def record_start_not_done(self, order: StartOrder) -> None:
+        """Record that the runner has not carried out the only start sent for a run."""
+        with self._lock:
+            self._crash_log.start_not_done(order.task, order.run)
+
     def record_started(self, order: StartOrder) -> None:
         """Record that the runner has confirmed a start."""
         with self._lock:
+            self._crash_log.start_confirmed(order.task, order.run)
             self._unlisted_starts[order.task] = RunningRow(order.task, order.run, "", 0)
             self.report_due.set()
 
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -357,7 +357,7 @@
         mock.patch.object(target_state, "monotonic", lambda: context.clock),
         mock.patch.object(order_executor, "monotonic", lambda: context.clock),
     ):
-        context.state = TargetState(Bounds(), "m")
+        context.state = TargetState(Bounds(), "m", Metrics())
         context.state.announce(
             Announcement(
                 TargetId("t"),
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -142,7 +142,7 @@
 
 @when("a target process gets a heartbeat, one of a new incarnation, and then a late one of the old")
 def receive_late_heartbeat(context: Context) -> None:
-    context.state = TargetState(Bounds(), "m")
+    context.state = TargetState(Bounds(), "m", Metrics())
     for sequence, born in ((5, 10), (1, 20), (6, 10)):
         body = json.dumps(HEARTBEAT | {"sequence": sequence, "born": born}).encode()
         context.accepted = context.state.announce(decode_announcement("i-1", body))
@@ -283,7 +283,7 @@
 
 @given("a target process that carries out a start")
 def start_under_way(context: Context) -> None:
-    context.state = TargetState(Bounds(), "m")
+    context.state = TargetState(Bounds(), "m", Metrics())
     announce_state(context.state, 1, "ready")
     assert context.state.apply_orders(start_orders(context.state)).starts == [ORDER]
 
@@ -307,7 +307,7 @@
 
 @given("a target process whose target drains")
 def start_draining_target(context: Context) -> None:
-    context.state = TargetState(Bounds(), "m")
+    context.state = TargetState(Bounds(), "m", Metrics())
     announce_state(context.state, 1, "draining")
 
 
