Report a runner that is down as soon as it is

Callers saw: work of a crashed runner started again up to a second later than it could, and the new lines about crashes came only when the runner was back, 3 s later.

Cause: whether the runner had been down before was worked out from the clock at the moment of the check, and 'refused for 0.3 s' becomes true between two checks. It is kept now what was reported.

Evidence: the new scenario fails on the code before (no report is due).

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -40,6 +40,8 @@
         self._crash_log = CrashLog()
         # When the first of the listings failed that have failed since the last answer.
         self._failing_since: float | None = None
+        # Whether the runner was down when that was last checked; each change is reported at once.
+        self._is_down_reported = False
         self._listing: RunListing | None = None
         self._listed_at = 0.0
         # When the runner last answered with a listing, or this process started.
@@ -129,7 +131,8 @@
             if self._listing is not None and self._listing.incarnation != listing.incarnation:
                 self._reset()
             previous = self._listing
-            if self._is_runner_down():
+            if self._is_down_reported:
+                self._is_down_reported = False
                 self.report_due.set()
             self._runner_answered_at = monotonic()
             self._refused_since = self._failing_since = None
@@ -184,14 +187,14 @@
     def record_connection(self, is_refused: bool) -> None:
         """Record whether the runner's machine refused the connection of a listing that failed."""
         with self._lock:
-            was_down = self._is_runner_down()
             if self._failing_since is None:
                 self._failing_since = monotonic()
             if not is_refused:
                 self._refused_since = None
             elif self._refused_since is None:
                 self._refused_since = monotonic()
-            if self._is_runner_down() and not was_down:
+            if self._is_runner_down() and not self._is_down_reported:
+                self._is_down_reported = True
                 log_event("runner down", target=self.target)
                 if is_refused:
                     self._record_crash()
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -30,3 +30,13 @@
     Then a crash is reported with "old"
     When 2 more seconds pass at the target process
     Then no crash is reported
+
+  Scenario: A runner that is down is reported at once
+    # Guards against a crash that the owner hears of with the next regular report, up to a second
+    # later, and against what ran there that is reported only when the runner is back.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner refuses the connections of 0.2 seconds
+    Then no report is due
+    When the runner refuses the connections of 0.2 seconds more
+    Then a report is due
+    And a crash is reported with "old"
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -128,6 +128,25 @@
     order_starts(context, refused, lost)
 
 
+@when("the runner refuses the connections of {seconds:g} seconds")
+@when("the runner refuses the connections of {seconds:g} seconds more")
+def refuse_connections(context: Context, seconds: float) -> None:
+    context.state.report_due.clear()
+    context.state.record_connection(is_refused=True)
+    context.clock += seconds
+    context.state.record_connection(is_refused=True)
+
+
+@then("no report is due")
+def check_no_report_due(context: Context) -> None:
+    assert not context.state.report_due.is_set()
+
+
+@then("a report is due")
+def check_report_due(context: Context) -> None:
+    assert context.state.report_due.is_set()
+
+
 @when("the runner drains, and is back as another target")
 def drain_and_return(context: Context) -> None:
     context.state.announce(announcement("t", 1, draining=True))
