Show in tests that a task may crash runner after runner without end

Bounds: at most five starts is the users' rule (three more after three crashes break it); two starts where the case is clear is our own aim, as two crashes are what the rule allows a job to be given up for.

--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -40,3 +40,48 @@
     When the runner refuses the connections of 0.2 seconds more
     Then a report is due
     And a crash is reported with "old"
+
+  Scenario: A task that crashes each runner that starts it is given up
+    # Guards against one task that crashes runner after runner: its runs are lost with the runners,
+    # and lost runs were no attempts, so that it was started without end.
+    Given 4 targets and a job that crashes each runner 0.1 seconds after its start
+    When 60 seconds pass, in which each runner that crashed is back after 3 seconds
+    Then the job has failed after 2 starts
+
+  Scenario: A task that crashes its runners is given up across takeovers
+    # Guards against a count of crashes that only the memory of one owner holds.
+    Given 4 targets and a job that crashes each runner 0.1 seconds after its start
+    When a new owner takes over after each crash, before the old one has stored it
+    Then the job has failed after 2 starts
+
+  Scenario: A task that crashes its runners some time after its start is given up
+    # Guards against a limit that only holds for tasks that crash their runner at once.
+    Given 4 targets and a job that crashes each runner 5 seconds after its start
+    When 60 seconds pass, in which each runner that crashed is back after 3 seconds
+    Then the job has failed after at most 5 starts
+
+  Scenario: Starts that are never answered as the runner crashes are bounded too
+    # Guards against a task that crashes its runner before the start is confirmed.
+    Given 4 targets and a job that crashes each runner before its start is confirmed
+    When 60 seconds pass, in which each runner that crashed is back after 3 seconds
+    Then the job has failed after at most 5 starts
+
+  Scenario: Work that runs beside tasks that crash their runners is not given up
+    # Guards against blaming what ran on a runner for long for the task that had just been started.
+    Given 4 targets with a long job of one task on each
+    When 12 jobs in turn crash the first 2 runners that start them
+    Then these jobs have failed, and no long job has
+
+  Scenario: Work that starts together with a task that crashes its runner is not given up
+    # Guards against tasks that are started side by side again and again, so that all of them seem to
+    # crash their runners.
+    Given 4 targets
+    When 8 jobs start together on one runner, and one of them crashes each runner at once
+    And 60 seconds pass, in which each runner that crashed is back after 3 seconds
+    Then only that job has failed, after 2 starts
+
+  Scenario: Work that loses its runner three times for other reasons is not given up
+    # Guards against taking crashes of runners, a loss of power for example, for the doing of a task.
+    Given 4 targets with a long job of one task on each
+    When all runners crash 3 times, 5 seconds apart
+    Then no long job has failed
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -18,7 +18,7 @@
     Step,
     Token,
 )
-from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.messages import CrashedRun, Report, RunnerCrash
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.ids import (
     JobId,
@@ -66,6 +66,28 @@
         self.draining = False
         self.started: list[tuple[str, int]] = []
         self.checkpoints: list[str] = []
+        self.started_at: dict[str, float] = {}
+        self.crashes: list[RunnerCrash] = []
+        self.room = Resources(64000, 262144, 8)
+        # When the runner is back after a crash; None while it is up.
+        self.down_until: float | None = None
+
+    def crash(self, now: float, down_s: float) -> None:
+        """Lose all runs; another target follows on the same machine after `down_s`."""
+        runs = [
+            CrashedRun(row.task, row.run, now - self.started_at[row.task], True)
+            for row in self.running.values()
+        ]
+        self.crashes.append(RunnerCrash(tuple(runs)))
+        self.running.clear()
+        self.down_until = now + down_s
+
+    def come_back(self) -> None:
+        """Become the target that follows on the machine of a crashed one."""
+        self.down_until = None
+        self.born += 1
+        self.id = TargetId(f"t{self.number}-{self.born}")
+        self.ended, self.acknowledged = [], 0
 
     def report(self, now: float) -> Report:
         announcement = Announcement(
@@ -74,7 +96,7 @@
             ZoneId("z"),
             RackId(f"r{self.number // 2}"),
             ("a", f"r{self.number // 2}"),
-            Resources(64000, 262144, 8),
+            self.room,
             self.draining,
             3000 if self.draining else 0,
             Incarnation(self.born),
@@ -83,7 +105,18 @@
         )
         unacknowledged = tuple(end for end in self.ended if end.number > self.acknowledged)
         running = tuple(self.running.values())
-        return Report(now, announcement, self.born, True, running, unacknowledged, (), self.machine)
+        return Report(
+            now,
+            announcement,
+            self.born,
+            True,
+            running,
+            unacknowledged,
+            (),
+            self.machine,
+            runner_up=self.down_until is None,
+            crashes=tuple(self.crashes),
+        )
 
     def end(self, task: str, kind: EndKind, checkpoint: str = "") -> None:
         row = self.running.pop(task)
@@ -139,7 +172,7 @@
     def deliver(self, instant_stops: bool = True) -> None:
         for target in self.targets:
             view = self.core.targets.get(target.id)
-            if view is None or target.id in self.silent:
+            if view is None or target.id in self.silent or target.down_until is not None:
                 continue
             orders = self.core.orders_for(view)
             target.acknowledged = orders.acknowledged
@@ -147,6 +180,7 @@
                 if start.task not in target.running:
                     target.running[start.task] = RunningRow(start.task, start.run, "", 1)
                     target.started.append((start.task, start.run))
+                    target.started_at[start.task] = self.now
                     target.checkpoints.append(start.checkpoint)
             for stop in orders.stops:
                 row = target.running.get(stop.task)
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -12,18 +12,23 @@
 from comfreyshelf.fleet.jobs import (
     Announcement,
     Incarnation,
+    JobPhase,
     Resources,
     RunListing,
     RunningRow,
     Token,
 )
-from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder, StopOrder
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.store import StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
 from comfreyshelf.fleet.target_state import TargetState
-from comfreyshelf.ids import RackId, ServiceId, TargetId, ZoneId
+from comfreyshelf.ids import JobId, RackId, ServiceId, TargetId, ZoneId
 from comfreyshelf.metrics import Metrics
+from features.owner_world import FakeTarget, World, step
+
+DOWN_S = 3.0
+ONE_ACCELERATOR = Resources(1000, 1000, 1)
 
 
 class ScriptedRunner(Runner):
@@ -181,3 +186,152 @@
 @then("no crash is reported")
 def check_no_crash(context: Context) -> None:
     assert not context.state.report().crashes
+
+
+def phase(world: World, job: str) -> JobPhase:
+    """The phase of a job, as stored."""
+    return world.log[JobId(job)].phase
+
+
+class CrashingWorld(World):
+    """Targets whose runners crash `crash_after_s` after the start of a job named in `deadly`.
+
+    With `is_start_confirmed` false, the start that crashes a runner is not confirmed. A runner is
+    back after DOWN_S.
+    """
+
+    def __init__(self, crash_after_s: float = 0.1, is_start_confirmed: bool = True) -> None:
+        super().__init__()
+        self.crash_after_s = crash_after_s
+        self.is_start_confirmed = is_start_confirmed
+        self.deadly: set[str] = set()
+        # Whether a new owner takes over as soon as a runner has crashed.
+        self.takes_over_on_crash = False
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in rounds of 0.1 seconds."""
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            for target in self.targets:
+                if target.down_until is not None and self.now >= target.down_until:
+                    target.come_back()
+                elif any(self.is_crash_due(target, task) for task in target.running):
+                    self.crash(target)
+            self.run_round()
+
+    def is_crash_due(self, target: FakeTarget, task: str) -> bool:
+        is_deadly = task.partition(".")[0] in self.deadly
+        return is_deadly and self.now - target.started_at[task] >= self.crash_after_s - 1e-6
+
+    def crash(self, target: FakeTarget) -> None:
+        target.crash(self.now, DOWN_S)
+        if not self.is_start_confirmed:
+            (crash,) = target.crashes[-1:]
+            runs = tuple(CrashedRun(run.task, run.run, run.age_s, False) for run in crash.runs)
+            target.crashes[-1] = RunnerCrash(runs)
+        if self.takes_over_on_crash:
+            self.take_over()
+
+
+def start_deadly_job(context: Context, world: CrashingWorld) -> None:
+    context.world = world
+    world.deadly.add("deadly")
+    world.accept("deadly", (step(1, demand=ONE_ACCELERATOR),))
+
+
+@given("4 targets")
+def create_targets(context: Context) -> None:
+    context.world = CrashingWorld()
+
+
+@given("4 targets and a job that crashes each runner {seconds:g} seconds after its start")
+def accept_deadly_job(context: Context, seconds: float) -> None:
+    start_deadly_job(context, CrashingWorld(seconds))
+
+
+@given("4 targets and a job that crashes each runner before its start is confirmed")
+def accept_job_that_crashes_at_once(context: Context) -> None:
+    start_deadly_job(context, CrashingWorld(0.0, is_start_confirmed=False))
+
+
+@when("{seconds:d} seconds pass, in which each runner that crashed is back after 3 seconds")
+def let_runners_crash(context: Context, seconds: int) -> None:
+    context.world.advance(seconds)
+
+
+@when("a new owner takes over after each crash, before the old one has stored it")
+def take_over_after_each_crash(context: Context) -> None:
+    context.world.takes_over_on_crash = True
+    context.world.advance(60.0)
+
+
+@then("the job has failed after {count:d} starts")
+def check_failed_after(context: Context, count: int) -> None:
+    starts = context.world.starts("deadly")
+    assert phase(context.world, "deadly") is JobPhase.FAILED
+    assert len(starts) == count, starts
+
+
+@then("the job has failed after at most {count:d} starts")
+def check_failed_after_at_most(context: Context, count: int) -> None:
+    starts = context.world.starts("deadly")
+    assert phase(context.world, "deadly") is JobPhase.FAILED, starts
+    assert len(starts) <= count, starts
+
+
+@given("4 targets with a long job of one task on each")
+def start_long_jobs(context: Context) -> None:
+    context.world = CrashingWorld()
+    for number in range(4):
+        context.world.accept(f"long{number}", (step(1, demand=Resources(1000, 1000, 5)),))
+    context.world.advance(10.0)
+
+
+@when("{count:d} jobs in turn crash the first 2 runners that start them")
+def crash_runners_in_turn(context: Context, count: int) -> None:
+    world = context.world
+    for number in range(count):
+        name = f"deadly{number}"
+        world.deadly.add(name)
+        world.accept(name, (step(1, demand=ONE_ACCELERATOR),))
+        world.advance(10.0)
+
+
+@then("these jobs have failed, and no long job has")
+def check_only_deadly_jobs_failed(context: Context) -> None:
+    world = context.world
+    assert {phase(world, name) for name in world.deadly} == {JobPhase.FAILED}
+    check_no_long_job_failed(context)
+
+
+@then("no long job has failed")
+def check_no_long_job_failed(context: Context) -> None:
+    phases = [phase(context.world, f"long{number}") for number in range(4)]
+    assert phases == [JobPhase.RUNNING] * 4, phases
+
+
+@when("{count:d} jobs start together on one runner, and one of them crashes each runner at once")
+def start_jobs_together(context: Context, count: int) -> None:
+    world = context.world
+    world.deadly.add("deadly")
+    world.accept("deadly", (step(1, demand=ONE_ACCELERATOR),))
+    for number in range(count - 1):
+        world.accept(f"beside{number}", (step(1, demand=ONE_ACCELERATOR),))
+    world.run_round()
+    assert [len(target.running) for target in world.targets].count(count) == 1
+
+
+@then("only that job has failed, after {count:d} starts")
+def check_only_that_job_failed(context: Context, count: int) -> None:
+    world = context.world
+    failed = [job for job in world.jobs if phase(world, job) is JobPhase.FAILED]
+    assert failed == ["deadly"], failed
+    assert len(world.starts("deadly")) == count, world.starts("deadly")
+
+
+@when("all runners crash {count:d} times, {seconds:d} seconds apart")
+def crash_all_runners(context: Context, count: int, seconds: int) -> None:
+    for _ in range(count):
+        for target in context.world.targets:
+            context.world.crash(target)
+        context.world.advance(DOWN_S + seconds)
