Give up a task that crashes its runners

Cause: a job's only budget was of runs that a runner lists as failed. A run lost with its runner was no attempt, whatever it had done; with targets renamed by each restart, neither quarantine nor avoidance held. The class: a retry whose budget depends on one kind of end, here the one that the failing party itself has to report.

Change: the owner counts crashes against the runs that may explain them, by run number and in the stored progress, so that a takeover neither loses nor repeats a count. A crash is put down to the runs started in the 2 s before; the only one counts two, one of several counts one, and a task is given up at three, its job shown as failed. A run that outlives its first 2 s clears its task. Crashes that no other run explains count besides, and the fourth gives the task up, for tasks that crash their runner later. Suspects start where the least work is at risk, and apart where the next crash decides.

--- /dev/null
+++ b/comfreyshelf/fleet/attempts.py
@@ -0,0 +1,94 @@
+"""How often a task has crashed its runners, and when it is not started again.
+
+What counts is kept with the stored progress of the task, by run number, so that it survives
+takeovers and counts once, however often and in whatever order it is reported.
+"""
+
+from enum import Enum
+
+from comfreyshelf.fleet.jobs import RunNumber, TaskName, TaskProgress
+from comfreyshelf.fleet.messages import CrashedRun, RunnerCrash
+from comfreyshelf.fleet.tracked_job import TrackedJob, Unit
+
+# A run that was started this shortly before a crash is the likely cause of it.
+YOUNG_RUN_S = 2.0
+# What a crash adds to the suspicion of a task that was the only young run there, or one of several.
+SOLE_SUSPICION = 2
+SHARED_SUSPICION = 1
+# A task is given up at this suspicion: after two or three crashes, with no run between them that
+# outlived its first seconds.
+GIVE_UP_SUSPICION = 3
+# A task is given up after this many crashes that no other run explains, at whatever age of its own.
+# It is more than machines that fail by chance are likely to do to one task.
+GIVE_UP_UNEXPLAINED_CRASHES = 4
+
+
+class Trial(Enum):
+    """What a start of a task is meant to show, as the task may have crashed a runner."""
+
+    NONE = "the task is not suspected"
+    SHARED = "other suspects may start beside it"
+    ALONE = "the next crash gives the task up, so no other suspect may start beside it"
+
+
+class Blame(Enum):
+    """What a crash says of a run that was there."""
+
+    NONE = "another run explains the crash"
+    SHARED = "one of several runs may explain it"
+    SOLE = "only this run explains it"
+    UNEXPLAINED = "no run had just been started, so any of them may have caused it"
+
+
+def blames(crash: RunnerCrash) -> list[tuple[CrashedRun, Blame]]:
+    """What a crash says of each run.
+
+    A crash is put down to the runs that had just been started. For example, of runs of 0.1 and
+    9 seconds only the first is blamed. A run whose start was not confirmed may not have begun, so
+    it shares the blame at most.
+    """
+    young = [run for run in crash.runs if run.age_s <= YOUNG_RUN_S]
+    if not young:
+        return [(run, Blame.UNEXPLAINED) for run in crash.runs]
+    blame = Blame.SOLE if len(young) == 1 and young[0].was_started else Blame.SHARED
+    return [(run, blame if run in young else Blame.NONE) for run in crash.runs]
+
+
+def record_crash(task: TaskProgress, run: RunNumber, blame: Blame) -> bool:
+    """Count a crash against a task; returns False if it does not count, or has counted."""
+    if blame is Blame.NONE or run in task.crashed_runs:
+        return False
+    task.crashed_runs = (*task.crashed_runs, run)
+    if blame is Blame.SOLE:
+        task.suspicion += SOLE_SUSPICION
+    elif blame is Blame.SHARED:
+        task.suspicion += SHARED_SUSPICION
+    if blame in (Blame.SOLE, Blame.UNEXPLAINED):
+        task.unexplained_crashes += 1
+    return True
+
+
+def trial_of(task: TaskProgress) -> Trial:
+    """What the next start of a task is meant to show."""
+    if task.suspicion == 0:
+        return Trial.NONE
+    is_last = task.suspicion + SHARED_SUSPICION >= GIVE_UP_SUSPICION
+    return Trial.ALONE if is_last else Trial.SHARED
+
+
+def trial_of_unit(tracked: TrackedJob, unit: Unit) -> Trial:
+    """The strictest trial of the unit's tasks."""
+    progress_by_task = tracked.progress.tasks
+    trials = {trial_of(progress_by_task[name]) for name in unit.tasks if name in progress_by_task}
+    return next((trial for trial in (Trial.ALONE, Trial.SHARED) if trial in trials), Trial.NONE)
+
+
+def give_up_reason(tracked: TrackedJob, name: TaskName) -> str:
+    """Why a task is not started again; empty if it may be."""
+    task = tracked.task_progress(name)
+    if (
+        task.suspicion >= GIVE_UP_SUSPICION
+        or task.unexplained_crashes >= GIVE_UP_UNEXPLAINED_CRASHES
+    ):
+        return f"{len(task.crashed_runs)} runners crashed under it"
+    return ""
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -2,6 +2,12 @@
 
 from collections.abc import Callable
 
+from comfreyshelf.fleet.attempts import (
+    YOUNG_RUN_S,
+    blames,
+    give_up_reason,
+    record_crash,
+)
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.durations import DurationEstimator
 from comfreyshelf.fleet.guarantee import ClaimForecast
@@ -11,8 +17,10 @@
     FleetConfig,
     JobPhase,
     Progress,
+    RunNumber,
     TaskName,
     Token,
+    full_task_name,
     parse_task_name,
     split_full_name,
 )
@@ -129,6 +137,7 @@
     def handle_report(self, report: Report, now: float, unix_now: float) -> None:
         """Process the report of a target process."""
         target = report.announcement.id
+        self._count_crashes(report, unix_now)
         self._drop_replaced_target(report, unix_now)
         view = self.targets.get(target)
         if view is not None and report.incarnation < view.incarnation:
@@ -171,6 +180,50 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
+    def _count_crashes(self, report: Report, unix_now: float) -> None:
+        """Count crashes against the tasks that may have caused them."""
+        for crash in report.crashes:
+            for crashed, blame in blames(crash):
+                job, name = split_full_name(crashed.task)
+                tracked, run = self.jobs.get(job), RunNumber(crashed.run)
+                if tracked is None or name not in tracked.progress.tasks:
+                    continue
+                task = tracked.progress.tasks[name]
+                if tracked.progress.phase.is_final or not record_crash(task, run, blame):
+                    continue
+                self._dirty_jobs.add(job)
+                self.count("crashes_suspected")
+                self.log_event(
+                    "task suspected",
+                    task=crashed.task,
+                    run=run,
+                    target=task.target,
+                    age_s=crashed.age_s,
+                    blame=blame.value,
+                    suspicion=task.suspicion,
+                    unexplained=task.unexplained_crashes,
+                )
+                self._give_up_if_spent(tracked, name, unix_now)
+
+    def _clear_suspicion(self, active: ActiveRun, listed_at: float) -> None:
+        """Drop the suspicion of a task whose run has outlived its first seconds."""
+        task = active.tracked.task_progress(active.task)
+        if task.suspicion and listed_at - active.first_reported_at > YOUNG_RUN_S:
+            task.suspicion = 0
+            self._dirty_jobs.add(active.tracked.job.id)
+            self.log_event("task cleared", task=active.full_name, run=active.run)
+
+    def _give_up_if_spent(self, tracked: TrackedJob, name: TaskName, unix_now: float) -> None:
+        """End a job as failed if this task may not be started again.
+
+        A run that still goes on may succeed, so it is left to end first.
+        """
+        why = give_up_reason(tracked, name)
+        active = tracked.active_runs.get(name)
+        if why and (active is None or active.run in tracked.progress.tasks[name].crashed_runs):
+            full_name = full_task_name(tracked.job.id, name)
+            self._finish_job(tracked, JobPhase.FAILED, unix_now, f"{full_name}: {why}")
+
     def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
         target = report.announcement.id
@@ -224,6 +277,7 @@
                 view.stop_unwanted(row)
                 continue
             active.update_progress(row.percent, now, view.listed_at)
+            self._clear_suspicion(active, view.listed_at)
             if row.checkpoint:
                 for member in active.tracked.gang_members(active.task):
                     active.tracked.task_progress(member).checkpoint = row.checkpoint
@@ -298,6 +352,8 @@
             tracked.avoided_targets.add(view.id)
             if not lasting:
                 self._count_failure(tracked, active, unix_now)
+        if kind is not EndKind.DONE:
+            self._give_up_if_spent(tracked, active.task, unix_now)
         if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
             self._break_gang(active)
 
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from comfreyshelf.fleet.attempts import YOUNG_RUN_S, trial_of, trial_of_unit
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.fleet_state import FleetState
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
@@ -187,7 +188,10 @@
                 candidate.free -= active.demand
                 if active.stopping_since is not None:
                     candidate.releasing += active.demand
+                if not active.is_confirmed or now - active.started_at <= YOUNG_RUN_S:
+                    candidate.add_young_run(trial_of(active.tracked.task_progress(active.task)))
             candidate.list_victims = partial(_list_victims, view, covered_ids, now, unix_now)
+            candidate.work_at_risk = partial(_work_at_risk, view, now)
             candidates[view.id] = candidate
         return candidates
 
@@ -214,6 +218,7 @@
             preempt_above=-1 if is_covered else tracked.priority,
             allow_rack_spread=is_covered,
             wait_for_ends=tracked.priority == 0 and may_wait,
+            trial=trial_of_unit(tracked, unit),
         )
         assignment = capacity.find_assignment(
             unit,
@@ -226,6 +231,7 @@
         if not is_covered and not is_worth_preempting(tracked, unit, assignment, unix_now):
             return "others would lose more"
         capacity.reserve(unit, assignment.targets)
+        capacity.mark_started(assignment.targets, limits.trial)
         if assignment.can_start_now:
             self._order_start(tracked, unit, assignment, now, unix_now)
             return ""
@@ -307,6 +313,15 @@
         )
 
 
+def _work_at_risk(view: TargetView, now: float) -> float:
+    """Core-seconds of work that would be lost if the runner of a target crashed."""
+    return sum(
+        active.worked_s(now) * active.demand.core_equivalents * active.gang_size
+        for active in view.active_runs.values()
+        if not active.step.checkpoints
+    )
+
+
 def _list_victims(
     view: TargetView, covered_ids: set[JobId], now: float, unix_now: float
 ) -> list[Victim]:
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -69,7 +69,7 @@
   Scenario: Work that runs beside tasks that crash their runners is not given up
     # Guards against blaming what ran on a runner for long for the task that had just been started.
     Given 4 targets with a long job of one task on each
-    When 12 jobs in turn crash the first 2 runners that start them
+    When 12 jobs in turn crash each runner that starts them
     Then these jobs have failed, and no long job has
 
   Scenario: Work that starts together with a task that crashes its runner is not given up
@@ -78,7 +78,7 @@
     Given 4 targets
     When 8 jobs start together on one runner, and one of them crashes each runner at once
     And 60 seconds pass, in which each runner that crashed is back after 3 seconds
-    Then only that job has failed, after 2 starts
+    Then only that job has failed, after at most 3 starts
 
   Scenario: Work that loses its runner three times for other reasons is not given up
     # Guards against taking crashes of runners, a loss of power for example, for the doing of a task.
