Count a gang's failure once, also across a takeover

Callers could see: a job shown as failed before its attempts were used.

Change: the runs that count are stored with the task's progress, by run number, and all counting of attempts moves to fleet/attempts.py, where crashes are counted as well. Old progress without the list decodes as before.

Evidence: the scenario of a gang with a takeover between two ends fails before (phase failed after run 1 of 2 attempts). The scenario of a failure that is listed again passes before and after.

--- a/comfreyshelf/fleet/attempts.py
+++ b/comfreyshelf/fleet/attempts.py
@@ -1,4 +1,4 @@
-"""How often a task has crashed its runners, and when it is not started again.
+"""How often a task has failed or crashed its runners, and when it is not started again.
 
 What counts is kept with the stored progress of the task, by run number, so that it survives
 takeovers and counts once, however often and in whatever order it is reported.
@@ -68,6 +68,18 @@
     return True
 
 
+def record_failure(tracked: TrackedJob, name: TaskName, run: RunNumber) -> bool:
+    """Count a failed run against a task and its gang; returns False if the run has counted."""
+    if run in tracked.task_progress(name).failed_runs:
+        return False
+    members = [tracked.task_progress(member) for member in tracked.gang_members(name)]
+    failures = max(member.failures for member in members) + 1
+    for member in members:
+        member.failures = failures
+        member.failed_runs = (*member.failed_runs, run)
+    return True
+
+
 def trial_of(task: TaskProgress) -> Trial:
     """What the next start of a task is meant to show."""
     if task.suspicion == 0:
@@ -86,9 +98,11 @@
 def give_up_reason(tracked: TrackedJob, name: TaskName) -> str:
     """Why a task is not started again; empty if it may be."""
     task = tracked.task_progress(name)
+    if tracked.queue is not None and task.failures >= tracked.queue.attempts:
+        return f"failed {task.failures} times"
     if (
         task.suspicion >= GIVE_UP_SUSPICION
         or task.unexplained_crashes >= GIVE_UP_UNEXPLAINED_CRASHES
     ):
-        return f"{len(task.crashed_runs)} runners crashed under it"
+        return f"crashed {len(task.crashed_runs)} runners"
     return ""
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -7,6 +7,7 @@
     blames,
     give_up_reason,
     record_crash,
+    record_failure,
 )
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.durations import DurationEstimator
@@ -220,9 +221,12 @@
         """
         why = give_up_reason(tracked, name)
         active = tracked.active_runs.get(name)
-        if why and (active is None or active.run in tracked.progress.tasks[name].crashed_runs):
+        if not why:
+            return
+        task = tracked.progress.tasks[name]
+        if active is None or active.run in (*task.failed_runs, *task.crashed_runs):
             full_name = full_task_name(tracked.job.id, name)
-            self._finish_job(tracked, JobPhase.FAILED, unix_now, f"{full_name}: {why}")
+            self._finish_job(tracked, JobPhase.FAILED, unix_now, f"{full_name} {why}")
 
     def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
@@ -351,30 +355,12 @@
             view.record_failure(tracked.job.id, now)
             tracked.avoided_targets.add(view.id)
             if not lasting:
-                self._count_failure(tracked, active, unix_now)
+                record_failure(tracked, active.task, active.run)
         if kind is not EndKind.DONE:
             self._give_up_if_spent(tracked, active.task, unix_now)
         if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
             self._break_gang(active)
 
-    def _count_failure(self, tracked: TrackedJob, active: ActiveRun, unix_now: float) -> None:
-        occurrence, step_number, _ = parse_task_name(active.task)
-        gang_run = (occurrence, step_number, active.run)
-        if tracked.job.steps[step_number].gang:
-            if gang_run in tracked.counted_gang_failures:
-                return
-            tracked.counted_gang_failures.add(gang_run)
-        failures = (
-            max(tracked.task_progress(name).failures for name in tracked.gang_members(active.task))
-            + 1
-        )
-        for name in tracked.gang_members(active.task):
-            tracked.task_progress(name).failures = failures
-        if tracked.queue is not None and failures >= tracked.queue.attempts:
-            self._finish_job(
-                tracked, JobPhase.FAILED, unix_now, f"{active.full_name} failed {failures} times"
-            )
-
     def _break_gang(self, active: ActiveRun) -> None:
         """Stop the other members of a gang after one of its runs ended without success."""
         for name in active.tracked.gang_members(active.task):
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -134,7 +134,8 @@
 
     `run` is the number of the newest run, `incarnation` the start of its target.
     `checkpoint` is the newest known checkpoint, `resumed_from` the one that the newest run was
-    ordered to resume from. `machine` is where the target runs. `crashed_runs` are the runs under
+    ordered to resume from. `machine` is where the target runs. `failed_runs` are the runs that
+    `failures` counts; all members of a gang have the same. `crashed_runs` are the runs under
     which a runner crashed and that may have caused it. `suspicion` says how likely the task crashes
     each runner that starts it, until a run outlives its first seconds; `unexplained_crashes` is
     for how many crashes there was no other explanation.
@@ -148,6 +149,7 @@
     checkpoint: str = ""
     resumed_from: str = ""
     machine: str = ""
+    failed_runs: tuple[RunNumber, ...] = ()
     crashed_runs: tuple[RunNumber, ...] = ()
     suspicion: int = 0
     unexplained_crashes: int = 0
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -182,9 +182,6 @@
         self._durations = durations
         # Targets on which a run of this job failed or stalled; later runs avoid them.
         self.avoided_targets: set[TargetId] = set()
-        # Gang runs whose failure has been counted, so that it counts once and not for each member.
-        # The key is (occurrence, step number, run).
-        self.counted_gang_failures: set[tuple[int, int, int]] = set()
         # Run time of one task by step number, observed on runs of this job.
         self._observed_durations_s: dict[int, float] = {}
         # Why a unit of this job last had to wait.
