Count a failed run that had been given up as an attempt

Callers could see: a task started once more than its queue allows (BUDGET), on a target that had been cut off and then lists the run as failed.

Change: such a failure counts by its run number, once. A run that replaced it goes on, as it may still succeed; only its end without success gives the job up.

Evidence: two scenarios (with and without a takeover) fail before with three starts of two allowed; the scenario of the run that goes on passes before and after.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -303,13 +303,36 @@
         if active is not None and active.run == run:
             self._end_run(view, active, kind, checkpoint, now, unix_now)
             return
+        # The run was considered lost.
         job, task = split_full_name(name)
         tracked = self.jobs.get(job)
-        if tracked is None or kind is not EndKind.DONE or tracked.progress.phase.is_final:
+        if tracked is None or tracked.progress.phase.is_final or task not in tracked.progress.tasks:
             return
-        # The run was considered lost, but it did finish. The run that replaced it is stopped.
-        self.log_event("late completion accepted", task=name, run=run, target=view.id)
-        self._complete_task(tracked, task, run, unix_now)
+        if kind is EndKind.DONE:
+            # The run that replaced it is stopped.
+            self.log_event("late completion accepted", task=name, run=run, target=view.id)
+            self._complete_task(tracked, task, run, unix_now)
+        elif kind is EndKind.FAILED:
+            self._handle_late_failure(view, tracked, task, RunNumber(run), now, unix_now)
+
+    def _handle_late_failure(
+        self,
+        view: TargetView,
+        tracked: TrackedJob,
+        name: TaskName,
+        run: RunNumber,
+        now: float,
+        unix_now: float,
+    ) -> None:
+        """Count the failure of a run that was considered lost, unless it has counted before."""
+        _, step_number, _ = parse_task_name(name)
+        if tracked.job.steps[step_number].lasting or not record_failure(tracked, name, run):
+            return
+        self.log_event("late failure counted", task=name, run=run, target=view.id)
+        self._dirty_jobs.add(tracked.job.id)
+        view.record_failure(tracked.job.id, now)
+        tracked.avoided_targets.add(view.id)
+        self._give_up_if_spent(tracked, name, unix_now)
 
     def _end_run(
         self,
