Report a changed room at once, and test that starts keep to a room that shrinks

What lost time is that a heartbeat with another room waited for the next regular report, up to a second; the scenario for that fails before.

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -89,7 +89,11 @@
                 self._reset()
             self._announcement = announcement
             self._gone = False
-            if is_new_target or (old is not None and old.draining != announcement.draining):
+            if (
+                old is None
+                or is_new_target
+                or (old.draining, old.room) != (announcement.draining, announcement.room)
+            ):
                 self.report_due.set()
             return True
 
--- /dev/null
+++ b/features/fleet_capacity.feature
@@ -0,0 +1,36 @@
+Feature: Starts keep to the room that each target has now
+
+  Background:
+    Given 4 targets
+
+  Scenario: No start goes beyond a room that has shrunk
+    # Guards against starts on a target by the room that it had when it joined.
+    Given a job of 4 accelerators runs on each target
+    When the room of all targets shrinks to 6 accelerators
+    And a job of 4 accelerators is accepted
+    Then it is not started
+    When the room of one target grows to 8 accelerators again
+    Then it is started there
+
+  Scenario: Runs beyond a room that has shrunk go on, and nothing is started beside them
+    # Guards against stopping work that its runner lets go on, and against reckoning with room that is
+    # less than nothing.
+    Given a job of 4 accelerators runs on each target
+    When the room of all targets shrinks to 2 accelerators
+    And a job of 1 accelerator is accepted
+    Then it is not started
+    And no run of the first jobs was stopped
+
+  Scenario: What is being stopped still counts
+    # Guards against a start beside a run whose stop was ordered and that has not ended yet.
+    Given a job of 4 accelerators runs on each target
+    When an urgent job of 8 accelerators within its guarantee is accepted, and stops take long
+    Then it is not started
+    When the stopped runs have ended
+    Then it is started
+
+  Scenario: A change of the room is reported at once
+    # Guards against a second that is lost before the owner hears of a room that has shrunk.
+    Given a target process whose runner has run "old" for 5 seconds
+    When a heartbeat announces another room
+    Then a report is due
