Give a target that refused a start a pause before the next one

Callers saw nothing yet; runners would: a start that is refused for want of room was ordered again as soon as the refusal came back, 60 times in 3 s on simulated targets, until a heartbeat announced the smaller room.

Change: no start goes to that target for 1.5 s, the time between two heartbeats; other targets are tried at once. Starts that the owner itself had stopped don't count. 'starts_rejected' counts refusals.

Evidence: the scenario fails before with 60 refusals on one target, and passes with at most 2 each.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -272,6 +272,9 @@
                     run=rejection.run,
                     reason=rejection.reason,
                 )
+                self.count("starts_rejected")
+                if active.stopping_since is None:
+                    view.record_refusal(now)
                 self._end_run(view, active, EndKind.REJECTED, "", now, unix_now)
         listed = set()
         for row in report.running:
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -11,6 +11,9 @@
 # A target is quarantined after failures of this many different jobs without a success in between.
 QUARANTINE_AFTER_JOBS = 2
 QUARANTINE_S = 8.0
+# A target that refused a start gets no other for this long; its next heartbeat tells what room it
+# has.
+REFUSAL_PAUSE_S = 1.5
 
 
 class TargetView(msgspec.Struct):
@@ -38,6 +41,7 @@
     drain_until: float = 0.0
     failed_jobs: set[JobId] = set()
     quarantined_until: float = 0.0
+    no_starts_until: float = 0.0
     orders_changed: bool = True
 
     @property
@@ -52,7 +56,7 @@
             and not self.announcement.draining
             and now - self.seen_at < SUSPECT_AFTER_S
             and self.report_sent_at - self.listed_at < LISTING_SUSPECT_S
-            and now >= self.quarantined_until
+            and now >= max(self.quarantined_until, self.no_starts_until)
             and not self.unwanted_runs
         )
 
@@ -63,6 +67,10 @@
             self.quarantined_until = now + QUARANTINE_S
             self.failed_jobs.clear()
 
+    def record_refusal(self, now: float) -> None:
+        """Record that the runner refused a start that was meant to be carried out."""
+        self.no_starts_until = now + REFUSAL_PAUSE_S
+
     def record_success(self) -> None:
         """Record a run that succeeded."""
         self.failed_jobs.clear()
--- a/features/fleet_capacity.feature
+++ b/features/fleet_capacity.feature
@@ -29,6 +29,13 @@
     When the stopped runs have ended
     Then it is started
 
+  Scenario: A runner that refuses starts for its room is not asked again at once
+    # Guards against a start that is refused and ordered again without end, some twenty times a second:
+    # the room has shrunk, and the next heartbeat has yet to say so.
+    Given the runners have no room left, and have not said so yet
+    When a job of 4 accelerators is accepted, and 3 seconds pass
+    Then each runner has refused at most 2 starts
+
   Scenario: A change of the room is reported at once
     # Guards against a second that is lost before the owner hears of a room that has shrunk.
     Given a target process whose runner has run "old" for 5 seconds
