Refuse jobs too large to be kept, and let none of them take down owner after owner

Callers could see: no job served any more. One accepted request with a billion tasks, or with a billion occurrences at once, makes each owner list them all; one with some thousands has a progress record that the store refuses, an append is refused whole, and the owner takes that for a fence and resigns. Either way the next owner reads the same job.

Change: a job of more than 2,000 tasks that may be due together is answered 400 at once, and not loaded if an earlier build has accepted it. A job whose progress outgrows a record later (a periodic one) is given up alone. Appends are split by the size that the store takes; both sizes come from the settings.

Open: a periodic job keeps the progress of all its past occurrences, so it is given up after some 2,000 tasks.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -21,6 +21,7 @@
     RunNumber,
     TaskName,
     Token,
+    check_size,
     full_task_name,
     parse_task_name,
     split_full_name,
@@ -74,10 +75,14 @@
     # Jobs
 
     def load_job(self, stored: StoredJob, now: float, unix_now: float) -> None:
-        """Load a job from the store, after a takeover or when it was accepted or cancelled."""
+        """Load a job from the store, after a takeover or when it was accepted or cancelled.
+
+        Raises JobTooLargeError or ProgressError for a job that cannot be planned.
+        """
         job = stored.job
         if job is None:
             return
+        check_size(job)
         self.needs_plan = True
         tracked = self.jobs.get(job.id)
         if tracked is None:
@@ -468,6 +473,12 @@
         """Progress that has to be stored, of all jobs that changed since the last `mark_stored`."""
         return [(job, self.jobs[job].progress) for job in self._dirty_jobs]
 
+    def give_up_job(self, job: JobId, unix_now: float, why: str) -> Progress:
+        """End a job as failed and return its progress, without that of its tasks."""
+        tracked = self.jobs[job]
+        self._finish_job(tracked, JobPhase.FAILED, unix_now, why)
+        return Progress(tracked.progress.phase, {}, tracked.progress.ended_at)
+
     def mark_stored(self) -> None:
         """Record that all changes are stored, so that starts are ordered and ends acknowledged."""
         self._dirty_jobs.clear()
--- a/comfreyshelf/fleet/http_api.py
+++ b/comfreyshelf/fleet/http_api.py
@@ -7,7 +7,7 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.codec import Codec
 from comfreyshelf.fleet.job_table import JobTable, StoredJob, cancel_record, job_record
-from comfreyshelf.fleet.jobs import FleetConfig, Queue
+from comfreyshelf.fleet.jobs import FleetConfig, Queue, check_size
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.web import Call, Reply
 from comfreyshelf.fleet.write_attempts import WriteAttemptTable
@@ -195,6 +195,7 @@
             submitted_job = self._codec.decode_job(
                 call.body, job, organisation, queue.name, time.time()
             )
+            check_size(submitted_job)
         except UserError as exc:
             return self._refuse(call, 400, str(exc))
         self._write(call, job_record(submitted_job))
--- a/comfreyshelf/fleet/job_table.py
+++ b/comfreyshelf/fleet/job_table.py
@@ -11,6 +11,8 @@
 _JOB = "j/"
 _CANCEL = "c/"
 _PROGRESS = "p/"
+# Bytes that the store adds to each record at most.
+RECORD_HEADER_BYTES = 16
 
 _decode_job = msgspec.msgpack.Decoder(Job).decode
 _decode_progress = msgspec.msgpack.Decoder(Progress).decode
@@ -36,6 +38,20 @@
     return [KeyedRecord(prefix + job, b"") for prefix in (_JOB, _CANCEL, _PROGRESS)]
 
 
+def split_records(records: list[KeyedRecord], max_bytes: int) -> list[list[KeyedRecord]]:
+    """Split records into batches of at most `max_bytes`; a larger record is a batch of its own."""
+    batches: list[list[KeyedRecord]] = []
+    size = max_bytes
+    for record in records:
+        record_bytes = len(record.key) + len(record.value) + RECORD_HEADER_BYTES
+        if size + record_bytes > max_bytes:
+            batches.append([])
+            size = 0
+        batches[-1].append(record)
+        size += record_bytes
+    return batches
+
+
 class StoredJob(msgspec.Struct):
     """A job as stored; `job` is None until its acceptance record has been read.
 
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from comfreyshelf.errors import UserError
 from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, Version, ZoneId
 
 QueueName = NewType("QueueName", str)
@@ -14,10 +15,16 @@
 Token = NewType("Token", int)
 
 
+# Tasks of a job that may be due together; the progress of so many fits into one stored record.
+MAX_TASKS_DUE = 2000
 # Weight of an accelerator where work is measured in cores.
 CORES_PER_ACCELERATOR = 8
 
 
+class JobTooLargeError(UserError):
+    """A job has more tasks than its progress record can hold."""
+
+
 class JobPhase(Enum):
     """State of a job that callers are shown."""
 
@@ -129,6 +136,20 @@
     every_ms: int = 0
 
 
+def check_size(job: Job) -> None:
+    """Raise JobTooLargeError if more tasks of a job may be due together than can be tracked.
+
+    The occurrences of a periodic job are due together if there is no time between them.
+    """
+    occurrences = max(1, job.times) if job.every_ms <= 0 else 1
+    tasks = occurrences * sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS_DUE:
+        raise JobTooLargeError(
+            f"{tasks} tasks of the job are due together, more than {MAX_TASKS_DUE}",
+            "split the job",
+        )
+
+
 class TaskProgress(msgspec.Struct, array_like=True):
     """Stored progress of one task; `target` is empty while no run of the task is ordered.
 
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -14,6 +14,7 @@
     StoredJob,
     progress_record,
     removal_records,
+    split_records,
 )
 from comfreyshelf.fleet.jobs import FleetConfig, Token
 from comfreyshelf.fleet.messages import Orders, Report
@@ -41,6 +42,8 @@
 # orders to arrive.
 LEAD_CERTAIN_S = 1.0
 TICK_S = 0.25
+# Room for the key of a record and the lengths that the store adds to it.
+RECORD_MARGIN_BYTES = 256
 # How often the records of ended jobs are removed from the store.
 REMOVAL_INTERVAL_S = 10.0
 # Token 0 tells a target process that this entry does not own the schedule.
@@ -224,14 +227,32 @@
             return True
         if self._unanswered_append is not None and not self._append(core, self._unanswered_append):
             return self._core is core
-        records = [progress_record(job, progress) for job, progress in core.changes()]
+        records = self._progress_records(core)
         now = monotonic()
         if now - self._last_removal_at > REMOVAL_INTERVAL_S:
             self._last_removal_at = now
             records += self._removal_records()
-        if not records or self._append(core, records):
-            core.mark_stored()
-        return self._core is core
+        for batch in split_records(records, self._settings.max_append_bytes):
+            if not self._append(core, batch):
+                return self._core is core
+        core.mark_stored()
+        return True
+
+    def _progress_records(self, core: OwnerCore) -> list[KeyedRecord]:
+        """The records of all changed jobs; a job whose record the store would refuse is given up.
+
+        The store refuses an append as a whole, so one such record would keep all others out.
+        """
+        max_bytes = self._settings.max_record_bytes - RECORD_MARGIN_BYTES
+        records = []
+        for job, progress in core.changes():
+            record = progress_record(job, progress)
+            if len(record.value) > max_bytes:
+                self._metrics.count("jobs_too_large")
+                why = f"its progress has {len(record.value)} bytes, and {max_bytes} can be stored"
+                record = progress_record(job, core.give_up_job(job, self._unix_now(), why))
+            records.append(record)
+        return records
 
     def _append(self, core: OwnerCore, records: list[KeyedRecord]) -> bool:
         """Append records under the next sequence number.
--- a/comfreyshelf/fleet/settings.py
+++ b/comfreyshelf/fleet/settings.py
@@ -11,7 +11,8 @@
     Metrics are served at `/metrics` of `metrics_address` if that is given.
     `front_address` and `ready_address` are empty on a target process, `runner_address` on an entry.
     `cores` is how many cores the process may use on average. `peers` are control addresses of
-    entries; some may be out of date.
+    entries; some may be out of date. The store takes records of `max_record_bytes`, and appends of
+    `max_append_bytes` in all.
     """
 
     name: str
@@ -27,6 +28,8 @@
     metrics_address: str = ""
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     cores: float = 1.0
+    max_record_bytes: int = 262_144
+    max_append_bytes: int = 2_097_152
 
     @property
     def pipe_address(self) -> str:
--- a/comfreyshelf/platform/settings.py
+++ b/comfreyshelf/platform/settings.py
@@ -14,8 +14,12 @@
 SETTINGS_VARIABLE = "COMFREYSHELF_CONFIG"
 
 
-class _StoreSettings(msgspec.Struct):
+class _StoreSettings(msgspec.Struct, rename="kebab"):
     address: str
+    # The largest record.
+    record_bytes: int = 262_144
+    # The largest sum of the records of one append.
+    call_bytes: int = 2_097_152
 
 
 class _BoundsSettings(msgspec.Struct):
@@ -90,4 +94,6 @@
             bounds.reclaim_ms / 1000,
         ),
         max(0.01, node.limits.cpu_share * node.limits.cores),
+        node.platform.record_bytes,
+        node.platform.call_bytes,
     )
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -70,14 +70,16 @@
 class OwnerTaskWorld:
     """Calls an OwnerTask's handlers, as its thread would."""
 
-    def __init__(self, stack: ExitStack) -> None:
+    def __init__(
+        self, stack: ExitStack, store: FakeStore | None = None, **settings_options: int
+    ) -> None:
         self.now = 1000.0
-        self.store, self.hub, self.metrics = FakeStore(), FakeHub(), Metrics()
+        self.store, self.hub, self.metrics = store or FakeStore(), FakeHub(), Metrics()
         stack.enter_context(mock.patch.object(ownership, "monotonic", lambda: self.now))
-        table = JobTable()
-        self.sync = JobSync(self.store, table, lambda job: None)
-        settings = FleetSettings("e", "z", "127.0.0.1", "", "", 0)
-        self.task = OwnerTask(settings, table, self.metrics)
+        self.table = JobTable()
+        self.sync = JobSync(self.store, self.table, lambda job: None)
+        settings = FleetSettings("e", "z", "127.0.0.1", "", "", 0, **settings_options)
+        self.task = OwnerTask(settings, self.table, self.metrics)
         self.task.connect(self.sync, self.store, self.hub, lambda: None)
 
     def elect(self, generation: int) -> None:
