--- a/comfreyshelf/ordering.py
+++ b/comfreyshelf/ordering.py
@@ -25,6 +25,8 @@
 LOST_WORKER_RETENTION_S = 86_400.0
 # A job that fits only on workers where it failed recently may use them again after this time.
 AVOIDED_RETRY_DELAY_S = 15.0
+# A worker that is lost this soon after a gang has started there may have been crashed by it.
+YOUNG_ATTEMPT_S = 2.0
 # Blocked jobs are offered again this often even if no accelerators became free, because the order
 # of the queue also changes with time.
 UNBLOCK_INTERVAL_S = 5.0
@@ -240,6 +242,12 @@
             return False
         return self.quarantine.record_failure(gang.job.id, target, self._worker_count, now)
 
+    def record_lost_worker(self, gang: Gang, target: TargetId, now: float) -> None:
+        """Count a worker that was lost right after a gang started there as a failure of the job."""
+        is_young = now - gang.phase_started_at <= YOUNG_ATTEMPT_S
+        if gang.phase is AttemptPhase.RUNNING and is_young:
+            self.quarantine.record_failure(gang.job.id, target, self._worker_count, now)
+
     def record_finish(self, gang: Gang, run_s: float) -> None:
         """Record the success of a finished gang, and its run time if it had no earlier attempt."""
         self.quarantine.record_success(gang.job.id, gang.targets)
@@ -258,11 +266,12 @@
             self._ran_before.add(job.id)
         self._ignoring_avoidance.discard(job.id)
         self._limits.add(job)
+        may_be_at_fault = outcome in (AttemptOutcome.FAILED, AttemptOutcome.TARGET_LOST)
+        if may_be_at_fault and self.quarantine.fails_everywhere(job.id, self._worker_count):
+            return RefusalReason.FAILS_EVERYWHERE
         if outcome is not AttemptOutcome.FAILED:
             self.queue.push(job)
             return None
-        if self.quarantine.fails_everywhere(job.id, self._worker_count):
-            return RefusalReason.FAILS_EVERYWHERE
         self.queue.push(job, now + self._retries.next_delay_s(job))
         return None
 
--- a/comfreyshelf/scheduler.py
+++ b/comfreyshelf/scheduler.py
@@ -236,6 +236,7 @@
             for part in lost:
                 part.started = gang.phase in (AttemptPhase.RUNNING, AttemptPhase.STOPPING)
                 self._end_part(gang, part, PartState.STOPPED)
+            self.policy.record_lost_worker(gang, target, now)
             self._stop_gang(gang, AttemptOutcome.TARGET_LOST, now)
         if target in self.topology.workers:
             self.policy.remove_worker(self.topology.workers[target].info, now)
