Add a randomized soak of real processes with faults from outside

Entries and target processes run as they are deployed, on loopback, behind proxies to the store and to the runners; a seeded plan of overlapping faults hits processes, links, store, runners and keys, while callers keep their connections. What callers and runners saw is checked.

--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -41,7 +41,7 @@
     append but answers only after 2 s. Methods are named after the last part of the URL path.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, threads: int = 16) -> None:
         self.lock = threading.Condition()
         self.topics: dict[str, list[bytes]] = {}
         self.epochs: dict[tuple[str, str], int] = {}
@@ -51,7 +51,7 @@
         self.generation = 1
         self.fault_mode = ""
         self.appends: list[tuple[str, bytes]] = []
-        self.server = WebServer(address, 16, self.handle, lambda: 4 << 20)
+        self.server = WebServer(address, threads, self.handle, lambda: 4 << 20)
 
     def handle(self, call: Call) -> Reply:
         query = {k: v[0] for k, v in parse_qs(call.headers.get("QUERY_STRING", "")).items()}
--- /dev/null
+++ b/features/soak/plan.py
@@ -0,0 +1,186 @@
+"""Draws the faults of a soak from a seed, and carries them out."""
+
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from features.soak.fleet import Member, SoakFleet
+from features.soak.history import History
+from features.soak.proxy import LinkMode
+from features.soak.runner import ROOM
+
+FIRST_FAULT_S = 1.0
+# Mean time between two faults; most last longer, so that they overlap.
+MEAN_GAP_S = 0.6
+LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENT, LinkMode.ONE_WAY)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """One fault: `kind` names a method of Faults, `number` and `pick` choose what it hits."""
+
+    at: float
+    kind: str
+    number: int
+    pick: int
+    for_s: float
+
+
+KINDS = (
+    "kill_entry",
+    "kill_target",
+    "terminate_entry",
+    "terminate_target",
+    "pause_entry",
+    "pause_target",
+    "hang_up",
+    "harm_store_link",
+    "refuse_store_link",
+    "reset_store_links",
+    "harm_runner_link",
+    "make_store_busy",
+    "lose_store_answer",
+    "crash_runner",
+    "drain_runner",
+    "change_room",
+    "change_keys",
+)
+
+
+def draw_plan(seed: int, seconds: float) -> list[Fault]:
+    """The faults of a soak of some seconds; the same seed gives the same plan."""
+    rng = random.Random(seed)
+    plan = []
+    at = FIRST_FAULT_S
+    while at < seconds:
+        kind, for_s = rng.choice(KINDS), round(rng.uniform(0.3, 4.0), 2)
+        plan.append(Fault(round(at, 2), kind, rng.randrange(10_000), rng.randrange(10_000), for_s))
+        # Every now and then the next one follows at once.
+        at += rng.expovariate(1 / MEAN_GAP_S) if rng.random() < 0.8 else 0.0
+    return plan
+
+
+class Faults:
+    """Carries out faults on a fleet; `heal` ends all of them."""
+
+    def __init__(self, fleet: SoakFleet, history: History) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._threads: list[threading.Thread] = []
+        self._withdrawn = 0
+        self.withdrawn_keys: set[str] = set()
+
+    def carry_out(self, fault: Fault) -> None:
+        """Begin a fault; it ends by itself."""
+        self._history.note(f"{fault.kind} {fault.number} {fault.pick} for {fault.for_s} s")
+        thread = threading.Thread(target=getattr(self, fault.kind), args=(fault,), daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def heal(self) -> None:
+        """Wait for the faults to end, and undo what is left of them."""
+        for thread in self._threads:
+            thread.join()
+        self._fleet.store.fault_mode = ""
+        for member in self._fleet.members:
+            member.link.set_mode(LinkMode.PASS)
+            member.link.set_refusing(False)
+            member.send_signal(signal.SIGCONT)
+            member.start()
+        for runner in self._fleet.runners:
+            runner.set_room(ROOM)
+
+    def _entry(self, fault: Fault) -> Member:
+        return self._fleet.entries[fault.number % len(self._fleet.entries)]
+
+    def _target(self, fault: Fault) -> Member:
+        return self._fleet.targets[fault.number % len(self._fleet.targets)]
+
+    def _any(self, fault: Fault) -> Member:
+        return self._fleet.members[fault.number % len(self._fleet.members)]
+
+    def _restart(self, member: Member, number: signal.Signals, pause_s: float) -> None:
+        member.end(number)
+        time.sleep(pause_s / 4)
+        member.start()
+
+    def kill_entry(self, fault: Fault) -> None:
+        self._restart(self._entry(fault), signal.SIGKILL, fault.for_s)
+
+    def kill_target(self, fault: Fault) -> None:
+        self._restart(self._target(fault), signal.SIGKILL, fault.for_s)
+
+    def terminate_entry(self, fault: Fault) -> None:
+        self._restart(self._entry(fault), signal.SIGTERM, fault.for_s)
+
+    def terminate_target(self, fault: Fault) -> None:
+        self._restart(self._target(fault), signal.SIGTERM, fault.for_s)
+
+    def _pause(self, member: Member, seconds: float) -> None:
+        member.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        member.send_signal(signal.SIGCONT)
+
+    def pause_entry(self, fault: Fault) -> None:
+        self._pause(self._entry(fault), fault.for_s)
+
+    def pause_target(self, fault: Fault) -> None:
+        self._pause(self._target(fault), fault.for_s)
+
+    def hang_up(self, fault: Fault) -> None:
+        self._any(fault).send_signal(signal.SIGHUP)
+
+    def _harm(self, set_mode: Callable[[LinkMode], None], mode: LinkMode, seconds: float) -> None:
+        set_mode(mode)
+        time.sleep(seconds)
+        set_mode(LinkMode.PASS)
+
+    def harm_store_link(self, fault: Fault) -> None:
+        mode = LINK_FAULTS[fault.pick % len(LINK_FAULTS)]
+        self._harm(self._any(fault).link.set_mode, mode, fault.for_s)
+
+    def refuse_store_link(self, fault: Fault) -> None:
+        link = self._any(fault).link
+        link.set_refusing(True)
+        time.sleep(fault.for_s)
+        link.set_refusing(False)
+
+    def reset_store_links(self, fault: Fault) -> None:
+        for member in self._fleet.members[fault.number % 2 :: 2]:
+            member.link.reset()
+
+    def harm_runner_link(self, fault: Fault) -> None:
+        link = self._fleet.runner_links[fault.number % len(self._fleet.runner_links)]
+        mode = LINK_FAULTS[fault.pick % len(LINK_FAULTS)]
+        self._harm(link.set_mode, mode, fault.for_s)
+
+    def make_store_busy(self, fault: Fault) -> None:
+        self._fleet.store.fault_mode = "busy"
+        time.sleep(fault.for_s / 2)
+        self._fleet.store.fault_mode = ""
+
+    def lose_store_answer(self, fault: Fault) -> None:
+        self._fleet.store.fault_mode = "lost"
+
+    def crash_runner(self, fault: Fault) -> None:
+        runners = self._fleet.runners
+        runners[fault.number % len(runners)].crash(0.5 + fault.for_s / 2)
+
+    def drain_runner(self, fault: Fault) -> None:
+        runners = self._fleet.runners
+        runners[fault.number % len(runners)].drain()
+
+    def change_room(self, fault: Fault) -> None:
+        runners = self._fleet.runners
+        runners[fault.number % len(runners)].set_room(fault.pick % (ROOM + 1))
+
+    def change_keys(self, fault: Fault) -> None:
+        """Withdraw the spare key, and issue another one; a withdrawn key is never issued again."""
+        fleet = self._fleet
+        self.withdrawn_keys |= fleet.keys - {"key"}
+        self._withdrawn += 1
+        fleet.keys = {"key", f"spare-{self._withdrawn}"}
+        fleet.publish_keys()
--- /dev/null
+++ b/features/soak/run.py
@@ -0,0 +1,97 @@
+"""Plays one soak and checks it."""
+
+import tempfile
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import msgspec
+
+from features.soak.callers import Caller, KeyWatcher, ask_until_ended, is_key_taken
+from features.soak.checks import MAX_ATTEMPTS, check_history
+from features.soak.fleet import SoakFleet
+from features.soak.history import History, JobFate
+from features.soak.plan import Faults, draw_plan
+from features.soak.runner import Payload
+
+START_TIMEOUT_S = 120.0
+# The latest that a job may end after the last fault. It bounds a soak that fails, so it is far
+# above what a loaded machine needs.
+SETTLE_TIMEOUT_S = 120.0
+CONFIG_APPLY_S = 2.5
+
+
+class Soak(msgspec.Struct, frozen=True):
+    """Size and seed of one soak."""
+
+    seed: int
+    seconds: float = 12.0
+    entries: int = 3
+    targets: int = 5
+    callers: int = 3
+
+
+def play(soak: Soak, folder: Path | None = None) -> History:
+    """Play a soak and return its history; logs of the processes go to `folder`."""
+    history = History()
+    with ExitStack() as stack:
+        if folder is None:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        folder.mkdir(parents=True, exist_ok=True)
+        fleet = SoakFleet(stack, folder, soak.entries, soak.targets, history)
+        fleet.wait_until_serving(START_TIMEOUT_S)
+        faults = _play_faults(soak, fleet, history)
+        _check_ends(fleet, faults, history)
+        check_history(history)
+    (
+        (folder / "history.txt").write_text("\n".join(history.lines), encoding="utf-8")
+        if (folder.exists())
+        else None
+    )
+    return history
+
+
+def _play_faults(soak: Soak, fleet: SoakFleet, history: History) -> Faults:
+    """Play the plan while callers are at work, then let the fleet heal."""
+    callers = [Caller(n, soak.seed, fleet, history) for n in range(soak.callers)]
+    watcher = KeyWatcher(fleet, history)
+    for thread in (*callers, watcher):
+        thread.start()
+    faults = Faults(fleet, history)
+    history.began_at = began_at = time.monotonic()
+    for fault in draw_plan(soak.seed, soak.seconds):
+        time.sleep(max(0.0, began_at + fault.at - time.monotonic()))
+        faults.carry_out(fault)
+    time.sleep(max(0.0, began_at + soak.seconds - time.monotonic()))
+    for thread in (*callers, watcher):
+        thread.stopping.set()
+        thread.join()
+    faults.heal()
+    history.note("the faults are over")
+    return faults
+
+
+def _check_ends(fleet: SoakFleet, faults: Faults, history: History) -> None:
+    """Wait until all accepted jobs have ended, and check what callers then see."""
+    healed_at = time.monotonic()
+    for job in history.jobs.values():
+        if job.fate is not JobFate.ACCEPTED:
+            continue
+        before = job.state
+        job.state = ask_until_ended(fleet, job, healed_at + SETTLE_TIMEOUT_S)
+        payload = msgspec.json.decode(job.payload, type=Payload)
+        wanted = {"failed"} if payload.deadly else {"completed"}
+        if payload.fails >= MAX_ATTEMPTS:
+            wanted.add("failed")
+        if job.cancel_sent_at:
+            wanted.add("canceled")
+        if job.state not in wanted:
+            history.violate(f"job {job.id} is {job.state} in the end, {before} before: {payload}")
+    time.sleep(max(0.0, healed_at + CONFIG_APPLY_S - time.monotonic()))
+    for entry in fleet.entries:
+        for key in faults.withdrawn_keys:
+            if is_key_taken(entry, key):
+                history.violate(f"{entry.name} takes the withdrawn key {key}")
+    for member in fleet.members:
+        if member.ended_by_itself():
+            history.violate(f"{member.name} has ended by itself")
