Carry out an order only on the runner that it was given for

Callers could see: a task run twice (TWICE).

Cause: the call named whatever target the process knew at that moment, not the one that the order came for, so the runner's own check could not hold. An acknowledgement could reach the wrong runner in the same way.

Change: an order keeps the life of the target that it came for; it is dropped if another life has followed, its call names its own target, and its outcome is not noted for another life. A listing takes token, target and acknowledgement in one step.

Evidence: without the check at the call, 'An order for a runner that has crashed...' fails; without the guards of the notes, 'A call that began before its runner crashed...' fails (both on a copy).

--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -1,19 +1,28 @@
 """Carries out the owner's orders on the runner of a target process."""
 
 from concurrent.futures import ThreadPoolExecutor
+from typing import NamedTuple
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, monotonic
 from comfreyshelf.fleet.jobs import Token
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
-from comfreyshelf.fleet.target_state import TargetState
+from comfreyshelf.fleet.target_state import TargetLife, TargetState
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
 _ORDER_THREADS = 4
 
 
+class _Origin(NamedTuple):
+    """Under which token an order came, for which life of the target, and when."""
+
+    token: Token
+    life: TargetLife
+    received_at: float
+
+
 class OrderExecutor:
     """Carries out orders on the runner in a thread pool, and records the outcome in the state."""
 
@@ -28,48 +37,52 @@
     def execute(self, orders: Orders) -> None:
         """Submit all orders that are not already in progress."""
         pending = self._state.apply_orders(orders)
-        received_at = monotonic()
+        origin = _Origin(pending.token, pending.life, monotonic())
         for stop in pending.stops:
-            self._pool.submit(self._stop, pending.token, stop, received_at)
+            self._pool.submit(self._stop, origin, stop)
         for start in pending.starts:
-            self._pool.submit(self._start, pending.token, start, received_at)
+            self._pool.submit(self._start, origin, start)
         for order in pending.refused_starts:
             # The runner may have carried out an earlier copy of the order without an answer, so the
             # run counts as rejected only once it is stopped and no listing shows it.
-            stop = StopOrder(order.task, order.run)
-            self._pool.submit(self._stop, pending.token, stop, received_at)
+            self._pool.submit(self._stop, origin, StopOrder(order.task, order.run))
 
-    def _is_outdated(self, token: Token, received_at: float) -> bool:
-        """Whether another owner has taken over, or this process was paused, since the order came.
+    def _is_outdated(self, origin: _Origin) -> bool:
+        """Whether an order has lost its ground since it came.
 
-        An owner repeats the orders that it still wants.
+        Another owner has taken over, another runner has followed, or this process was paused. An
+        owner repeats the orders that it still wants.
         """
-        return token < self._state.token or monotonic() - received_at > CONTACT_GRACE_S
+        return (
+            origin.token < self._state.token
+            or origin.life != self._state.life
+            or monotonic() - origin.received_at > CONTACT_GRACE_S
+        )
 
-    def _start(self, token: Token, order: StartOrder, received_at: float) -> None:
+    def _start(self, origin: _Origin, order: StartOrder) -> None:
         state = self._state
         started_at = monotonic()
         outcome, deadline_ms = "started", state.lease_deadline_ms()
         try:
-            if self._is_outdated(token, received_at):
+            if self._is_outdated(origin):
                 outcome = "outdated"
                 self._metrics.count("orders_outdated")
                 return
             if deadline_ms is None:
                 outcome = "no contact to an owner"
                 return
-            is_first = state.record_start_sent(order)
+            is_first = state.record_start_sent(origin.life, order)
             try:
-                self._runner.start(token, order, deadline_ms)
+                self._runner.start(origin.token, origin.life.id, order, deadline_ms)
             except (RefusedError, StoreBusyError):
                 if is_first:
                     state.record_start_not_done(order)
                 raise
-            state.record_started(order)
+            state.record_started(origin.life, order)
         except RefusedError as exc:
             outcome = exc.reason
             self._metrics.count(f'starts_refused{{reason="{exc.reason}"}}')
-            self._reject(token, order, exc.reason)
+            self._reject(origin, order, exc.reason)
         except (StoreBusyError, StoreSilentError) as exc:
             self._unanswered_starts.add((order.task, order.run))
             # The owner repeats the order until the run is listed or rejected.
@@ -81,43 +94,44 @@
                 "start",
                 task=order.task,
                 run=order.run,
-                token=token,
+                token=origin.token,
                 outcome=outcome,
                 took_ms=round((monotonic() - started_at) * 1000, 1),
             )
 
-    def _reject(self, token: Token, order: StartOrder, reason: str) -> None:
+    def _reject(self, origin: _Origin, order: StartOrder, reason: str) -> None:
         """Stop the run before rejecting it, as an earlier copy of the order may still arrive.
 
         If an earlier copy got no answer, it may have started the run. The run then counts as
         rejected only once a listing shows that it ended or is absent.
         """
+        stop = StopOrder(order.task, order.run)
         try:
-            self._runner.stop(token, StopOrder(order.task, order.run))
+            self._runner.stop(origin.token, origin.life.id, stop)
         except (StoreBusyError, StoreSilentError, RefusedError) as exc:
             log_event("refused start stays open", task=order.task, run=order.run, why=str(exc))
             return
         if (order.task, order.run) in self._unanswered_starts:
             self._unanswered_starts.discard((order.task, order.run))
-            self._state.record_stopped(StopOrder(order.task, order.run))
+            self._state.record_stopped(origin.life, stop)
         else:
-            self._state.reject(order.task, order.run, reason)
+            self._state.reject(origin.life, order.task, order.run, reason)
 
-    def _stop(self, token: Token, order: StopOrder, received_at: float) -> None:
+    def _stop(self, origin: _Origin, order: StopOrder) -> None:
         state = self._state
         outcome = "stopped"
         try:
-            if self._is_outdated(token, received_at):
+            if self._is_outdated(origin):
                 outcome = "outdated"
                 self._metrics.count("orders_outdated")
                 return
-            self._runner.stop(token, order)
-            state.record_stopped(order)
+            self._runner.stop(origin.token, origin.life.id, order)
+            state.record_stopped(origin.life, order)
         except (StoreBusyError, StoreSilentError, RefusedError) as exc:
             outcome = str(exc)
         finally:
             state.close_order(order.task)
-            log_event("stop", task=order.task, run=order.run, token=token, outcome=outcome)
+            log_event("stop", task=order.task, run=order.run, token=origin.token, outcome=outcome)
 
     def close(self) -> None:
         """Cancel queued orders and wait for those in progress."""
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -31,13 +31,11 @@
         if not state.target:
             self.wait(0.05)
             return
-        deadline_ms = state.lease_deadline_ms()
         requested_at = monotonic()
         state.new_acknowledgement.clear()
+        request = state.listing_request()
         try:
-            listing = self._runner.renew_lease(
-                state.token, state.acknowledged, deadline_ms, self._wait_ms(deadline_ms)
-            )
+            listing = self._runner.renew_lease(*request, self._wait_ms(request.deadline_ms))
         except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
             state.record_connection(isinstance(exc, NotListeningError))
             if self._is_runner_up:
@@ -49,7 +47,7 @@
             log_event("runner regained", target=state.target)
         self._is_runner_up = True
         state.apply_listing(listing, requested_at)
-        if listing.ended or deadline_ms is None:
+        if listing.ended or request.deadline_ms is None:
             state.new_acknowledgement.wait(LISTING_PAUSE_S)
 
     def _wait_ms(self, deadline_ms: int | None) -> int:
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -30,14 +30,14 @@
         settings: FleetSettings,
         codec: Codec,
         make_store: Callable[[Relay], Store],
-        make_runner: Callable[[str, Callable[[], str]], Runner],
+        make_runner: Callable[[str], Runner],
     ) -> None:
         self._codec = codec
         self._settings = settings
         self.metrics = Metrics()
         self._state = TargetState(settings.bounds, settings.ip, self.metrics)
         relay = Relay(settings.store_address, lambda: list(self._settings.peers), self.metrics)
-        self._runner = make_runner(settings.runner_address, lambda: self._state.target)
+        self._runner = make_runner(settings.runner_address)
         self._order_executor = OrderExecutor(self._state, self._runner, self.metrics)
         self.kernel = Kernel()
         self.kernel.register("metrics", self.metrics)
--- a/comfreyshelf/fleet/target_runner.py
+++ b/comfreyshelf/fleet/target_runner.py
@@ -5,6 +5,7 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.jobs import RunListing, Token
 from comfreyshelf.fleet.messages import StartOrder, StopOrder
+from comfreyshelf.ids import TargetId
 
 
 class RefusedError(UserError):
@@ -16,11 +17,20 @@
 
 
 class Runner(ABC):
-    """The runner on this VM; calls raise StoreBusyError, StoreSilentError or RefusedError."""
+    """The runner on this VM; calls raise StoreBusyError, StoreSilentError or RefusedError.
+
+    Each call names the target that it is meant for, as another one may follow on the same VM while
+    it is on its way; that one refuses it.
+    """
 
     @abstractmethod
     def renew_lease(
-        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
     ) -> RunListing:
         """Renew the lease up to a time on the runner's clock, and list its runs.
 
@@ -29,11 +39,11 @@
         """
 
     @abstractmethod
-    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         """Start a run under a lease up to a time on the runner's clock."""
 
     @abstractmethod
-    def stop(self, token: Token, order: StopOrder) -> None:
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
         """Stop a run."""
 
     @abstractmethod
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -7,7 +7,7 @@
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
 from comfreyshelf.fleet.crash_log import CrashLog
-from comfreyshelf.fleet.jobs import Announcement, RunListing, RunningRow, Token
+from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
 from comfreyshelf.fleet.messages import Orders, Rejection, Report, StartOrder, StopOrder
 from comfreyshelf.ids import TargetId
 from comfreyshelf.logs import log_event
@@ -18,15 +18,35 @@
 REFUSED_AFTER_S = 0.3
 
 
+class TargetLife(NamedTuple):
+    """One life of a target; another one may follow on the same VM, also under the same id."""
+
+    id: TargetId
+    incarnation: Incarnation
+
+
 class PendingOrders(NamedTuple):
-    """Orders to carry out now, under `token`; the runs in `refused_starts` must never start."""
+    """Orders to carry out now on one life of a target, under `token`.
+
+    The runs in `refused_starts` must never start.
+    """
 
     token: Token
+    life: TargetLife
     starts: list[StartOrder]
     stops: list[StopOrder]
     refused_starts: list[StartOrder]
 
 
+class ListingRequest(NamedTuple):
+    """What to tell the runner when its runs are listed; see `Runner.renew_lease`."""
+
+    token: Token
+    target: TargetId
+    acknowledged: int
+    deadline_ms: int | None
+
+
 class TargetState:
     """State shared by the threads of a target process; public methods take the lock."""
 
@@ -63,9 +83,17 @@
         self.report_due = threading.Event()
 
     @property
-    def target(self) -> str:
+    def target(self) -> TargetId:
         """The target's id, empty until its first heartbeat."""
-        return self._announcement.id if self._announcement else ""
+        return self.life.id
+
+    @property
+    def life(self) -> TargetLife:
+        """The present life of the target."""
+        announcement = self._announcement
+        if announcement is None:
+            return TargetLife(TargetId(""), Incarnation(0))
+        return TargetLife(announcement.id, announcement.incarnation)
 
     @property
     def has_unsettled_stops(self) -> bool:
@@ -173,6 +201,13 @@
         listed = self._listing.running if self._listing else ()
         return (*listed, *self._unlisted_starts.values())
 
+    def listing_request(self) -> ListingRequest:
+        """What to tell the present life of the target when its runs are listed."""
+        with self._lock:
+            return ListingRequest(
+                self.token, self.target, self.acknowledged, self._lease_deadline_ms()
+            )
+
     def lease_deadline_ms(self) -> int | None:
         """Return when a lease that starts now ends, in milliseconds on the runner's clock.
 
@@ -181,12 +216,15 @@
         only leases that are not renewed tell when its runs have lapsed.
         """
         with self._lock:
-            now = monotonic()
-            last_contact_at = min(self.last_contact_at, self._runner_answered_at)
-            if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
-                return None
-            elapsed_s = now - self._listed_at
-            return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
+            return self._lease_deadline_ms()
+
+    def _lease_deadline_ms(self) -> int | None:
+        now = monotonic()
+        last_contact_at = min(self.last_contact_at, self._runner_answered_at)
+        if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
+            return None
+        elapsed_s = now - self._listed_at
+        return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
 
     def record_connection(self, is_refused: bool) -> None:
         """Record whether the runner's machine refused the connection of a listing that failed."""
@@ -243,14 +281,14 @@
         """
         with self._lock:
             if orders.token < self.token:
-                return PendingOrders(orders.token, [], [], [])
+                return PendingOrders(orders.token, self.life, [], [], [])
             if orders.token > self.token:
                 log_event("owner changed", token=orders.token, before=self.token)
             self.token = orders.token
             self.last_contact_at = max(self.last_contact_at, orders.report_sent_at)
             announcement = self._announcement
             if announcement is None or orders.incarnation != announcement.incarnation:
-                return PendingOrders(orders.token, [], [], [])
+                return PendingOrders(orders.token, self.life, [], [], [])
             if orders.acknowledged > self.acknowledged:
                 self.acknowledged = orders.acknowledged
                 self.new_acknowledgement.set()
@@ -276,43 +314,47 @@
                 order.task for order in stops
             }
             if announcement.draining or self._gone:
-                return PendingOrders(orders.token, [], stops, starts)
-            return PendingOrders(orders.token, starts, stops, [])
+                return PendingOrders(orders.token, self.life, [], stops, starts)
+            return PendingOrders(orders.token, self.life, starts, stops, [])
 
-    def record_start_sent(self, order: StartOrder) -> bool:
+    def record_start_sent(self, life: TargetLife, order: StartOrder) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
-            return self._crash_log.start_sent(order.task, order.run, monotonic())
+            return life == self.life and self._crash_log.start_sent(
+                order.task, order.run, monotonic()
+            )
 
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
         with self._lock:
             self._crash_log.start_not_done(order.task, order.run)
 
-    def record_started(self, order: StartOrder) -> None:
+    def record_started(self, life: TargetLife, order: StartOrder) -> None:
         """Record that the runner has confirmed a start."""
         with self._lock:
+            if life != self.life:
+                return
             self._crash_log.start_confirmed(order.task, order.run)
             self._unlisted_starts[order.task] = RunningRow(order.task, order.run, "", 0)
             self.report_due.set()
 
-    def record_stopped(self, order: StopOrder) -> None:
+    def record_stopped(self, life: TargetLife, order: StopOrder) -> None:
         """Record that the runner has confirmed a stop."""
         with self._lock:
+            if life != self.life:
+                return
             self._unlisted_starts.pop(order.task, None)
             self._unsettled_stops[order.task] = (
                 order.run,
                 monotonic() + self._bounds.stop_grace_s,
             )
 
-    def reject(self, task: str, run: int, reason: str) -> None:
+    def reject(self, life: TargetLife, task: str, run: int, reason: str) -> None:
         """Record that the runner will never start a run, and report it."""
         with self._lock:
-            self._reject(task, run, reason)
-
-    def _reject(self, task: str, run: int, reason: str) -> None:
-        self._rejected[(task, run)] = Rejection(task, run, reason)
-        self.report_due.set()
+            if life == self.life:
+                self._rejected[(task, run)] = Rejection(task, run, reason)
+                self.report_due.set()
 
     def close_order(self, task: str) -> None:
         """Record that the order for a task has been carried out or has failed."""
--- a/comfreyshelf/platform/runner.py
+++ b/comfreyshelf/platform/runner.py
@@ -1,13 +1,12 @@
 """HTTP client of the runner on this process's VM."""
 
-from collections.abc import Callable
-
 import msgspec
 
 from comfreyshelf.fleet.http import JSON_HEADERS, HttpClient
 from comfreyshelf.fleet.jobs import EndedRow, EndKind, Incarnation, RunListing, RunningRow, Token
 from comfreyshelf.fleet.messages import StartOrder, StopOrder
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.ids import TargetId
 
 CALL_TIMEOUT_S = 0.8
 # Added to the timeout of a listing call, as the runner answers a little after the requested wait.
@@ -41,23 +40,23 @@
 
 
 class HttpRunner(Runner):
-    """Calls the runner over HTTP.
-
-    `get_target` returns the id of the target that calls are meant for, or an empty string while it
-    is unknown.
-    """
+    """Calls the runner over HTTP."""
 
-    def __init__(self, address: str, get_target: Callable[[], str]) -> None:
+    def __init__(self, address: str) -> None:
         self._client = HttpClient(address, _CONNECTIONS)
-        self._get_target = get_target
 
     def renew_lease(
-        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
     ) -> RunListing:
         fields = {"fence-token": token, "ack-cursor": acknowledged, "wait-ms": wait_ms}
         if deadline_ms is not None:
             fields["deadline-ms"] = deadline_ms
-        status, body = self._post("hold", fields, LISTING_SLACK_S + wait_ms / 1000)
+        status, body = self._post("hold", target, fields, LISTING_SLACK_S + wait_ms / 1000)
         if status != 200:
             raise RefusedError(
                 f"the runner answered {status} to a lease renewal", _decode_reason(body)
@@ -73,7 +72,7 @@
             ),
         )
 
-    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         fields: dict[str, object] = {
             "task": order.task,
             "run-id": order.run,
@@ -83,22 +82,22 @@
         }
         if order.checkpoint:
             fields["checkpoint"] = order.checkpoint
-        status, body = self._post("run-start", fields, CALL_TIMEOUT_S)
+        status, body = self._post("run-start", target, fields, CALL_TIMEOUT_S)
         if status != 200:
             raise RefusedError(
                 f"the runner answered {status} to a start", _decode_reason(body) or str(status)
             )
 
-    def stop(self, token: Token, order: StopOrder) -> None:
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
         fields = {"task": order.task, "run-id": order.run, "fence-token": token}
-        status, body = self._post("run-stop", fields, CALL_TIMEOUT_S)
+        status, body = self._post("run-stop", target, fields, CALL_TIMEOUT_S)
         if status != 200:
             raise RefusedError(f"the runner answered {status} to a stop", _decode_reason(body))
 
-    def _post(self, call: str, fields: dict, timeout_s: float) -> tuple[int, bytes]:
-        headers = dict(JSON_HEADERS)
-        if target := self._get_target():
-            headers["Target-Instance"] = target
+    def _post(
+        self, call: str, target: TargetId, fields: dict, timeout_s: float
+    ) -> tuple[int, bytes]:
+        headers = JSON_HEADERS | {"Target-Instance": target}
         answer = self._client.call(
             "POST", f"/v1/{call}", timeout_s, msgspec.json.encode(fields), headers
         )
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -122,6 +122,21 @@
     When the process is paused for 3 seconds, and the runner answers again
     Then the order that waited is not carried out
 
+  Scenario: An order for a runner that has crashed is not carried out on the one that follows
+    # Guards against a run that its owner has given up with its runner and started elsewhere, and that
+    # an order of before starts once more.
+    Given a target process whose runner answers no call
+    And an order of an owner with token 5 waits for a free thread
+    When the runner is followed by another one, and that one answers
+    Then the order that waited is not carried out
+
+  Scenario: A call that began before its runner crashed says nothing of the one that follows
+    # Guards against a run that is reported as running on a runner that never had it.
+    Given a target process whose runner answers no call
+    When a start for it is confirmed only after another runner has followed
+    Then the runner that follows is reported without runs
+    And the call named the runner that the order was for
+
   Scenario: A runner that refuses connections is reported as down
     # Guards against work that waits for a crashed runner, and against a single refusal that counts
     # as a crash.
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -38,15 +38,20 @@
         self.outcomes: dict[str, Exception] = {}
 
     def renew_lease(
-        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
     ) -> RunListing:
         return RunListing(0, Incarnation(1), (), ())
 
-    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         if order.task in self.outcomes:
             raise self.outcomes[order.task]
 
-    def stop(self, token: Token, order: StopOrder) -> None:
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
         """Stops succeed."""
 
     def close(self) -> None:
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -1,7 +1,7 @@
 """Steps for processes that are paused, silent or restarted, with simulated clocks."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from unittest import mock
 
@@ -328,16 +328,25 @@
         self.answers = threading.Event()
         self.stopped: list[tuple[Token, str]] = []
         self.started: list[tuple[Token, str]] = []
+        self.named_targets: list[TargetId] = []
+        self.before_start: Callable[[], None] = lambda: None
 
     def renew_lease(
-        self, token: Token, acknowledged: int, deadline_ms: int | None, wait_ms: int
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
     ) -> RunListing:
         return make_listing()
 
-    def start(self, token: Token, order: StartOrder, deadline_ms: int) -> None:
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
+        self.before_start()
+        self.named_targets.append(target)
         self.started.append((token, order.task))
 
-    def stop(self, token: Token, order: StopOrder) -> None:
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
         self.stopped.append((token, order.task))
         assert self.answers.wait(10)
 
@@ -435,6 +444,42 @@
     context.runner.answers.set()
 
 
+def follow_runner(context: Context) -> None:
+    """Let another target be announced on the same machine."""
+    announcement = context.state._announcement
+    context.state.announce(
+        msgspec.structs.replace(announcement, id=TargetId("next"), incarnation=Incarnation(2))
+    )
+    context.state.apply_listing(RunListing(0, Incarnation(2), (), ()), context.clock)
+
+
+@when("the runner is followed by another one, and that one answers")
+def follow_and_answer(context: Context) -> None:
+    follow_runner(context)
+    context.runner.answers.set()
+
+
+@when("a start for it is confirmed only after another runner has followed")
+def confirm_start_late(context: Context) -> None:
+    context.runner.before_start = lambda: follow_runner(context)
+    send_orders(context, 5, (StartOrder("a", 1, "", ""),), ())
+    context.runner.answers.set()
+    context.executor._pool.shutdown(wait=True)
+    assert context.runner.started
+
+
+@then("the runner that follows is reported without runs")
+def check_no_runs(context: Context) -> None:
+    report = context.state.report()
+    assert report.announcement.id == "next" and not report.running, report
+    assert not any(crash.runs for crash in report.crashes if "next" in str(crash))
+
+
+@then("the call named the runner that the order was for")
+def check_named_runner(context: Context) -> None:
+    assert context.runner.named_targets == ["t"]
+
+
 @then("the order that waited is not carried out")
 def check_order_dropped(context: Context) -> None:
     context.executor.close()
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -299,7 +299,7 @@
     state = context.state
     assert not (context.outcome.starts or context.outcome.refused_starts)
     assert not state.report().rejected
-    state.record_started(ORDER)
+    state.record_started(state.life, ORDER)
     state.close_order(ORDER.task)
     later = state.apply_orders(start_orders(state))
     assert not later.refused_starts and not state.report().rejected
@@ -320,7 +320,7 @@
 def rejection_follows_listing(context: Context) -> None:
     state = context.state
     assert context.outcome.refused_starts == [ORDER] and not context.outcome.starts
-    state.record_stopped(StopOrder(ORDER.task, ORDER.run))
+    state.record_stopped(state.life, StopOrder(ORDER.task, ORDER.run))
     state.close_order(ORDER.task)
     assert not state.report().rejected
     nothing = RunListing(0, Incarnation(10), (), ())
