Part what an owner learns from reports from the rest of its state

Reports, crashes and late ends move to report_handling.py as they are; no logic changes. The fleet features pass before and after.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -8,7 +8,6 @@
 
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, is_suspect
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.fleet_state import FleetState
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
 from comfreyshelf.fleet.jobs import FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
@@ -20,6 +19,7 @@
     Victim,
 )
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
+from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
@@ -50,7 +50,7 @@
     reserved_units: int = 0
 
 
-class OwnerCore(FleetState):
+class OwnerCore(ReportHandling):
     """Scheduling decisions during one term of an owner, taken in planning passes."""
 
     def __init__(self, config: FleetConfig, bounds: Bounds, token: Token, now: float) -> None:
--- /dev/null
+++ b/comfreyshelf/fleet/report_handling.py
@@ -0,0 +1,207 @@
+"""What an owner learns from the reports of target processes."""
+
+from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
+from comfreyshelf.fleet.fleet_state import FleetState
+from comfreyshelf.fleet.jobs import (
+    EndKind,
+    RunNumber,
+    TaskName,
+    parse_task_name,
+    split_full_name,
+)
+from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.targets import TargetView, new_target_view
+from comfreyshelf.fleet.tracked_job import ActiveRun, TrackedJob
+from comfreyshelf.ids import TargetId
+
+
+class ReportHandling(FleetState):
+    """Applies reports to the state: targets, running and ended runs, refusals and crashes."""
+
+    def handle_report(self, report: Report, now: float, unix_now: float) -> None:
+        """Process the report of a target process."""
+        target = report.announcement.id
+        self._count_crashes(report, unix_now)
+        self._drop_replaced_target(report, unix_now)
+        view = self.targets.get(target)
+        if view is not None and report.incarnation < view.incarnation:
+            return
+        if view is None or view.incarnation != report.incarnation:
+            old = view
+            view = new_target_view(report, now)
+            self.targets[target] = view
+            self.needs_plan = True
+            if old is not None:
+                self._drop_runs(old, unix_now, "its target started again")
+            for active in self._unreported_runs.pop(target, []):
+                view.active_runs[active.full_name] = active
+            for active in list(view.active_runs.values()):
+                if active.incarnation != report.incarnation:
+                    self._end_run(view, active, EndKind.LOST, "", now, unix_now)
+            self.log_event("target joined", target=target, incarnation=report.incarnation)
+        if report.announcement.draining and not view.drain_until:
+            view.drain_until = now + report.announcement.drain_left_ms / 1000
+            view.orders_changed = self.needs_plan = True
+            self.log_event(
+                "target drains", target=target, left_ms=report.announcement.drain_left_ms
+            )
+        elif not report.announcement.draining:
+            view.drain_until = 0.0
+        view.announcement = report.announcement
+        view.seen_at = now
+        view.report_sent_at = report.sent_at
+        view.listed_at = report.listed_at or report.sent_at
+        if report.gone:
+            self._drop_runs(view, unix_now, "its target left")
+            del self.targets[target]
+            return
+        if not report.runner_up:
+            view.lists_known = False
+            self._drop_runs(view, unix_now, "its runner is down")
+            return
+        if report.lists_known:
+            self.needs_plan = self.needs_plan or not view.lists_known
+            view.lists_known = True
+            self._process_run_lists(view, report, now, unix_now)
+
+    def _count_crashes(self, report: Report, unix_now: float) -> None:
+        """Count crashes against the tasks that may have caused them."""
+        for crash in report.crashes:
+            for crashed, blame in blames(crash):
+                job, name = split_full_name(crashed.task)
+                tracked, run = self.jobs.get(job), RunNumber(crashed.run)
+                if tracked is None or name not in tracked.progress.tasks:
+                    continue
+                task = tracked.progress.tasks[name]
+                if tracked.progress.phase.is_final or not record_crash(task, run, blame):
+                    continue
+                self._dirty_jobs.add(job)
+                self.count("crashes_suspected")
+                self.log_event(
+                    "task suspected",
+                    task=crashed.task,
+                    run=run,
+                    target=task.target,
+                    age_s=crashed.age_s,
+                    blame=blame.value,
+                    suspicion=task.suspicion,
+                    unexplained=task.unexplained_crashes,
+                )
+                self._give_up_if_spent(tracked, name, unix_now)
+
+    def _clear_suspicion(self, active: ActiveRun, listed_at: float) -> None:
+        """Drop the suspicion of a task whose run has outlived its first seconds."""
+        task = active.tracked.task_progress(active.task)
+        if task.suspicion and listed_at - active.first_reported_at > YOUNG_RUN_S:
+            task.suspicion = 0
+            self._dirty_jobs.add(active.tracked.job.id)
+            self.log_event("task cleared", task=active.full_name, run=active.run)
+
+    def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
+        """Drop the targets whose machine now reports another target; it runs one at a time."""
+        target = report.announcement.id
+        previous = self._target_by_machine.get(report.machine, target)
+        if previous != target:
+            view = self.targets.get(previous)
+            if view is not None and view.incarnation > report.incarnation:
+                return
+            if view is not None:
+                self._drop_runs(view, unix_now, "its machine runs another target")
+                del self.targets[previous]
+        self._target_by_machine[report.machine] = target
+        for other, runs in list(self._unreported_runs.items()):
+            if other != target and runs[0].machine == report.machine:
+                self._drop_unreported_runs(other, "its machine runs another target")
+
+    def _drop_unreported_runs(self, target: TargetId, why: str) -> None:
+        self.needs_plan = True
+        for active in self._unreported_runs.pop(target):
+            active.tracked.task_progress(active.task).target = TargetId("")
+            active.tracked.active_runs.pop(active.task, None)
+            self._dirty_jobs.add(active.tracked.job.id)
+            self._log_lost_run(active, why)
+
+    def _process_run_lists(
+        self, view: TargetView, report: Report, now: float, unix_now: float
+    ) -> None:
+        for end in sorted(report.ended, key=lambda row: row.number):
+            if end.number > view.processed_ends:
+                view.processed_ends = end.number
+                view.orders_changed = self.needs_plan = True
+                self._targets_with_new_ends.add(view.id)
+                self._handle_ended_row(
+                    view, end.task, end.run, end.kind, end.checkpoint, now, unix_now
+                )
+        for rejection in report.rejected:
+            active = view.active_runs.get(rejection.task)
+            if active is not None and active.run == rejection.run:
+                self.log_event(
+                    "start rejected",
+                    task=rejection.task,
+                    run=rejection.run,
+                    reason=rejection.reason,
+                )
+                self.count("starts_rejected")
+                if active.stopping_since is None:
+                    view.record_refusal(now)
+                self._end_run(view, active, EndKind.REJECTED, "", now, unix_now)
+        listed = set()
+        for row in report.running:
+            listed.add(row.task)
+            active = view.active_runs.get(row.task)
+            if active is None or active.run != row.run:
+                view.stop_unwanted(row)
+                continue
+            active.update_progress(row.percent, now, view.listed_at)
+            self._clear_suspicion(active, view.listed_at)
+            if row.checkpoint:
+                for member in active.tracked.gang_members(active.task):
+                    active.tracked.task_progress(member).checkpoint = row.checkpoint
+        for name in [name for name in view.unwanted_runs if name not in listed]:
+            del view.unwanted_runs[name]
+            self.needs_plan = True
+
+    def _handle_ended_row(
+        self,
+        view: TargetView,
+        name: str,
+        run: int,
+        kind: EndKind,
+        checkpoint: str,
+        now: float,
+        unix_now: float,
+    ) -> None:
+        active = view.active_runs.get(name)
+        if active is not None and active.run == run:
+            self._end_run(view, active, kind, checkpoint, now, unix_now)
+            return
+        # The run was considered lost.
+        job, task = split_full_name(name)
+        tracked = self.jobs.get(job)
+        if tracked is None or tracked.progress.phase.is_final or task not in tracked.progress.tasks:
+            return
+        if kind is EndKind.DONE:
+            # The run that replaced it is stopped.
+            self.log_event("late completion accepted", task=name, run=run, target=view.id)
+            self._complete_task(tracked, task, run, unix_now)
+        elif kind is EndKind.FAILED:
+            self._handle_late_failure(view, tracked, task, RunNumber(run), now, unix_now)
+
+    def _handle_late_failure(
+        self,
+        view: TargetView,
+        tracked: TrackedJob,
+        name: TaskName,
+        run: RunNumber,
+        now: float,
+        unix_now: float,
+    ) -> None:
+        """Count the failure of a run that was considered lost, unless it has counted before."""
+        _, step_number, _ = parse_task_name(name)
+        if tracked.job.steps[step_number].lasting or not record_failure(tracked, name, run):
+            return
+        self.log_event("late failure counted", task=name, run=run, target=view.id)
+        self._dirty_jobs.add(tracked.job.id)
+        view.record_failure(tracked.job.id, now)
+        tracked.avoided_targets.add(view.id)
+        self._give_up_if_spent(tracked, name, unix_now)
