--- a/features/steps/fleet_capacity_steps.py
+++ b/features/steps/fleet_capacity_steps.py
@@ -9,7 +9,7 @@
 from comfreyshelf.fleet.jobs import Resources
 from comfreyshelf.fleet.messages import Rejection
 from features.owner_world import World, step
-from features.steps.fleet_crashes_steps import announcement
+from features.target_world import announcement
 
 
 def accept(context: Context, name: str, accelerators: int, **options: object) -> None:
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -1,16 +1,9 @@
 """Steps for runners that crash, seen by their target processes and by the owner."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
-from unittest import mock
-
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet import order_executor, target_state
-from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.jobs import (
-    Announcement,
     Incarnation,
     JobPhase,
     Resources,
@@ -22,10 +15,10 @@
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.store import StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
-from comfreyshelf.fleet.target_state import TargetState
-from comfreyshelf.ids import JobId, RackId, ServiceId, TargetId, ZoneId
+from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import FakeTarget, World, step
+from features.target_world import announcement, simulated_target_process
 
 DOWN_S = 3.0
 ONE_ACCELERATOR = Resources(1000, 1000, 1)
@@ -58,36 +51,6 @@
         """There are no connections."""
 
 
-def announcement(target: str, incarnation: int, draining: bool = False) -> Announcement:
-    return Announcement(
-        TargetId(target),
-        ServiceId("permit"),
-        ZoneId("z"),
-        RackId("r"),
-        (),
-        Resources(),
-        draining,
-        3000 if draining else 0,
-        Incarnation(incarnation),
-        2 if draining else 1,
-        0,
-    )
-
-
-@contextmanager
-def simulated_target_process(context: Context) -> Iterator[None]:
-    """A target process without threads for its links, on a simulated clock."""
-    context.clock = 100.0
-    with (
-        mock.patch.object(target_state, "monotonic", lambda: context.clock),
-        mock.patch.object(order_executor, "monotonic", lambda: context.clock),
-    ):
-        context.state = TargetState(Bounds(), "m", Metrics())
-        context.state.announce(announcement("t", 1))
-        context.runner = ScriptedRunner()
-        yield
-
-
 def list_runs(context: Context, *running: RunningRow) -> None:
     context.state.apply_listing(RunListing(0, Incarnation(1), running, ()), context.clock)
 
@@ -109,7 +72,7 @@
 
 @given('a target process whose runner has run "{task}" for {seconds:d} seconds')
 def run_for_some_time(context: Context, task: str, seconds: int) -> None:
-    context.stack.enter_context(simulated_target_process(context))
+    context.stack.enter_context(simulated_target_process(context, ScriptedRunner()))
     list_runs(context)
     order_starts(context, task)
     context.clock += seconds
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -1,19 +1,16 @@
 """Steps for processes that are paused, silent or restarted, with simulated clocks."""
 
 import threading
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from unittest import mock
 
 import msgspec
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet import leader_election, order_executor, target_state
-from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet import leader_election
 from comfreyshelf.fleet.job_table import job_record, progress_record
 from comfreyshelf.fleet.jobs import (
-    Announcement,
     Incarnation,
     Job,
     Progress,
@@ -31,11 +28,11 @@
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.store import Membership
 from comfreyshelf.fleet.target_runner import Runner
-from comfreyshelf.fleet.target_state import TargetState
-from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, ZoneId
+from comfreyshelf.ids import JobId, OrganisationId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import FakeStore, OwnerTaskWorld
 from features.owner_world import FakeTarget, World, step
+from features.target_world import simulated_target_process
 
 ORDER_THREADS = 4
 
@@ -358,39 +355,12 @@
     return RunListing(0, Incarnation(1), running, ())
 
 
-@contextmanager
-def target_process(context: Context) -> Iterator[None]:
-    """A target process without threads for its links, on a simulated clock."""
-    context.clock = 100.0
-    with (
-        mock.patch.object(target_state, "monotonic", lambda: context.clock),
-        mock.patch.object(order_executor, "monotonic", lambda: context.clock),
-    ):
-        context.state = TargetState(Bounds(), "m", Metrics())
-        context.state.announce(
-            Announcement(
-                TargetId("t"),
-                ServiceId("permit"),
-                ZoneId("z"),
-                RackId("r"),
-                (),
-                Resources(),
-                False,
-                0,
-                Incarnation(1),
-                1,
-                0,
-            )
-        )
-        context.runner = HangingRunner()
-        context.executor = OrderExecutor(context.state, context.runner, Metrics())
-        yield
-        context.runner.answers.set()
-        context.executor.close()
-
-
 def start_target_process(context: Context) -> None:
-    context.stack.enter_context(target_process(context))
+    runner = HangingRunner()
+    context.stack.enter_context(simulated_target_process(context, runner))
+    context.executor = OrderExecutor(context.state, runner, Metrics())
+    context.stack.callback(context.executor.close)
+    context.stack.callback(runner.answers.set)
     context.state.apply_listing(make_listing(), context.clock)
 
 
--- /dev/null
+++ b/features/target_world.py
@@ -0,0 +1,49 @@
+"""A target process on a simulated clock, without threads for its links."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+from behave.runner import Context
+
+from comfreyshelf.fleet import order_executor, target_state
+from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.jobs import Announcement, Incarnation, Resources
+from comfreyshelf.fleet.target_runner import Runner
+from comfreyshelf.fleet.target_state import TargetState
+from comfreyshelf.ids import RackId, ServiceId, TargetId, ZoneId
+from comfreyshelf.metrics import Metrics
+
+
+def announcement(target: str, incarnation: int, draining: bool = False) -> Announcement:
+    """What a target without room states about itself."""
+    return Announcement(
+        TargetId(target),
+        ServiceId("permit"),
+        ZoneId("z"),
+        RackId("r"),
+        (),
+        Resources(),
+        draining,
+        3000 if draining else 0,
+        Incarnation(incarnation),
+        2 if draining else 1,
+        0,
+    )
+
+
+@contextmanager
+def simulated_target_process(context: Context, runner: Runner) -> Iterator[None]:
+    """Put the state of a target process into `context`, with `context.clock` as its clock.
+
+    Its target `t` has sent one heartbeat.
+    """
+    context.clock = 100.0
+    with (
+        mock.patch.object(target_state, "monotonic", lambda: context.clock),
+        mock.patch.object(order_executor, "monotonic", lambda: context.clock),
+    ):
+        context.state = TargetState(Bounds(), "m", Metrics())
+        context.state.announce(announcement("t", 1))
+        context.runner = runner
+        yield
