--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,5 +1,6 @@
 """Plays one soak and checks it."""
 
+import shutil
 import tempfile
 import time
 from contextlib import ExitStack
@@ -37,7 +38,8 @@
     with ExitStack() as stack:
         if folder is None:
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        folder.mkdir(parents=True, exist_ok=True)
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
         fleet = SoakFleet(stack, folder, soak.entries, soak.targets, history)
         fleet.wait_until_serving(START_TIMEOUT_S)
         faults = _play_faults(soak, fleet, history)
--- a/features/soak/runner.py
+++ b/features/soak/runner.py
@@ -97,11 +97,12 @@
             self._drain_acknowledged_at = time.monotonic()
 
     def handle(self, call: Call) -> Reply:
-        if self._is_down:
-            return Reply(503, b"{}")
-        if call.headers.get("HTTP_TARGET_INSTANCE", self.id) != self.id:
-            return Reply(421, b"{}")
-        return super().handle(call)
+        with self.lock:
+            if self._is_down:
+                return Reply(503, b"{}")
+            if call.headers.get("HTTP_TARGET_INSTANCE", self.id) != self.id:
+                return Reply(421, b"{}")
+            return super().handle(call)
 
     def _end(self, key: tuple[str, int], end: RunEnd, ended_at: float) -> None:
         seen = self._active.pop(key)
