Let an entry take over at most once in one generation of the group

Callers could see: tasks started again after they had ended and been acknowledged, and more often than their attempts, after an owner was told to stop.

Cause: a stopping owner is told that it does not lead before its election thread ends. A renewal under way then confirmed its lead once more, and it took over again 32 ms later, in the same generation and so with the same epoch. The store took that term's appends for repeats of the first term's and kept nothing: starts were ordered and ends acknowledged that no later owner knew of.

Change: a generation that this entry has had a term in is refused, and the group is left.

Evidence: the new scenario fails before (the target gets its start).

--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -81,6 +81,8 @@
         self._config: FleetConfig | None = None
         self._core: OwnerCore | None = None
         self._generation = 0
+        # The epoch of this entry's last term.
+        self._last_epoch = 0
         self._next_sequence = 0
         self._wall_clock_offset_s = 0.0
         # An append that got no answer. It is retried unchanged under the same sequence number.
@@ -157,7 +159,13 @@
         if not membership.is_leader and self._core is not None:
             self._resign("another member leads", is_still_leader=False)
         elif membership.is_leader and self._core is None and self._config is not None:
-            self._take_over()
+            if membership.generation <= self._last_epoch:
+                # A second term would share the epoch of the first one. The store would take its
+                # appends for repeats and keep nothing.
+                log_event("takeover refused", epoch=membership.generation)
+                self._end_term()
+            else:
+                self._take_over()
 
     def _take_over(self) -> None:
         assert self._job_sync is not None and self._store is not None and self._config is not None
@@ -172,6 +180,7 @@
         except (StoreBusyError, StoreSilentError, ExpiredError) as exc:
             log_event("takeover failed", epoch=epoch, why=str(exc))
             return
+        self._last_epoch = epoch
         self._next_sequence = 1
         now = monotonic()
         self._wall_clock_offset_s = time.time() - now
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -64,6 +64,17 @@
     And a target reports to it
     Then the target gets no start, and is told that the entry does not own the schedule
 
+  Scenario: An entry does not take over twice in one generation of the group
+    # Guards against a term whose appends the store takes for repeats of the last term's, and keeps
+    # nothing of: an owner that stops is told so, and a renewal that was under way confirms its lead
+    # once more.
+    Given stored jobs of one task each
+    And an entry is elected as owner in generation 7
+    When it is told that it does not lead, and then that it leads in generation 7
+    And a target reports to it
+    Then the target gets no start, and is told that the entry does not own the schedule
+    And the entry leaves the group
+
   Scenario: An owner orders no stops before its lead is confirmed again after a pause
     # Guards against an owner that acts after its lead has lapsed: stops are not appended to the
     # store, so that no fence refuses them.
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -80,7 +80,11 @@
         self.sync = JobSync(self.store, self.table, lambda job: None)
         settings = FleetSettings("e", "z", "127.0.0.1", "", "", 0, **settings_options)
         self.task = OwnerTask(settings, self.table, self.metrics)
-        self.task.connect(self.sync, self.store, self.hub, lambda: None)
+        self.terms_ended = 0
+        self.task.connect(self.sync, self.store, self.hub, self._end_term)
+
+    def _end_term(self) -> None:
+        self.terms_ended += 1
 
     def elect(self, generation: int) -> None:
         self.task.handle(CONFIG)
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -205,6 +205,17 @@
     assert orders[-1].token == 0
 
 
+@when("it is told that it does not lead, and then that it leads in generation {generation:d}")
+def resign_and_confirm(context: Context, generation: int) -> None:
+    context.owner.task.handle(Membership(0, False, context.owner.now))
+    context.owner.confirm(generation)
+
+
+@then("the entry leaves the group")
+def check_group_left(context: Context) -> None:
+    assert context.owner.terms_ended == 1
+
+
 @when("it is paused for 3 seconds, and a target reports a run that it does not know")
 def report_after_pause(context: Context) -> None:
     context.owner.now += 3
