--- a/comfreyshelf/fleet/attempts.py
+++ b/comfreyshelf/fleet/attempts.py
@@ -13,6 +13,8 @@
 
 # A run that was started this shortly before a crash is the likely cause of it.
 YOUNG_RUN_S = 2.0
+# A run this old is not blamed for a crash, as every machine crashes some day.
+LONG_RUN_S = 86_400.0
 # What a crash adds to the suspicion of a task if all young runs there were of its job, or else.
 SOLE_SUSPICION = 2
 SHARED_SUSPICION = 1
@@ -27,7 +29,7 @@
 class Blame(Enum):
     """What a crash says of a run that was there."""
 
-    NONE = "another run explains the crash"
+    NONE = "another run explains the crash, or this one went well for long"
     SHARED = "runs of several jobs may explain it"
     SOLE = "only runs of this job explain it"
     UNEXPLAINED = "no run had just been started, so any of them may have caused it"
@@ -43,7 +45,9 @@
     """
     young = [run for run in crash.runs if run.age_s <= YOUNG_RUN_S]
     if not young:
-        return [(run, Blame.UNEXPLAINED) for run in crash.runs]
+        return [
+            (run, Blame.UNEXPLAINED if run.age_s < LONG_RUN_S else Blame.NONE) for run in crash.runs
+        ]
     is_one_job = len({split_full_name(run.task)[0] for run in young}) == 1
     return [
         (
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -97,6 +97,12 @@
     And 60 seconds pass, in which each runner that crashed is back after 3 seconds
     Then only the second job has failed, after at most 4 runners have crashed
 
+  Scenario: A service that has run for days is not given up for the crashes of years
+    # Guards against a count that only ever grows: each machine crashes some day.
+    Given 4 targets with a long job of one task on each
+    When all runners crash 5 times, after runs of 2 days each
+    Then no long job has failed
+
   Scenario: Work that loses its runner three times for other reasons is not given up
     # Guards against taking crashes of runners, a loss of power for example, for the doing of a task.
     Given 4 targets with a long job of one task on each
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -327,6 +327,17 @@
     assert len(world.starts("deadly")) <= count, world.starts("deadly")
 
 
+@when("all runners crash {count:d} times, after runs of {days:d} days each")
+def crash_after_days(context: Context, count: int, days: int) -> None:
+    world = context.world
+    for _ in range(count):
+        for target in world.targets:
+            for task in target.started_at:
+                target.started_at[task] -= days * 86_400
+            world.crash(target)
+        world.advance(DOWN_S + 1.0)
+
+
 @when("all runners crash {count:d} times, {seconds:d} seconds apart")
 def crash_all_runners(context: Context, count: int, seconds: int) -> None:
     for _ in range(count):
