--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -24,7 +24,8 @@
     numbered: those up to `processed_ends` have been handled, and those up to `acknowledged_ends`
     are in the store as well. `unwanted_runs` are stop orders for listed runs that the owner does
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
-    `orders_changed` is set when new orders have to be sent.
+    A target whose runner refused a start gets none until `no_starts_until`. `orders_changed` is set
+    when new orders have to be sent.
     """
 
     announcement: Announcement
