--- a/features/lanes.py
+++ b/features/lanes.py
@@ -16,7 +16,8 @@
 # promises.feature takes as long as all others together. It runs in virtual time without sockets, so
 # it can run beside the features that start processes without disturbing them.
 LANES = (("--include", "promises"), ("--exclude", "promises"))
-BEHAVE = (sys.executable, "-m", "behave", "--no-color", "--no-timings", "--format", "progress")
+# This format prints the assertion of a step that fails.
+BEHAVE = (sys.executable, "-m", "behave", "--no-color", "--no-timings", "--format", "progress3")
 
 
 def main() -> int:
