Put the owner's replaceable decisions behind interfaces

Cause: run times, target speeds, target health and the order of jobs were decided inside the owner, the targets' views and tracked jobs, so that no deployment could choose another policy. Ruled out: a switch inside each decision, as every new policy would touch the same functions. A run keeps how much slower its place is.

--- a/comfreyshelf/fleet/__main__.py
+++ b/comfreyshelf/fleet/__main__.py
@@ -9,10 +9,11 @@
 
 from comfreyshelf.errors import SettingsError, UserError
 from comfreyshelf.fleet.entry import EntryProcess
+from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.target_process import TargetProcess
 from comfreyshelf.logs import configure_daemon, log_event
 from comfreyshelf.platform.runner import HttpRunner
-from comfreyshelf.platform.settings import SETTINGS_VARIABLE, read_settings
+from comfreyshelf.platform.settings import SCHEDULING_VARIABLE, SETTINGS_VARIABLE, read_settings
 from comfreyshelf.platform.store import LogStore
 from comfreyshelf.platform.wire import PlatformCodec
 
@@ -27,10 +28,16 @@
     os._exit(0)
 
 
+def load_settings(path: Path) -> FleetSettings:
+    """Read the settings, and the scheduling settings that the environment names."""
+    scheduling = os.environ.get(SCHEDULING_VARIABLE)
+    return read_settings(path, Path(scheduling) if scheduling else None)
+
+
 def reload(process: EntryProcess | TargetProcess, path: Path) -> None:
-    """Reload the settings; the old ones stay in force if the file cannot be read."""
+    """Reload the settings; the old ones stay in force if a file cannot be read."""
     try:
-        process.reload(read_settings(path))
+        process.reload(load_settings(path))
     except SettingsError as exc:
         log_event("settings not read again", why=str(exc))
 
@@ -40,7 +47,7 @@
     # Ignore SIGHUP until its handler is installed; by default it would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    settings = read_settings(path)
+    settings = load_settings(path)
     configure_daemon(settings.name)
     stop_requested = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop_requested.set())
--- a/comfreyshelf/fleet/bounds.py
+++ b/comfreyshelf/fleet/bounds.py
@@ -26,7 +26,11 @@
     """Time limits of one deployment, in seconds.
 
     `early_start_s` is how long before its time an occurrence of a periodic job may start.
-    `reclaim_s` is how soon a job that its organisation's guarantee covers has to run.
+    `reclaim_s` is how soon a job that its organisation's guarantee covers has to run. A task takes
+    `remote_factor` times as long on another rack than that of its data, and so does a gang that
+    should run in one rack and does not. A run that resumes from a checkpoint needs `restore_s` for
+    it. Starts in an availability zone have to cease within `evacuate_s` after its evacuation was
+    ordered; 0 if the deployment has no evacuations.
     """
 
     lease_s: float = 6.0
@@ -37,6 +41,9 @@
     checkpoint_s: float = 0.5
     grace_s: float = 6.0
     reclaim_s: float = 2.7
+    remote_factor: float = 3.0
+    restore_s: float = 0.25
+    evacuate_s: float = 0.0
 
     @property
     def reclaim_patience_s(self) -> float:
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import (
     give_up_reason,
     record_failure,
 )
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.durations import DurationEstimator
 from comfreyshelf.fleet.guarantee import ClaimForecast
+from comfreyshelf.fleet.health.target_health import HealthEvent
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     EndKind,
@@ -23,8 +24,10 @@
 )
 from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.policies import Policies, make_policies
+from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.targets import TargetView
-from comfreyshelf.fleet.tracked_job import ActiveRun, TrackedJob
+from comfreyshelf.fleet.tracked_job import TrackedJob
 from comfreyshelf.ids import JobId, TargetId
 
 EventLogger = Callable[..., None]
@@ -43,7 +46,16 @@
     sends `orders_for()` each target.
     """
 
-    def __init__(self, config: FleetConfig, bounds: Bounds, token: Token, now: float) -> None:
+    def __init__(
+        self,
+        config: FleetConfig,
+        bounds: Bounds,
+        token: Token,
+        now: float,
+        scheduling: Scheduling | None = None,
+    ) -> None:
+        self.scheduling = scheduling or Scheduling()
+        self.policies: Policies = make_policies(self.scheduling)
         self.config = config
         self.bounds = bounds
         self.token = token
@@ -65,7 +77,6 @@
         # Whether something happened since the last planning pass that may change its result.
         self.needs_plan = True
         self._claim_forecast = ClaimForecast()
-        self._durations = DurationEstimator()
 
     # Jobs
 
@@ -94,7 +105,7 @@
             progress = Progress(
                 stored.progress.phase, dict(stored.progress.tasks), stored.progress.ended_at
             )
-            tracked = TrackedJob(job, progress, queue, self._durations)
+            tracked = TrackedJob(job, progress, queue, self.policies.durations)
             tracked.accepted_at = accepted_at
             tracked.check_progress()
             self.jobs[job.id] = tracked
@@ -173,7 +184,7 @@
             ran_s=round(now - active.started_at, 2),
             percent=active.percent,
             first_percent=active.first_percent,
-            expected_s=round(tracked.task_duration_s(active.step_number), 1),
+            expected_s=round(active.expected_s(), 1),
             cause=active.stop_cause or kind.value,
             lost_core_s=round(
                 lost_core_s(active, kind, bool(checkpoint or task.checkpoint), now), 1
@@ -183,14 +194,13 @@
             for member in tracked.gang_members(active.task):
                 tracked.task_progress(member).checkpoint = checkpoint
         lasting = active.step.lasting
+        self._record_health(view, tracked.job.id, kind, now)
         if kind is EndKind.DONE:
-            view.record_success()
             if not active.is_duration_recorded and not task.resumed_from:
-                tracked.record_duration(active.step_number, now - active.started_at)
+                active.record_duration(now - active.started_at)
             if not lasting:
                 self._complete_task(tracked, active.task, active.run, unix_now)
         elif kind is EndKind.FAILED:
-            view.record_failure(tracked.job.id, now)
             tracked.avoided_targets.add(view.id)
             if not lasting:
                 record_failure(tracked, active.task, active.run)
@@ -199,6 +209,10 @@
         if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
             self._break_gang(active)
 
+    def _record_health(self, view: TargetView, job: JobId, kind: EndKind, now: float) -> None:
+        event = HealthEvent(view.announcement, view.machine, job, kind)
+        self.policies.health.record_end(event, now)
+
     def _break_gang(self, active: ActiveRun) -> None:
         """Stop the other members of a gang after one of its runs ended without success."""
         for name in active.tracked.gang_members(active.task):
--- /dev/null
+++ b/comfreyshelf/fleet/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which targets may be given work."""
--- a/comfreyshelf/fleet/lost_work.py
+++ b/comfreyshelf/fleet/lost_work.py
@@ -2,8 +2,8 @@
 
 from enum import Enum
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.jobs import EndKind, JobPhase
-from comfreyshelf.fleet.tracked_job import ActiveRun
 
 
 class StopCause(Enum):
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, is_suspect
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
-from comfreyshelf.fleet.jobs import FleetConfig, JobPhase, RunNumber, Token
+from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.placing import (
     Assignment,
@@ -20,8 +21,9 @@
 )
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.report_handling import ReportHandling
+from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.targets import TargetView
-from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, TrackedJob, Unit
+from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
 # Capacity is reserved for at most this many units that fit nowhere yet, in order of their ranks.
@@ -53,8 +55,15 @@
 class OwnerCore(ReportHandling):
     """Scheduling decisions during one term of an owner, taken in planning passes."""
 
-    def __init__(self, config: FleetConfig, bounds: Bounds, token: Token, now: float) -> None:
-        super().__init__(config, bounds, token, now)
+    def __init__(
+        self,
+        config: FleetConfig,
+        bounds: Bounds,
+        token: Token,
+        now: float,
+        scheduling: Scheduling | None = None,
+    ) -> None:
+        super().__init__(config, bounds, token, now, scheduling)
         # Jobs whose planning raised an error; they wait until the next owner takes over.
         self._failed_jobs: set[JobId] = set()
 
@@ -77,8 +86,7 @@
             PlanningCapacity(self._list_candidates(now, unix_now, covered_ids)),
         )
         planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
-        jobs.sort(key=lambda t: (t.job.id not in covered_ids, t.sort_key(unix_now)))
-        for tracked in jobs:
+        for tracked in self.policies.ranking.sort(jobs, covered_ids, unix_now):
             try:
                 self._place_job(tracked, planning)
             except Exception as exc:  # One bad job must not keep all others from being planned.
@@ -151,7 +159,7 @@
                         self._stop_run(active, now, StopCause.DRAINED)
                 elif self._is_stalled(active):
                     active.tracked.avoided_targets.add(view.id)
-                    view.record_failure(active.tracked.job.id, now)
+                    self._record_health(view, active.tracked.job.id, EndKind.FAILED, now)
                     self._stop_run(active, now, StopCause.STALLED)
 
     @staticmethod
@@ -159,9 +167,7 @@
         if active.percent >= 100:
             # A gang member at 100 percent waits for the other members.
             return False
-        stall_limit_s = max(
-            MIN_STALL_S, STALL_ESTIMATE_SHARE * active.tracked.task_duration_s(active.step_number)
-        )
+        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * active.expected_s())
         return not active.step.lasting and active.stalled_s > stall_limit_s
 
     def _stop_run(
@@ -181,7 +187,7 @@
     ) -> dict[TargetId, CandidateTarget]:
         candidates = {}
         for view in self.targets.values():
-            if not view.can_accept_work(now):
+            if not self._may_start_on(view, now):
                 continue
             candidate = CandidateTarget(view.announcement, view.announcement.room)
             for active in view.active_runs.values():
@@ -196,6 +202,11 @@
             candidates[view.id] = candidate
         return candidates
 
+    def _may_start_on(self, view: TargetView, now: float) -> bool:
+        return view.can_accept_work(now) and self.policies.health.may_start(
+            view.announcement, view.machine, now
+        )
+
     def _place_unit(
         self,
         tracked: TrackedJob,
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -184,7 +184,9 @@
         self._next_sequence = 1
         now = monotonic()
         self._wall_clock_offset_s = time.time() - now
-        self._core = OwnerCore(self._config, self._settings.bounds, Token(epoch), now)
+        self._core = OwnerCore(
+            self._config, self._settings.bounds, Token(epoch), now, self._settings.scheduling
+        )
         self._core.log_event = log_event
         self._core.count = self._metrics.count
         for stored in self._job_table.accepted_jobs():
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.jobs import Announcement, Resources
-from comfreyshelf.fleet.tracked_job import ActiveRun, Unit
+from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import JobId, RackId, TargetId
 
 # Added to the cost of a task that has to wait until resources are released.
--- /dev/null
+++ b/comfreyshelf/fleet/prediction/__init__.py
@@ -0,0 +1,1 @@
+"""How long tasks are expected to run."""
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -1,5 +1,6 @@
 """What an owner learns from the reports of target processes."""
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
 from comfreyshelf.fleet.fleet_state import FleetState
 from comfreyshelf.fleet.jobs import (
@@ -11,7 +12,7 @@
 )
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.targets import TargetView, new_target_view
-from comfreyshelf.fleet.tracked_job import ActiveRun, TrackedJob
+from comfreyshelf.fleet.tracked_job import TrackedJob
 from comfreyshelf.ids import TargetId
 
 
@@ -153,6 +154,7 @@
                 view.stop_unwanted(row)
                 continue
             active.update_progress(row.percent, now, view.listed_at)
+            self.policies.speeds.observe(active, now)
             self._clear_suspicion(active, view.listed_at)
             if row.checkpoint:
                 for member in active.tracked.gang_members(active.task):
@@ -202,6 +204,6 @@
             return
         self.log_event("late failure counted", task=name, run=run, target=view.id)
         self._dirty_jobs.add(tracked.job.id)
-        view.record_failure(tracked.job.id, now)
+        self._record_health(view, tracked.job.id, EndKind.FAILED, now)
         tracked.avoided_targets.add(view.id)
         self._give_up_if_spent(tracked, name, unix_now)
--- a/comfreyshelf/fleet/settings.py
+++ b/comfreyshelf/fleet/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.scheduling import Scheduling
 
 
 class FleetSettings(msgspec.Struct, frozen=True):
@@ -12,7 +13,7 @@
     `front_address` and `ready_address` are empty on a target process, `runner_address` on an entry.
     `cores` is how many cores the process may use on average. `peers` are control addresses of
     entries; some may be out of date. The store takes records of `max_record_bytes`, and appends of
-    `max_append_bytes` in all.
+    `max_append_bytes` in all. `scheduling` holds the scheduling features that are in use.
     """
 
     name: str
@@ -30,6 +31,7 @@
     cores: float = 1.0
     max_record_bytes: int = 262_144
     max_append_bytes: int = 2_097_152
+    scheduling: Scheduling = msgspec.field(default_factory=Scheduling)
 
     @property
     def pipe_address(self) -> str:
--- /dev/null
+++ b/comfreyshelf/fleet/speed/__init__.py
@@ -0,0 +1,1 @@
+"""How fast targets work."""
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -1,16 +1,13 @@
-"""The owner's view of each target: its last report, runs, drain and quarantine."""
+"""The owner's view of each target: its last report, runs and drain."""
 
 import msgspec
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.bounds import LISTING_SUSPECT_S, SUSPECT_AFTER_S
 from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunningRow
 from comfreyshelf.fleet.messages import Report, StopOrder
-from comfreyshelf.fleet.tracked_job import ActiveRun
-from comfreyshelf.ids import JobId, TargetId
+from comfreyshelf.ids import TargetId
 
-# A target is quarantined after failures of this many different jobs without a success in between.
-QUARANTINE_AFTER_JOBS = 2
-QUARANTINE_S = 8.0
 # A target that refused a start gets no other for this long; its next heartbeat tells what room it
 # has.
 REFUSAL_PAUSE_S = 1.5
@@ -40,8 +37,6 @@
     processed_ends: int = 0
     acknowledged_ends: int = 0
     drain_until: float = 0.0
-    failed_jobs: set[JobId] = set()
-    quarantined_until: float = 0.0
     no_starts_until: float = 0.0
     orders_changed: bool = True
 
@@ -57,25 +52,14 @@
             and not self.announcement.draining
             and now - self.seen_at < SUSPECT_AFTER_S
             and self.report_sent_at - self.listed_at < LISTING_SUSPECT_S
-            and now >= max(self.quarantined_until, self.no_starts_until)
+            and now >= self.no_starts_until
             and not self.unwanted_runs
         )
 
-    def record_failure(self, job: JobId, now: float) -> None:
-        """Record a failed run; failures of QUARANTINE_AFTER_JOBS jobs quarantine the target."""
-        self.failed_jobs.add(job)
-        if len(self.failed_jobs) >= QUARANTINE_AFTER_JOBS:
-            self.quarantined_until = now + QUARANTINE_S
-            self.failed_jobs.clear()
-
     def record_refusal(self, now: float) -> None:
         """Record that the runner refused a start that was meant to be carried out."""
         self.no_starts_until = now + REFUSAL_PAUSE_S
 
-    def record_success(self) -> None:
-        """Record a run that succeeded."""
-        self.failed_jobs.clear()
-
     def stop_unwanted(self, row: RunningRow) -> None:
         """Order a run to stop that the target lists but the owner does not want."""
         if row.task not in self.unwanted_runs:
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -6,49 +6,24 @@
 import msgspec
 
 from comfreyshelf.errors import UserError
-from comfreyshelf.fleet.durations import DurationEstimator
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.jobs import (
-    Incarnation,
     Job,
     JobPhase,
     Progress,
     Queue,
-    Resources,
-    RunNumber,
     Step,
     TaskName,
     TaskProgress,
-    full_task_name,
     parse_task_name,
     task_name,
 )
-from comfreyshelf.ids import JobId, ServiceId, TargetId
+from comfreyshelf.fleet.prediction.model import DurationModel, Quantile, RunSample
+from comfreyshelf.ids import ServiceId, TargetId
 
 # A job that takes longer than this many times its objective counts as too late: its result is worth
 # nothing to its caller.
 TOO_LATE_OBJECTIVE_RATIO = 3.0
-# Jobs that can no longer be of use are ranked behind all others.
-TOO_LATE_RANK = 7
-# Ranks by priority; the lowest rank is placed first. A job with low slack has to start soon to meet
-# its objective, one with high slack can wait, and a late one misses it in any case. A late result
-# is worth only a fraction, so a late job comes after less urgent ones that would miss their
-# objective by waiting.
-LOW_SLACK_RANKS = (0, 1, 4)
-HIGH_SLACK_RANKS = (0, 3, 5)
-LATE_RANKS = (2, 6, 6)
-# A job has high slack if its slack exceeds this many times its remaining critical path.
-HIGH_SLACK_RATIO = 1.5
-
-
-# Minimum progress from which the speed of a run is extrapolated.
-MIN_PROGRESS_PERCENT = 8
-# Minimum progress and duration for a run to count as an observation of its step's run time.
-# The progress in a report may be up to 1 s out of date, which distorts shorter samples.
-MIN_SAMPLE_PERCENT = 30
-MIN_SAMPLE_S = 1.0
-# Most of the time between two listings of a run that counts as time without progress. Over a longer
-# gap nobody watched the run.
-MAX_LISTING_GAP_S = 2.0
 
 
 class ProgressError(UserError):
@@ -76,101 +51,11 @@
     tasks: tuple[TaskName, ...]
 
 
-class ActiveRun(msgspec.Struct):
-    """A run that occupies resources of a target.
-
-    The start is ordered only once the run `is_stored`; it `is_confirmed` once the target has
-    listed it. `machine` is where the target runs. `first_percent` is the progress when the target
-    first listed the run. `started_at`, `stopping_since` and `percent_changed_at` are on the owner's
-    clock; `first_reported_at`, `percent_reported_at` and `listed_at` are times of listings, on
-    the target's clock. `stalled_s` is for how long listings have shown the run without progress.
-    `gang_key` is equal for all members of a gang, and unique for any other task.
-    """
-
-    tracked: "TrackedJob"
-    task: TaskName
-    run: RunNumber
-    target: TargetId
-    incarnation: Incarnation
-    demand: Resources
-    machine: str
-    started_at: float
-    is_stored: bool = False
-    is_confirmed: bool = False
-    stopping_since: float | None = None
-    stop_cause: str = ""
-    first_percent: int = 0
-    percent: int = 0
-    percent_changed_at: float = 0.0
-    first_reported_at: float = 0.0
-    percent_reported_at: float = 0.0
-    listed_at: float = 0.0
-    stalled_s: float = 0.0
-    is_duration_recorded: bool = False
-    # Worked out once from the task's name, as each planning pass asks for them.
-    full_name: str = ""
-    step_number: int = 0
-    gang_key: tuple[JobId, TaskName] = (JobId(""), TaskName(""))
-    gang_size: int = 1
-
-    def __post_init__(self) -> None:
-        self.full_name = full_task_name(self.tracked.job.id, self.task)
-        _, self.step_number, _ = parse_task_name(self.task)
-        members = self.tracked.gang_members(self.task)
-        self.gang_key = (self.tracked.job.id, members[0])
-        self.gang_size = len(members)
-
-    @property
-    def step(self) -> Step:
-        """The step that the task belongs to."""
-        return self.tracked.job.steps[self.step_number]
-
-    def update_progress(self, percent: int, now: float, listed_at: float) -> None:
-        """Record the progress from a report; `listed_at` is when the runner listed the run."""
-        if not self.is_confirmed:
-            self.started_at, self.first_percent, self.first_reported_at = now, percent, listed_at
-            self.listed_at = listed_at
-        self.is_confirmed = True
-        if percent != self.percent or not self.percent_changed_at:
-            self.percent, self.percent_changed_at = percent, now
-            self.percent_reported_at, self.stalled_s = listed_at, 0.0
-        else:
-            self.stalled_s += min(MAX_LISTING_GAP_S, max(0.0, listed_at - self.listed_at))
-        self.listed_at = listed_at
-        # Reports delayed by a link arrive together, so speed is measured by the listings' times.
-        gained_percent, elapsed_s = percent - self.first_percent, listed_at - self.first_reported_at
-        if (
-            not self.is_duration_recorded
-            and gained_percent >= MIN_SAMPLE_PERCENT
-            and elapsed_s >= MIN_SAMPLE_S
-        ):
-            self.is_duration_recorded = True
-            self.tracked.record_duration(self.step_number, 100 * elapsed_s / gained_percent)
-
-    def worked_s(self, now: float) -> float:
-        """Seconds of work done by the run, including work done before this owner first saw it."""
-        prior_work_s = self.first_percent / 100 * self.tracked.task_duration_s(self.step_number)
-        return prior_work_s + now - self.started_at
-
-    def remaining_s(self, now: float) -> float:
-        """Expected seconds until the run ends.
-
-        Once the run has made MIN_PROGRESS_PERCENT of progress, its speed is extrapolated. Before
-        that, the expected duration of the task is used.
-        """
-        gained_percent = self.percent - self.first_percent
-        elapsed_s = self.percent_reported_at - self.first_reported_at
-        if gained_percent >= MIN_PROGRESS_PERCENT and elapsed_s > 0:
-            remaining_s = (100 - self.percent) * elapsed_s / gained_percent
-            return max(0.0, remaining_s - (now - self.percent_changed_at))
-        return max(0.0, self.tracked.task_duration_s(self.step_number) - (now - self.started_at))
-
-
 class TrackedJob:
     """A job with its progress, run-time estimates, deadline and startable tasks."""
 
     def __init__(
-        self, job: Job, progress: Progress, queue: Queue | None, durations: DurationEstimator
+        self, job: Job, progress: Progress, queue: Queue | None, durations: DurationModel
     ) -> None:
         self.job = job
         self.progress = progress
@@ -179,11 +64,9 @@
         self.active_runs: dict[TaskName, ActiveRun] = {}
         # When the job was accepted by the owner's wall clock, in seconds since the Unix epoch.
         self.accepted_at = job.accepted_at
-        self._durations = durations
+        self._durations = durations.for_job(job)
         # Targets on which a run of this job failed or stalled; later runs avoid them.
         self.avoided_targets: set[TargetId] = set()
-        # Run time of one task by step number, observed on runs of this job.
-        self._observed_durations_s: dict[int, float] = {}
         # Why a unit of this job last had to wait.
         self.wait_reason = ""
         # Expected seconds until each running task ends, as of the current planning pass.
@@ -219,24 +102,14 @@
             return self.accepted_at
         return self.accepted_at + self.queue.latency_s + self.queue.stretch * self.critical_path_s
 
-    def task_duration_s(self, step_number: int) -> float:
-        """Expected seconds of one task of a step, from the job's own runs if any were observed."""
-        observed_s = self._observed_durations_s.get(step_number)
-        if observed_s is not None:
-            return observed_s
-        return self._durations.expected_s(self.job.queue, self.job.steps[step_number])
+    def task_duration_s(self, step_number: int, quantile: Quantile = Quantile.MEDIAN) -> float:
+        """Expected seconds of one task of a step on a target of speed 1 near its data."""
+        return self._durations.expected_s(step_number, quantile)
 
-    def record_duration(self, step_number: int, seconds: float) -> None:
-        """Record the observed run time of one task of a step.
-
-        The job's estimate is the shortest run time of the step's tasks, as other tasks may run on
-        slow targets or far from their data.
-        """
-        self._observed_durations_s[step_number] = min(
-            seconds, self._observed_durations_s.get(step_number, seconds)
-        )
+    def record_duration(self, step_number: int, sample: RunSample) -> None:
+        """Record what a run of one task of a step has shown of its run time."""
+        self._durations.observe(step_number, sample)
         self._critical_path_s = self._remaining_critical_path_s = None
-        self._durations.observe(self.job.queue, seconds)
 
     @property
     def critical_path_s(self) -> float:
@@ -365,26 +238,6 @@
         is_useful = end <= self.accepted_at + TOO_LATE_OBJECTIVE_RATIO * objective
         return Outlook.LATE if is_useful else Outlook.TOO_LATE
 
-    def sort_key(self, unix_now: float) -> tuple[int, float]:
-        """Rank by priority and outlook, then deadline, or for late jobs the work in core-seconds.
-
-        Jobs with lower keys are planned first.
-        """
-        outlook = self.outlook(unix_now) if self.job.times <= 0 else Outlook.IN_TIME
-        if outlook is Outlook.TOO_LATE:
-            return (TOO_LATE_RANK, self.deadline)
-        if outlook is Outlook.LATE:
-            return (_rank_for_priority(LATE_RANKS, self.priority), self.core_seconds)
-        has_high_slack = (
-            unix_now + (1 + HIGH_SLACK_RATIO) * self.remaining_critical_path_s < self.deadline
-        )
-        return (
-            _rank_for_priority(
-                HIGH_SLACK_RANKS if has_high_slack else LOW_SLACK_RANKS, self.priority
-            ),
-            self.deadline,
-        )
-
     @property
     def core_seconds(self) -> float:
         """Expected work of the whole job in core-seconds, for one occurrence of its steps."""
@@ -398,7 +251,3 @@
         self.progress.phase = phase
         if phase.is_final:
             self.progress.ended_at = unix_now
-
-
-def _rank_for_priority(ranks: tuple[int, ...], priority: int) -> int:
-    return ranks[min(priority, len(ranks) - 1)]
--- a/comfreyshelf/platform/settings.py
+++ b/comfreyshelf/platform/settings.py
@@ -6,12 +6,15 @@
 
 from comfreyshelf.errors import SettingsError
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.scheduling import Scheduling, read_scheduling
 from comfreyshelf.fleet.settings import FleetSettings
 
 # The same port is set in deploy/system.toml.
 METRICS_PORT = 9464
 # Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "COMFREYSHELF_CONFIG"
+# Environment variable that holds the path of the scheduling settings; none are in use without it.
+SCHEDULING_VARIABLE = "COMFREYSHELF_SCHEDULING"
 
 
 class _StoreSettings(msgspec.Struct, rename="kebab"):
@@ -35,6 +38,12 @@
     grace_s: float = msgspec.field(default=6, name="grace-s")
     # How soon after its acceptance a job that a guarantee covers has to run.
     reclaim_ms: float = msgspec.field(default=2700, name="reclaim-ms")
+    # How many times as long a task takes on another rack than that of its data or its gang.
+    remote_factor: float = msgspec.field(default=3, name="remote-factor")
+    # How long a run needs to resume from a checkpoint.
+    restore_ms: float = msgspec.field(default=250, name="restore-ms")
+    # How soon starts in an evacuated zone have to cease; 0 if zones are not evacuated here.
+    evacuate_ms: float = msgspec.field(default=0, name="evacuate-ms")
 
 
 class _LimitsSettings(msgspec.Struct, rename="kebab"):
@@ -56,14 +65,16 @@
     port_range: tuple[int, int]
     # Despite its name, addresses of entries only, which may be stale or down.
     seed_nodes: list[str] = []
+    # The parts of the platform's rules that are in force.
+    contracts: list[str] = []
     # Despite its name, the address of the runner; on target processes only.
     app: str = ""
     bounds: _BoundsSettings = msgspec.field(default_factory=_BoundsSettings)
     limits: _LimitsSettings = msgspec.field(default_factory=_LimitsSettings)
 
 
-def read_settings(path: Path) -> FleetSettings:
-    """Read the settings file; raises SettingsError."""
+def read_settings(path: Path, scheduling_path: Path | None = None) -> FleetSettings:
+    """Read the settings file, and that of the scheduling features; raises SettingsError."""
     try:
         node = msgspec.json.decode(path.read_bytes(), type=_NodeSettings)
     except (OSError, msgspec.DecodeError) as exc:
@@ -92,8 +103,16 @@
             bounds.checkpoint_s,
             bounds.grace_s,
             bounds.reclaim_ms / 1000,
+            bounds.remote_factor,
+            bounds.restore_ms / 1000,
+            bounds.evacuate_ms / 1000,
         ),
         max(0.01, node.limits.cpu_share * node.limits.cores),
         node.platform.record_bytes,
         node.platform.call_bytes,
+        (
+            read_scheduling(scheduling_path, frozenset(node.contracts))
+            if scheduling_path is not None
+            else Scheduling()
+        ),
     )
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.guarantee import covered_jobs
 from comfreyshelf.fleet.jobs import EndKind, Resources, RunningRow, RunNumber, TaskName
 from comfreyshelf.fleet.placing import (
@@ -13,7 +14,7 @@
     PlanningCapacity,
 )
 from comfreyshelf.fleet.preemption_cost import make_victim
-from comfreyshelf.fleet.tracked_job import ActiveRun, Outlook, Unit
+from comfreyshelf.fleet.tracked_job import Outlook, Unit
 from comfreyshelf.ids import JobId, ServiceId
 from features.owner_world import CONFIG, SERVICE, World, step
 
