Ask the topic of jobs before an append, and hold callers for a share of their time

A peer that was cut off itself tried a call that it could not judge. Ruled out: shorter time-outs of appends (a slow store takes 0.3 s); longer holds (they end past the caller's deadline). Change: TopicReachability keeps what the calls of one topic show and asks it with a short read if no recent call tells; callers share one probe and wait for it no longer than they may. A hold is bounded by a share of the time that the caller has left. An entry whose own calls fail refuses to relay. Refusals log the caller's deadline. With each mechanism taken out, the scenario named for it failed (failure ignored, no sharing, no probe, peer tries).

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -14,12 +14,7 @@
 from comfreyshelf.fleet.ownership import JobChanged, OwnerTask, ReportReceived
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.settings import FleetSettings
-from comfreyshelf.fleet.store import (
-    Membership,
-    Store,
-    StoreBusyError,
-    StoreSilentError,
-)
+from comfreyshelf.fleet.store import Membership, Store
 from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
 from comfreyshelf.kernel import Kernel
 from comfreyshelf.logs import log_event
@@ -27,8 +22,6 @@
 
 # An entry reports not ready if it has not read the job records for this long.
 STALE_AFTER_S = 6.0
-# The store is asked several times a second, so it answers if it did within this time.
-STORE_FRESH_S = 0.5
 # A stopping entry keeps serving until two probes of the load balancer, one per second, failed.
 SHUTDOWN_NOTICE_S = 2.4
 FRONT_THREADS = 8
@@ -63,7 +56,7 @@
             lambda record, limit_s: self._job_sync.append([record], max_timeout_s=limit_s),
             self._job_sync.catch_up,
             lambda: self._relay.is_store_reachable,
-            self._is_store_answering,
+            self._job_sync.reachability.is_answering,
             self.metrics,
         )
         self._caller_server = WebServer(
@@ -98,18 +91,6 @@
     ) -> WebServer:
         return WebServer(address, threads, handle, lambda: MAX_RELAYED_BYTES)
 
-    def _is_store_answering(self) -> bool:
-        """Whether the store answered a call within STORE_FRESH_S, or answers a read now."""
-        if monotonic() - self._relay.last_success_at <= STORE_FRESH_S:
-            return True
-        if not self._relay.is_store_reachable:
-            return False
-        try:
-            self._job_sync.catch_up()
-        except (StoreBusyError, StoreSilentError):
-            return False
-        return True
-
     def _peers(self) -> list[str]:
         return [peer for peer in self._settings.peers if peer != self._settings.control_address]
 
--- a/comfreyshelf/fleet/entry_sync.py
+++ b/comfreyshelf/fleet/entry_sync.py
@@ -18,6 +18,7 @@
     StoreSilentError,
     Writer,
 )
+from comfreyshelf.fleet.topic_reachability import TopicReachability
 from comfreyshelf.ids import JobId
 from comfreyshelf.logs import log_event
 from comfreyshelf.tasks import Poller
@@ -25,6 +26,8 @@
 JOBS_TOPIC = "jobs"
 # How long the store may hold a read until a record arrives.
 READ_WAIT_MS = 1000
+# The time that each route to the store has to answer a probe. A slow store takes up to 0.3 s.
+PROBE_TIMEOUT_S = 0.5
 # Pause before a failed call to the store is repeated.
 RETRY_S = 0.2
 
@@ -45,6 +48,7 @@
         self._lock = threading.Lock()
         self._next_offset = -1
         self.last_read_at = float("-inf")
+        self.reachability = TopicReachability(lambda: self.read(0, PROBE_TIMEOUT_S))
 
     def append(
         self,
@@ -53,7 +57,12 @@
         max_timeout_s: float = float("inf"),
     ) -> None:
         """Append records to the store, then apply them to the job table."""
-        first_offset = self._store.append(JOBS_TOPIC, records, writer, max_timeout_s)
+        try:
+            first_offset = self._store.append(JOBS_TOPIC, records, writer, max_timeout_s)
+        except StoreSilentError:
+            self.reachability.record_failure()
+            raise
+        self.reachability.record_answer()
         self._apply(
             [
                 KeyedRecord(record.key, record.value, first_offset + index)
@@ -65,18 +74,22 @@
         """Read the records that are available now, without waiting for new ones."""
         self.read(0)
 
-    def read(self, wait_ms: int) -> None:
-        """Read once and apply the records; waits at most `wait_ms` for one."""
+    def read(self, wait_ms: int, max_timeout_s: float = float("inf")) -> None:
+        """Read once and apply the records; waits at most `wait_ms` for one.
+
+        The read counts as unanswered after `max_timeout_s` on each route at the latest.
+        """
         with self._lock:
             offset = self._next_offset
         try:
             if offset < 0:
                 batch = self._store.read_newest(JOBS_TOPIC)
             else:
-                batch = self._store.read(JOBS_TOPIC, offset, wait_ms)
+                batch = self._store.read(JOBS_TOPIC, offset, wait_ms, max_timeout_s)
         except ExpiredError as exc:
             log_event("records expired", why=str(exc))
             batch = self._store.read_newest(JOBS_TOPIC)
+        self.reachability.record_answer()
         self._apply(list(batch.records))
         with self._lock:
             self._next_offset = max(self._next_offset, batch.next_offset)
--- a/comfreyshelf/fleet/http_api.py
+++ b/comfreyshelf/fleet/http_api.py
@@ -10,7 +10,7 @@
 from comfreyshelf.fleet.jobs import FleetConfig, Queue, check_size
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.web import Call, Reply
-from comfreyshelf.fleet.write_attempts import WriteAttemptTable
+from comfreyshelf.fleet.write_attempts import MAX_STORE_WAIT_SHARE, WriteAttemptTable
 from comfreyshelf.ids import JobId, OrganisationId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
@@ -30,6 +30,8 @@
 # of the time that is left, but no less than the store needs for an answer.
 APPEND_ROUTE_SHARE = 0.5
 MIN_APPEND_TIMEOUT_S = 0.2
+# A request that may not wait any longer still waits for a probe, as a slow store takes 0.3 s.
+MIN_PROBE_WAIT_S = 0.4
 _JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 DEFAULT_MAX_BODY_BYTES = 262_144
 
@@ -39,7 +41,8 @@
 
     `append` stores one record, with a limit in seconds, and applies it to the job table; `catch_up`
     applies the records that other entries have stored. `is_store_reachable` tells whether the last
-    call to the store succeeded, `is_store_answering` whether it answers now.
+    call to the store succeeded, `is_store_answering` whether the topic of jobs answers, with a
+    limit in seconds.
     """
 
     def __init__(
@@ -50,7 +53,7 @@
         append: Callable[[KeyedRecord, float], None],
         catch_up: Callable[[], None],
         is_store_reachable: Callable[[], bool],
-        is_store_answering: Callable[[], bool],
+        is_store_answering: Callable[[float], bool],
         metrics: Metrics,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
@@ -123,7 +126,14 @@
 
     def _refuse(self, call: Call, status: int, why: str) -> Reply:
         self._metrics.count(f'refusals{{status="{status}"}}')
-        log_event("refused", method=call.method, path=call.path, status=status, why=why)
+        log_event(
+            "refused",
+            method=call.method,
+            path=call.path,
+            status=status,
+            why=why,
+            deadline_s=self._caller_deadline_s(call),
+        )
         retry_after_s = RETRY_AFTER_S if self._is_store_reachable() else OUTAGE_RETRY_AFTER_S
         retry_after_s = retry_after_s if status == 503 else 0
         return Reply(status, self._codec.encode_refusal(retry_after_s), retry_after_s)
@@ -148,8 +158,11 @@
         silent_error: StoreSilentError | None = None
         if attempts.unanswered:
             silent_error = StoreSilentError("an earlier append got no answer", "ask again")
-        elif not self._is_store_answering():
-            self._wait_for_store(attempts.wait_until)
+        else:
+            # A caller that retries has less time left than its first request had.
+            self._wait_for_store(
+                min(attempts.wait_until, started_at + MAX_STORE_WAIT_SHARE * deadline_s), deadline_s
+            )
         while True:
             attempt_started_at = self._clock()
             busy_error = StoreBusyError("the store cannot be reached", "try again later")
@@ -174,13 +187,14 @@
             self._metrics.count(f'retries{{reason="{reason}"}}')
             self._sleep(APPEND_RETRY_PAUSE_S)
 
-    def _wait_for_store(self, wait_until: float) -> None:
-        """Wait until the store can be reached; raises StoreBusyError at `wait_until`.
+    def _wait_for_store(self, wait_until: float, deadline_s: float) -> None:
+        """Wait until the topic of jobs answers; raises StoreBusyError at `wait_until`.
 
         Callers come back within some hundred milliseconds whatever they are told, and only a few
         times, so a short wait carries a request over an outage that outlasts its repetitions.
         """
-        while not self._is_store_reachable():
+        shortest_wait_s = min(MIN_PROBE_WAIT_S, MAX_STORE_WAIT_SHARE * deadline_s)
+        while not self._is_store_answering(max(shortest_wait_s, wait_until - self._clock())):
             if self._clock() >= wait_until:
                 raise StoreBusyError("the store cannot be reached", "try again later")
             self._sleep(APPEND_RETRY_PAUSE_S)
--- a/comfreyshelf/fleet/relay.py
+++ b/comfreyshelf/fleet/relay.py
@@ -95,10 +95,16 @@
             method, path, timeout_s, body, {_CONTENT_TYPE: content_type} if content_type else {}
         )
 
+    @property
+    def is_direct_paused(self) -> bool:
+        """Whether the direct route has failed lately, and not succeeded since."""
+        with self._lock:
+            return monotonic() - self._direct_failed_at < DIRECT_RETRY_S
+
     def _routes(self) -> list[str]:
         """Return the addresses to try in order; an empty string stands for the store itself."""
+        is_direct_paused = self.is_direct_paused
         with self._lock:
-            is_direct_paused = monotonic() - self._direct_failed_at < DIRECT_RETRY_S
             active_peer = self._active_peer
         peers = [active_peer] if active_peer else []
         peers += [peer for peer in self._get_peers() if peer != active_peer]
@@ -154,8 +160,12 @@
 def relay_for_peer(relay: Relay, headers: dict[str, str], body: bytes) -> tuple[int, bytes]:
     """Carry out a peer's call to the store, and return the status and body of the answer.
 
-    The status is 503 if the store has not carried out the call, and 504 if that is unknown.
+    The status is 503 if the store has not carried out the call, and 504 if that is unknown. A call
+    is not tried while this entry's own calls fail: without an answer, the peer could not tell its
+    caller that the job has not been accepted.
     """
+    if relay.is_direct_paused:
+        return 503, b""
     try:
         answer = relay.call_store(
             headers[_METHOD.lower()],
--- a/comfreyshelf/fleet/store.py
+++ b/comfreyshelf/fleet/store.py
@@ -93,8 +93,13 @@
         """
 
     @abstractmethod
-    def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
-        """Read records from an offset, waiting up to `wait_ms` for one; raises ExpiredError."""
+    def read(
+        self, topic: str, offset: int, wait_ms: int, max_timeout_s: float = float("inf")
+    ) -> Batch:
+        """Read records from an offset, waiting up to `wait_ms` for one; raises ExpiredError.
+
+        A read counts as unanswered after `max_timeout_s` on each route at the latest.
+        """
 
     @abstractmethod
     def read_newest(self, topic: str) -> Batch:
--- a/comfreyshelf/platform/store.py
+++ b/comfreyshelf/platform/store.py
@@ -159,9 +159,12 @@
             "give up ownership",
         )
 
-    def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
+    def read(
+        self, topic: str, offset: int, wait_ms: int, max_timeout_s: float = float("inf")
+    ) -> Batch:
         query = {"topic": _KEYED_PREFIX + topic, "part": 0, "from": offset, "wait-ms": wait_ms}
-        answer = self._get("log-read", query, READ_SLACK_S + wait_ms / 1000, wait_ms > 0)
+        timeout_s = min(READ_SLACK_S + wait_ms / 1000, max_timeout_s)
+        answer = self._get("log-read", query, timeout_s, wait_ms > 0)
         if answer.status == 410:
             raise ExpiredError(f"offset {offset} of {topic} expired", "read the newest records")
         self._check(answer)
--- a/features/fleet_outage.feature
+++ b/features/fleet_outage.feature
@@ -79,3 +79,42 @@
     Given a front whose store is silent for 0.4 seconds at each append
     When a job is submitted with a deadline of 1 second
     Then the answer leaves open whether it has run, and comes within half a second
+
+  Scenario: A silent topic is noticed although the store answers for other topics
+    # Guards against appends without an answer, after which callers may not repeat their requests,
+    # because answers for other topics make the store count as reachable.
+    Given an entry whose store answers for each topic but that of the jobs
+    When a job is submitted with a deadline of 1 second
+    Then it is refused within half a second as not run, and nothing was appended
+
+  Scenario: A request that waits for a silent topic is accepted once the topic answers
+    # Guards against a refusal of a job whose caller would still have waited when the store returned.
+    Given an entry whose store answers for the topic of the jobs again after 0.2 seconds
+    When a job is submitted with a deadline of 1 second
+    Then it is accepted with the first append
+
+  Scenario: Requests that come together ask a silent topic once
+    # Guards against each of many callers waiting for a probe of its own, one after the other.
+    Given a topic that does not answer
+    When 8 requests ask at once whether it answers
+    Then one probe was sent, and each was told that it does not
+
+  Scenario: A probe that hangs holds no request longer than the request may wait
+    # Guards against a caller whose deadline passes while its entry waits for a probe, which takes
+    # as long as all routes to the store together.
+    Given a topic whose probe gets no answer for seconds
+    When a request asks whether it answers, and may wait for 0.1 seconds
+    Then it is told at once that the topic does not answer
+
+  Scenario: An append without an answer makes the next request ask first
+    # Guards against a second append into a topic that has just left one unanswered.
+    Given a topic that answered and then left an append unanswered
+    When a request asks whether it answers
+    Then one probe was sent
+
+  Scenario: A peer that has lost the store itself does not try a call of another entry
+    # Guards against an answer that leaves open whether a job was accepted, because a peer that is
+    # cut off as well was asked to append it.
+    Given a peer whose own calls to the store fail
+    When another entry sends it a call to the store
+    Then it answers at once that nothing was carried out
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -40,7 +40,9 @@
             self.records.append(KeyedRecord(record.key, record.value, offset))
         return first
 
-    def read(self, topic: str, offset: int, wait_ms: int) -> Batch:
+    def read(
+        self, topic: str, offset: int, wait_ms: int, max_timeout_s: float = float("inf")
+    ) -> Batch:
         return Batch(tuple(self.records[offset:]), len(self.records), len(self.records))
 
     def read_newest(self, topic: str) -> Batch:
--- a/features/steps/fleet_outage_steps.py
+++ b/features/steps/fleet_outage_steps.py
@@ -1,20 +1,31 @@
 """Steps for callers and store calls while the store is unreachable, slow or silent."""
 
 import json
+import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
 from behave import given, then, when
 from behave.runner import Context
 
+from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, JobSync
 from comfreyshelf.fleet.http import HttpResponse
 from comfreyshelf.fleet.http_api import CallerApi
 from comfreyshelf.fleet.job_table import JobTable
-from comfreyshelf.fleet.relay import Relay
-from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.relay import Relay, relay_for_peer
+from comfreyshelf.fleet.store import (
+    Batch,
+    KeyedRecord,
+    StoreBusyError,
+    StoreSilentError,
+    Writer,
+)
+from comfreyshelf.fleet.topic_reachability import TopicReachability
 from comfreyshelf.fleet.web import Call
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.platform.wire import PlatformCodec
+from features.owner_task_world import FakeStore as TopicStore
 from features.platform_standins import CONFIG, JOB
 
 
@@ -146,7 +157,7 @@
     context.clock = FakeClock()
     context.reachable = reachable
 
-    def ask_store() -> bool:
+    def ask_store(max_wait_s: float) -> bool:
         context.reachable = reachable and not has_stopped
         return context.reachable
 
@@ -235,3 +246,166 @@
 def may_have_run_in_time(context: Context) -> None:
     assert context.reply.status == 504, context.reply
     assert context.elapsed_s < 0.5, context.elapsed_s
+
+
+class SilentJobsStore(TopicStore):
+    """Leaves all calls for the topic of the jobs unanswered until `back_at`, on a fake clock."""
+
+    def __init__(self, clock: FakeClock, back_at: float) -> None:
+        super().__init__()
+        self.clock, self.back_at = clock, back_at
+        self.appends = 0
+
+    def append(
+        self,
+        topic: str,
+        records: list[KeyedRecord],
+        writer: Writer | None = None,
+        max_timeout_s: float = float("inf"),
+    ) -> int:
+        self.appends += 1
+        self._check(topic)
+        return super().append(topic, records, writer, max_timeout_s)
+
+    def read(
+        self, topic: str, offset: int, wait_ms: int, max_timeout_s: float = float("inf")
+    ) -> Batch:
+        self._check(topic)
+        return super().read(topic, offset, wait_ms, max_timeout_s)
+
+    def _check(self, topic: str) -> None:
+        if topic == JOBS_TOPIC and self.clock.now < self.back_at:
+            raise StoreSilentError("no answer", "ask")
+
+
+def make_entry(context: Context, silent_s: float) -> None:
+    """Create an entry's API for callers whose last call to another topic has just succeeded."""
+    codec = PlatformCodec()
+    config = codec.decode_config(json.dumps(CONFIG).encode())
+    context.clock = clock = FakeClock()
+    context.store = SilentJobsStore(clock, clock.now + silent_s)
+    table = JobTable()
+    sync = JobSync(context.store, table, lambda job: None)
+    sync.reachability = TopicReachability(lambda: sync.read(0), clock.read)
+    context.front = CallerApi(
+        codec,
+        table,
+        lambda: config,
+        lambda record, limit_s: sync.append([record], max_timeout_s=limit_s),
+        sync.catch_up,
+        lambda: True,
+        sync.reachability.is_answering,
+        Metrics(),
+        clock.read,
+        clock.pause,
+    )
+
+
+@given("an entry whose store answers for each topic but that of the jobs")
+def create_entry_with_silent_topic(context: Context) -> None:
+    make_entry(context, float("inf"))
+
+
+@given("an entry whose store answers for the topic of the jobs again after 0.2 seconds")
+def create_entry_with_returning_topic(context: Context) -> None:
+    make_entry(context, 0.2)
+
+
+@then("it is accepted with the first append")
+def accepted_with_first_append(context: Context) -> None:
+    assert context.reply.status == 200, context.reply
+    assert context.store.appends == 1
+
+
+def make_topic(context: Context, hold: Callable[[], None] = lambda: None) -> None:
+    context.probes = 0
+
+    def probe() -> None:
+        context.probes += 1
+        hold()
+        raise StoreSilentError("no answer", "ask")
+
+    context.topic = TopicReachability(probe)
+
+
+def _wait_for(event: threading.Event) -> None:
+    assert event.wait(10)
+
+
+@given("a topic that does not answer")
+def create_silent_topic(context: Context) -> None:
+    context.asked = threading.Barrier(9, timeout=10)
+    released = threading.Event()
+    context.released = released
+    make_topic(context, lambda: _wait_for(released))
+
+
+@when("8 requests ask at once whether it answers")
+def ask_together(context: Context) -> None:
+    def ask() -> bool:
+        context.asked.wait()
+        return context.topic.is_answering(10.0)
+
+    with ThreadPoolExecutor(8) as pool:
+        futures = [pool.submit(ask) for _ in range(8)]
+        context.asked.wait()
+        context.released.set()
+        context.told = [fut.result() for fut in futures]
+
+
+@then("one probe was sent, and each was told that it does not")
+def one_probe_for_all(context: Context) -> None:
+    assert (context.probes, context.told) == (1, [False] * 8), (context.probes, context.told)
+
+
+@given("a topic whose probe gets no answer for seconds")
+def create_topic_with_hanging_probe(context: Context) -> None:
+    context.released = threading.Event()
+    make_topic(context, lambda: _wait_for(context.released))
+
+
+@when("a request asks whether it answers, and may wait for 0.1 seconds")
+def ask_briefly(context: Context) -> None:
+    context.told = context.topic.is_answering(0.1)
+
+
+@then("it is told at once that the topic does not answer")
+def told_before_probe_ended(context: Context) -> None:
+    # The probe is still under way, so the request did not wait for it.
+    assert not context.told and not context.released.is_set()
+    context.released.set()
+
+
+@given("a topic that answered and then left an append unanswered")
+def create_topic_after_silence(context: Context) -> None:
+    make_topic(context)
+    context.topic.record_answer()
+    context.topic.record_failure()
+
+
+@when("a request asks whether it answers")
+def ask_topic(context: Context) -> None:
+    assert not context.topic.is_answering(10.0)
+
+
+@then("one probe was sent")
+def one_probe(context: Context) -> None:
+    assert context.probes == 1
+
+
+@given("a peer whose own calls to the store fail")
+def create_cut_off_peer(context: Context) -> None:
+    create_relay_without_peers(context)
+    fail_newest_call(context)
+    context.asked_addresses.clear()
+
+
+@when("another entry sends it a call to the store")
+def send_call_to_peer(context: Context) -> None:
+    headers = {"x-method": "POST", "x-path": "/v1/log-append?topic=keyed.jobs"}
+    context.status, _ = relay_for_peer(context.relay, headers, b"")
+
+
+@then("it answers at once that nothing was carried out")
+def refused_by_peer(context: Context) -> None:
+    assert context.status == 503 and not context.asked_addresses
