Let target processes refuse starts in evacuated zones

Cause: an order may be on its way, or waiting for a thread, when the owner learns that the zone of its target is evacuated. Only the target process can still withhold the start then.

Change: orders carry the evacuated zones and the offset of the operators' topic that they follow from; both fields are at the end and have defaults, so messages of older processes decode. A target process keeps the set with the highest offset, whatever the token of its owner, refuses starts while its zone is in it, and withholds starts that its threads have not sent yet. Reports state the offset.

Ruled out: a stop order of the owner instead of a refusal, as it would also stop a run that has just begun; keeping the set of the highest token, as a new owner may know less than the previous one.

--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from comfreyshelf.fleet.evacuation.evacuations import OFFSET_UNSUPPORTED
 from comfreyshelf.fleet.jobs import Announcement, EndedRow, RunningRow, Token
+from comfreyshelf.ids import Offset, ZoneId
 
 
 class Rejection(msgspec.Struct, frozen=True, array_like=True):
@@ -40,7 +42,8 @@
     names the VM, which runs one target at a time. `listed_at` is when the target's runner last
     listed its runs, on the sender's clock. If the runner is not `runner_up`, it runs nothing and
     starts nothing until a later report says otherwise. `crashes` repeats the recent crashes of
-    runners on this VM, also of earlier incarnations.
+    runners on this VM, also of earlier incarnations. The process knows the evacuated zones that
+    follow from the records of the operators' topic below `operator_offset`.
     """
 
     sent_at: float
@@ -55,6 +58,7 @@
     listed_at: float = 0.0
     runner_up: bool = True
     crashes: tuple[RunnerCrash, ...] = ()
+    operator_offset: Offset = OFFSET_UNSUPPORTED
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +81,8 @@
     """All open orders of the owner for a target; each message replaces the previous one.
 
     Ended runs with numbers up to `acknowledged` are in the store. `report_sent_at` is
-    `sent_at` of the newest report.
+    `sent_at` of the newest report. Nothing may start in `evacuated_zones`, which follow from the
+    records of the operators' topic below `operator_offset`.
     """
 
     token: Token
@@ -86,6 +91,8 @@
     acknowledged: int
     starts: tuple[StartOrder, ...]
     stops: tuple[StopOrder, ...]
+    evacuated_zones: tuple[ZoneId, ...] = ()
+    operator_offset: Offset = OFFSET_UNSUPPORTED
 
 
 decode_report = msgspec.msgpack.Decoder(Report).decode
--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, monotonic
+from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED
 from comfreyshelf.fleet.jobs import Token
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
@@ -43,6 +44,14 @@
         for start in pending.starts:
             self._pool.submit(self._start, origin, start)
         for order in pending.refused_starts:
+            self._metrics.count(f'starts_refused{{reason="{pending.refusal_reason}"}}')
+            log_event(
+                "start refused",
+                task=order.task,
+                run=order.run,
+                token=pending.token,
+                why=pending.refusal_reason,
+            )
             # The runner may have carried out an earlier copy of the order without an answer, so the
             # run counts as rejected only once it is stopped and no listing shows it.
             self._pool.submit(self._stop, origin, StopOrder(order.task, order.run))
@@ -71,6 +80,12 @@
             if deadline_ms is None:
                 outcome = "no contact to an owner"
                 return
+            if state.is_zone_evacuated():
+                # The evacuation came after the order. The owner repeats the order, which is then
+                # refused.
+                outcome = ZONE_EVACUATED
+                self._metrics.count("starts_in_flight_withheld")
+                return
             is_first = state.record_start_sent(origin.life, order)
             try:
                 self._runner.start(origin.token, origin.life.id, order, deadline_ms)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -7,9 +7,10 @@
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
 from comfreyshelf.fleet.crash_log import CrashLog
+from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
 from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
 from comfreyshelf.fleet.messages import Orders, Rejection, Report, StartOrder, StopOrder
-from comfreyshelf.ids import TargetId
+from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
@@ -28,7 +29,7 @@
 class PendingOrders(NamedTuple):
     """Orders to carry out now on one life of a target, under `token`.
 
-    The runs in `refused_starts` must never start.
+    The runs in `refused_starts` must never start, because of `refusal_reason`.
     """
 
     token: Token
@@ -36,6 +37,7 @@
     starts: list[StartOrder]
     stops: list[StopOrder]
     refused_starts: list[StartOrder]
+    refusal_reason: str = ""
 
 
 class ListingRequest(NamedTuple):
@@ -75,6 +77,7 @@
         self._rejected: dict[tuple[str, int], Rejection] = {}
         # Tasks with an order that is being carried out on the runner.
         self._tasks_with_open_order: set[str] = set()
+        self._zone_guard = ZoneGuard()
         self.token = Token(0)
         self.last_contact_at = float("-inf")
         # The owner has stored the ended runs up to this number.
@@ -271,22 +274,25 @@
                 self._listed_at,
                 not self._is_runner_down(),
                 self._crash_log.recent_crashes(monotonic()),
+                self._zone_guard.offset,
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
         """Apply the owner's orders and return those to carry out now.
 
-        Orders with an older token are ignored. While the target drains or after it has left, starts
-        are returned as refused.
+        Orders with an older token are ignored. While the target drains, after it has left, and
+        while its zone is evacuated, starts are returned as refused.
         """
         with self._lock:
+            # The zone is that of the last heartbeat; it is the same for all targets of a VM.
+            announcement = self._announcement
+            self._zone_guard.apply(orders, announcement.zone if announcement else ZoneId(""))
             if orders.token < self.token:
                 return PendingOrders(orders.token, self.life, [], [], [])
             if orders.token > self.token:
                 log_event("owner changed", token=orders.token, before=self.token)
             self.token = orders.token
             self.last_contact_at = max(self.last_contact_at, orders.report_sent_at)
-            announcement = self._announcement
             if announcement is None or orders.incarnation != announcement.incarnation:
                 return PendingOrders(orders.token, self.life, [], [], [])
             if orders.acknowledged > self.acknowledged:
@@ -313,10 +319,23 @@
             self._tasks_with_open_order |= {order.task for order in starts} | {
                 order.task for order in stops
             }
-            if announcement.draining or self._gone:
-                return PendingOrders(orders.token, self.life, [], stops, starts)
+            reason = self._refusal_reason(announcement)
+            if reason:
+                return PendingOrders(orders.token, self.life, [], stops, starts, reason)
             return PendingOrders(orders.token, self.life, starts, stops, [])
 
+    def _refusal_reason(self, announcement: Announcement) -> str:
+        """Why no start may be carried out; empty if starts are permitted."""
+        if announcement.draining or self._gone:
+            return "draining"
+        return ZONE_EVACUATED if self._zone_guard.is_evacuated(announcement.zone) else ""
+
+    def is_zone_evacuated(self) -> bool:
+        """Whether the target's zone is evacuated, so that no start may be sent to its runner."""
+        with self._lock:
+            announcement = self._announcement
+            return announcement is not None and self._zone_guard.is_evacuated(announcement.zone)
+
     def record_start_sent(self, life: TargetLife, order: StartOrder) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
