Follow the operators' topic for evacuations, and place nothing in evacuated zones

Cause: operators evacuate a zone by a record beside the configuration, of which entries read only the configuration.

Change: `OperatorTopic` replaces `ConfigReader`. It applies the newest record of each key by offset, ignores answers whose end offset is below one that was seen, and ends evacuations that are missing after the store has lost history. The owner reads the topic when it takes over, places nothing in an evacuated zone, nothing on a target that knows newer records, and nothing at all while its knowledge is older than the bound permits (only where `evacuate_s` is set). Units that fit only together with an evacuated zone wait, say so in the log, and reserve no capacity elsewhere.

Ruled out: measuring the age of the knowledge from the request of a long poll, which reaches 2 s on a healthy store, above the limit of 1.7 s; failing the takeover when the topic cannot be read, as targets would lose their leases; sending each successful read to the owner's inbox, where it could be overtaken by a plan.

--- a/comfreyshelf/fleet/codec.py
+++ b/comfreyshelf/fleet/codec.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 
 from comfreyshelf.fleet.jobs import Announcement, FleetConfig, Job, JobPhase, QueueName
-from comfreyshelf.ids import JobId, OrganisationId
+from comfreyshelf.ids import JobId, OrganisationId, ZoneId
 
 
 class Codec(ABC):
@@ -30,6 +30,14 @@
     def decode_config(self, value: bytes) -> FleetConfig:
         """Decode the operators' configuration."""
 
+    @abstractmethod
+    def evacuated_zone(self, key: str) -> ZoneId | None:
+        """Return the zone that a key of the operators' topic evacuates, None if it does not."""
+
+    @abstractmethod
+    def check_evacuation(self, value: bytes) -> None:
+        """Raise UserError if the value of an evacuation's record is malformed."""
+
     @abstractmethod
     def encode_phase(self, phase: JobPhase) -> bytes:
         """Encode the answer to a query for a job's state."""
--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -5,7 +5,8 @@
 
 from comfreyshelf.fleet.bounds import monotonic
 from comfreyshelf.fleet.codec import Codec
-from comfreyshelf.fleet.entry_sync import ConfigReader, JobReader, JobSync
+from comfreyshelf.fleet.entry_sync import JobReader, JobSync
+from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic, OperatorTopicReader
 from comfreyshelf.fleet.http_api import CallerApi
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import JobTable
@@ -55,11 +56,12 @@
         self._owner = OwnerTask(settings, job_table, self.metrics)
         self._hub = Hub(settings.pipe_address, self._receive_report)
         self._job_sync = JobSync(store, job_table, lambda job: self._owner.send(JobChanged(job)))
-        self._config_reader = ConfigReader(store, codec, self._owner.send)
+        self._operator_topic = OperatorTopic(store, codec, self.metrics, self._owner.send)
+        operator_reader = OperatorTopicReader(self._operator_topic)
         caller_api = CallerApi(
             codec,
             job_table,
-            lambda: self._config_reader.config,
+            lambda: self._operator_topic.config,
             lambda record, limit_s: self._job_sync.append([record], max_timeout_s=limit_s),
             self._job_sync.catch_up,
             lambda: self._relay.is_store_reachable,
@@ -74,6 +76,7 @@
         )
         self._election = election
         self._owner.connect(self._job_sync, store, self._hub, election.end_term)
+        self._owner.connect_operators(self._operator_topic, operator_reader.read_up_to)
         self.kernel = Kernel()
         register = self.kernel.register
         register("metrics", self.metrics)
@@ -81,7 +84,7 @@
             register("metrics-server", metrics_server(settings.metrics_address, self.metrics))
         register("hub", self._hub)
         register("owner", self._owner)
-        register("configuration", self._config_reader)
+        register("configuration", operator_reader)
         register("jobs", JobReader(self._job_sync))
         register(
             "control",
@@ -118,7 +121,7 @@
 
     def _handle_ready(self, call: Call) -> Reply:
         is_fresh = monotonic() - self._job_sync.last_read_at < STALE_AFTER_S
-        is_ready = is_fresh and self._config_reader.config is not None and not self._is_stopping
+        is_ready = is_fresh and self._operator_topic.config is not None and not self._is_stopping
         return Reply(200 if is_ready else 503, b"{}")
 
     def _handle_control(self, call: Call) -> Reply:
--- a/comfreyshelf/fleet/entry_sync.py
+++ b/comfreyshelf/fleet/entry_sync.py
@@ -1,15 +1,12 @@
-"""Pollers that apply job records and configuration from the store to an entry's memory."""
+"""Applies job records from the store to an entry's memory."""
 
 import threading
 from collections.abc import Callable
 
 import msgspec
 
-from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.bounds import monotonic
-from comfreyshelf.fleet.codec import Codec
 from comfreyshelf.fleet.job_table import JobTable
-from comfreyshelf.fleet.jobs import FleetConfig
 from comfreyshelf.fleet.store import (
     ExpiredError,
     KeyedRecord,
@@ -109,63 +106,3 @@
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
             self._wait_ms = 0
             self.wait(RETRY_S)
-
-
-class ConfigReader(Poller):
-    """Polls the store for the operators' configuration and passes each newer version on.
-
-    An older version never replaces a newer one.
-    """
-
-    def __init__(
-        self, store: Store, codec: Codec, on_change: Callable[[FleetConfig], None]
-    ) -> None:
-        super().__init__("config-reader")
-        self._store = store
-        self._codec = codec
-        self._on_change = on_change
-        self._next_offset = -1
-        # After a failure, a short read tells whether the store answers at all.
-        self._wait_ms = READ_WAIT_MS
-        self.config: FleetConfig | None = None
-
-    def poll(self) -> None:
-        topic = self._codec.config_topic
-        try:
-            if self._next_offset < 0:
-                batch = self._store.read_newest(topic)
-            else:
-                batch = self._store.read(topic, self._next_offset, self._wait_ms)
-        except ExpiredError as exc:
-            log_event("configuration records expired", why=str(exc))
-            self._next_offset = -1
-            return
-        except (StoreBusyError, StoreSilentError, msgspec.DecodeError):
-            self._wait_ms = 0
-            self.wait(RETRY_S)
-            return
-        self._wait_ms = READ_WAIT_MS
-        self._next_offset = batch.next_offset
-        newest = [r for r in batch.records if r.key == self._codec.config_key and r.value]
-        if newest:
-            self._apply_config(newest[-1].value)
-        elif self.config is None:
-            # The operators' first configuration has not been written yet.
-            self._next_offset = -1
-            self.wait(RETRY_S)
-
-    def _apply_config(self, value: bytes) -> None:
-        try:
-            config = self._codec.decode_config(value)
-        except UserError as exc:
-            log_event("configuration refused", why=str(exc))
-            return
-        if self.config is not None and config.version <= self.config.version:
-            return
-        log_event(
-            "configuration in force",
-            version=config.version,
-            before=self.config.version if self.config else 0,
-        )
-        self.config = config
-        self._on_change(config)
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -8,6 +8,8 @@
     record_failure,
 )
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.evacuation.evacuations import OperatorTopicState
+from comfreyshelf.fleet.evacuation.zone_gate import ZoneGate
 from comfreyshelf.fleet.guarantee import ClaimForecast
 from comfreyshelf.fleet.health.target_health import HealthEvent
 from comfreyshelf.fleet.job_table import StoredJob
@@ -77,6 +79,7 @@
         # Whether something happened since the last planning pass that may change its result.
         self.needs_plan = True
         self._claim_forecast = ClaimForecast()
+        self.zone_gate = ZoneGate(bounds, now)
 
     # Jobs
 
@@ -144,6 +147,14 @@
         for tracked in self.jobs.values():
             tracked.queue = config.queue_by_name(tracked.job.queue) or tracked.queue
 
+    def update_evacuations(self, state: OperatorTopicState) -> None:
+        """Apply what this entry has read of the operators' topic."""
+        if self.zone_gate.update(state):
+            self.needs_plan = True
+            # Each target process has to learn of the change before its next report.
+            for view in self.targets.values():
+                view.orders_changed = True
+
     # Ends of runs and jobs
 
     def _give_up_if_spent(self, tracked: TrackedJob, name: TaskName, unix_now: float) -> None:
@@ -316,12 +327,15 @@
                 self._ended_jobs.discard(job)
                 del self.jobs[job]
 
-    def orders_for(self, view: TargetView, with_stops: bool = True) -> Orders:
+    def orders_for(
+        self, view: TargetView, with_stops: bool = True, with_starts: bool = True
+    ) -> Orders:
         """All open orders for a target.
 
         A start is repeated until the target lists the run or rejects it, a stop until the run has
         ended. Stops are left for a later message unless `with_stops`: unlike starts, they are not
-        proven by an append under the owner's epoch.
+        proven by an append under the owner's epoch. Starts are left for a later one unless
+        `with_starts`: a zone may have been evacuated since they were placed.
         """
         view.orders_changed = False
         starts: list[StartOrder] = []
@@ -329,7 +343,11 @@
         for active in view.active_runs.values():
             if active.stopping_since is not None:
                 stops.append(StopOrder(active.full_name, active.run))
-            elif active.is_stored and not active.is_confirmed and view.lists_known:
+            elif not active.is_stored or active.is_confirmed or not view.lists_known:
+                continue
+            elif self.zone_gate.must_stop_start(view):
+                stops.append(StopOrder(active.full_name, active.run))
+            else:
                 task = active.tracked.task_progress(active.task)
                 starts.append(
                     StartOrder(
@@ -339,6 +357,10 @@
         if stops and not with_stops:
             stops.clear()
             view.orders_changed = True
+        if starts and not with_starts:
+            starts.clear()
+            view.orders_changed = True
+        evacuations = self.zone_gate.evacuations
         return Orders(
             self.token,
             view.incarnation,
@@ -346,4 +368,6 @@
             view.acknowledged_ends,
             tuple(starts),
             tuple(stops),
+            tuple(sorted(evacuations.zones)),
+            evacuations.offset,
         )
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -245,7 +245,7 @@
 
     `room` is its total capacity. While the target drains, at least `drain_left_ms` are left until
     it goes away. `incarnation` is the time of its start in Unix milliseconds, `clock_ms` the
-    current reading of its clock.
+    current reading of its clock. After an evacuation of its zone, it is slow for `cold_left_ms`.
     """
 
     id: TargetId
@@ -259,6 +259,7 @@
     incarnation: Incarnation
     sequence: int
     clock_ms: int
+    cold_left_ms: int = 0
 
 
 class RunningRow(msgspec.Struct, frozen=True, array_like=True):
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -35,6 +35,8 @@
 # expected duration of its task. It is stopped and, if possible, placed on another target.
 MIN_STALL_S = 4.0
 STALL_ESTIMATE_SHARE = 0.3
+# Why a unit waits that would fit only together with targets in evacuated zones.
+ZONES_EVACUATED = "its targets are in evacuated zones"
 
 
 class _PlanningPass(msgspec.Struct):
@@ -66,6 +68,8 @@
         super().__init__(config, bounds, token, now, scheduling)
         # Jobs whose planning raised an error; they wait until the next owner takes over.
         self._failed_jobs: set[JobId] = set()
+        # Whether nothing is placed because the operators' topic was not read lately.
+        self._is_placement_held = False
 
     def plan(self, now: float, unix_now: float) -> None:
         """Run one planning pass.
@@ -77,6 +81,8 @@
         self._drop_silent_targets(now, unix_now)
         self._update_remaining_times(now)
         self._stop_draining_and_stalled_runs(now)
+        if not self._knows_evacuations(now):
+            return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
         planning = _PlanningPass(
@@ -93,30 +99,54 @@
                 self._failed_jobs.add(tracked.job.id)
                 self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
 
+    def _knows_evacuations(self, now: float) -> bool:
+        """Whether work may be placed, as far as evacuations are known; logs what is unusual."""
+        for zone in self.zone_gate.unknown_zones(self.targets.values(), now):
+            self.count("evacuations_of_unknown_zones")
+            self.log_event("unknown zone evacuated", zone=zone)
+        is_held = not self.zone_gate.is_current(now)
+        if is_held != self._is_placement_held:
+            self._is_placement_held = is_held
+            if is_held:
+                self.count('placement_held{reason="operator_topic_not_read"}')
+            self.log_event(
+                "placement held" if is_held else "placement continues",
+                why="the operators' topic was not read lately" if is_held else "it was read",
+                age_s=min(1e6, round(self.zone_gate.read_age_s(now), 2)),
+            )
+        return not is_held
+
     def _place_job(self, tracked: TrackedJob, planning: "_PlanningPass") -> None:
         """Place the units of a job that may start, in one planning pass."""
         unix_now = planning.unix_now
         is_covered = tracked.job.id in planning.covered_ids
         is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
         # Steps of which a task could not be placed. Their other tasks have the same demand and
-        # could not be placed either.
-        blocked_steps: set[tuple[int, int]] = set()
+        # could not be placed either. The value is why.
+        blocked_steps: dict[tuple[int, int], str] = {}
         for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
             needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
-            if (unit.occurrence, unit.step_number) not in blocked_steps:
+            step = (unit.occurrence, unit.step_number)
+            if step not in blocked_steps:
                 if needed_accelerators > planning.unclaimed_accelerators and not may_borrow(
                     tracked, unit, is_in_time
                 ):
                     why = "guarantees may claim the room"
                 else:
                     why = self._place_unit(tracked, unit, is_covered, planning)
+                if why and self.zone_gate.blocks(
+                    unit, planning.capacity.candidates.values(), self.targets.values()
+                ):
+                    why = ZONES_EVACUATED
                 self._log_wait(tracked, unit, why, unix_now)
                 if not why:
                     planning.unclaimed_accelerators -= 0 if is_covered else needed_accelerators
                     continue
-                blocked_steps.add((unit.occurrence, unit.step_number))
+                blocked_steps[step] = why
+            # What waits for a zone may wait for hours, so it reserves no capacity elsewhere.
             if (
-                planning.reserved_units < MAX_RESERVED_UNITS
+                blocked_steps[step] != ZONES_EVACUATED
+                and planning.reserved_units < MAX_RESERVED_UNITS
                 and tracked.priority <= 1
                 and is_in_time
             ):
@@ -203,8 +233,10 @@
         return candidates
 
     def _may_start_on(self, view: TargetView, now: float) -> bool:
-        return view.can_accept_work(now) and self.policies.health.may_start(
-            view.announcement, view.machine, now
+        return (
+            view.can_accept_work(now)
+            and self.zone_gate.may_start_on(view)
+            and self.policies.health.may_start(view.announcement, view.machine, now)
         )
 
     def _place_unit(
@@ -256,6 +288,8 @@
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
         """Log why a unit waits, if the reason differs from the last one logged for its job."""
         if why and why != tracked.wait_reason:
+            if why == ZONES_EVACUATED:
+                self.count("units_waiting_for_zones")
             self.log_event(
                 "unit waits",
                 job=tracked.job.id,
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -8,6 +8,8 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.bounds import MEMBERSHIP_TIMEOUT_S, monotonic
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
+from comfreyshelf.fleet.evacuation.evacuations import Evacuations
+from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
     JobTable,
@@ -30,7 +32,7 @@
     StoreSilentError,
     Writer,
 )
-from comfreyshelf.ids import JobId, TargetId
+from comfreyshelf.ids import JobId, Offset, TargetId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.tasks import Task
@@ -63,7 +65,10 @@
     job: JobId
 
 
-class OwnerTask(Task[ReportReceived | JobChanged | Membership | FleetConfig]):
+OwnerMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations
+
+
+class OwnerTask(Task[OwnerMessage]):
     """Runs an OwnerCore while this entry owns the schedule: stores its changes, sends its orders.
 
     A run is ordered to start only after its start is stored.
@@ -78,6 +83,8 @@
         self._store: Store | None = None
         self._hub: Hub | None = None
         self._end_term: Callable[[], None] = lambda: None
+        self._operator_topic: OperatorTopic | None = None
+        self._read_operators_up_to: Callable[[Offset], None] = lambda offset: None
         self._config: FleetConfig | None = None
         self._core: OwnerCore | None = None
         self._generation = 0
@@ -104,7 +111,14 @@
         self._job_sync, self._store, self._hub = job_sync, store, hub
         self._end_term = end_term
 
-    def handle(self, message: ReportReceived | JobChanged | Membership | FleetConfig) -> None:
+    def connect_operators(self, topic: OperatorTopic, read_up_to: Callable[[Offset], None]) -> None:
+        """Set the operators' topic; called once, before start.
+
+        `read_up_to` makes this entry read the topic up to an offset that a target process knows.
+        """
+        self._operator_topic, self._read_operators_up_to = topic, read_up_to
+
+    def handle(self, message: OwnerMessage) -> None:
         """Process one event; planning runs once the inbox is empty."""
         match message:
             case Membership():
@@ -113,11 +127,15 @@
                 self._config = message
                 if self._core is not None:
                     self._core.configure(message)
+            case Evacuations():
+                # Each plan and each message of orders uses what the topic's reader knows by then.
+                pass
             case ReportReceived(report, received_at):
                 if self._core is None:
                     self._send_not_owner(report.announcement.id)
                 else:
                     self._core.handle_report(report, received_at, self._unix_now())
+                    self._read_operators_up_to(report.operator_offset)
                     view = self._core.targets.get(report.announcement.id)
                     if view is not None:
                         view.orders_changed = True
@@ -143,6 +161,10 @@
             set_gauge('belief_age_seconds{of="jobs"}', round(now - self._job_sync.last_read_at, 3))
         if self._config is not None:
             set_gauge("configuration_version", self._config.version)
+        if self._operator_topic is not None:
+            topic = self._operator_topic.state
+            set_gauge('belief_age_seconds{of="operators"}', round(now - topic.current_at, 3))
+            set_gauge("evacuated_zones", len(topic.evacuations.zones))
         if self._core is not None:
             report_ages_s = [now - view.seen_at for view in self._core.targets.values()]
             set_gauge('belief_age_seconds{of="targets"}', round(max(report_ages_s, default=0.0), 3))
@@ -169,7 +191,7 @@
 
     def _take_over(self) -> None:
         assert self._job_sync is not None and self._store is not None and self._config is not None
-        epoch = self._generation
+        epoch, elected_at = self._generation, monotonic()
         try:
             self._store.append(JOBS_TOPIC, [], Writer(WRITER_NAME, epoch, 0))
             self._job_sync.catch_up()
@@ -189,10 +211,27 @@
         )
         self._core.log_event = log_event
         self._core.count = self._metrics.count
+        self._read_operators(self._core, elected_at)
         for stored in self._job_table.accepted_jobs():
             self._load_job(self._core, stored, now)
         log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
+    def _read_operators(self, core: OwnerCore, elected_at: float) -> None:
+        """Read the operators' topic once, as the previous owner may have known more of it.
+
+        If that fails, the core places nothing until the topic's reader has succeeded.
+        """
+        if self._operator_topic is None:
+            return
+        core.zone_gate.accept_reads_since(elected_at)
+        if self._settings.bounds.evacuate_s:
+            try:
+                self._operator_topic.catch_up()
+            except (StoreBusyError, StoreSilentError, msgspec.DecodeError) as exc:
+                self._metrics.count('retries{reason="operator_topic_read"}')
+                log_event("operator topic not read", epoch=core.token, why=str(exc))
+        core.update_evacuations(self._operator_topic.state)
+
     def _load_job(self, core: OwnerCore, stored: StoredJob, now: float) -> None:
         """Load a job; one whose records make no sense must not keep all others from loading."""
         try:
@@ -224,6 +263,8 @@
         if monotonic() - self._membership_confirmed_at > MEMBERSHIP_TIMEOUT_S:
             self._resign("membership is not confirmed")
             return
+        if self._operator_topic is not None:
+            core.update_evacuations(self._operator_topic.state)
         if is_tick or core.needs_plan:
             core.plan(monotonic(), self._unix_now())
         if self._store_changes(core):
@@ -314,6 +355,12 @@
         is_lead_certain = monotonic() - proven_at <= LEAD_CERTAIN_S
         if not is_lead_certain:
             self._metrics.count("orders_without_stops")
+        if self._operator_topic is not None:
+            # An append may have taken long since the plan.
+            core.update_evacuations(self._operator_topic.state)
+        may_start = core.zone_gate.is_current(monotonic())
+        if not may_start:
+            self._metrics.count("orders_without_starts")
         for view in core.targets.values():
             if view.orders_changed:
-                self._hub.send(view.id, core.orders_for(view, with_stops=is_lead_certain))
+                self._hub.send(view.id, core.orders_for(view, is_lead_certain, may_start))
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -269,7 +269,7 @@
     def _max_tasks_when_empty(unit: Unit, group: list[CandidateTarget]) -> int:
         """How many tasks of the unit would fit on the targets of a group if these were empty."""
         demand = unit.step.demand
-        return sum(_max_tasks_that_fit(candidate.announcement.room, demand) for candidate in group)
+        return sum(max_tasks_that_fit(candidate.announcement.room, demand) for candidate in group)
 
     def _assign_greedily(
         self,
@@ -320,7 +320,7 @@
         return assignment
 
 
-def _max_tasks_that_fit(room: Resources, demand: Resources) -> int:
+def max_tasks_that_fit(room: Resources, demand: Resources) -> int:
     """How many tasks with this demand fit into the room together."""
     quotients = [
         available // demanded
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -52,6 +52,8 @@
         view.seen_at = now
         view.report_sent_at = report.sent_at
         view.listed_at = report.listed_at or report.sent_at
+        view.operator_offset = report.operator_offset
+        self._update_cold(view, now)
         if report.gone:
             self._drop_runs(view, unix_now, "its target left")
             del self.targets[target]
@@ -65,6 +67,14 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
+    def _update_cold(self, view: TargetView, now: float) -> None:
+        """Record for how long a target will be slow after an evacuation of its zone."""
+        cold_left_s = view.announcement.cold_left_ms / 1000
+        if cold_left_s and view.cold_until <= now:
+            self.count("targets_cold")
+            self.log_event("target cold", target=view.id, left_s=cold_left_s)
+        view.cold_until = now + cold_left_s if cold_left_s else 0.0
+
     def _count_crashes(self, report: Report, unix_now: float) -> None:
         """Count crashes against the tasks that may have caused them."""
         for crash in report.crashes:
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -4,9 +4,10 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.bounds import LISTING_SUSPECT_S, SUSPECT_AFTER_S
+from comfreyshelf.fleet.evacuation.evacuations import OFFSET_UNSUPPORTED
 from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunningRow
 from comfreyshelf.fleet.messages import Report, StopOrder
-from comfreyshelf.ids import TargetId
+from comfreyshelf.ids import Offset, TargetId
 
 # A target that refused a start gets no other for this long; its next heartbeat tells what room it
 # has.
@@ -22,7 +23,8 @@
     are in the store as well. `unwanted_runs` are stop orders for listed runs that the owner does
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
     A target whose runner refused a start gets none until `no_starts_until`. `orders_changed` is set
-    when new orders have to be sent.
+    when new orders have to be sent. `operator_offset` is up to where the target process knows the
+    operators' topic. The target is slow until `cold_until`, after an evacuation of its zone.
     """
 
     announcement: Announcement
@@ -39,6 +41,8 @@
     drain_until: float = 0.0
     no_starts_until: float = 0.0
     orders_changed: bool = True
+    operator_offset: Offset = OFFSET_UNSUPPORTED
+    cold_until: float = 0.0
 
     @property
     def id(self) -> TargetId:
--- a/comfreyshelf/platform/wire.py
+++ b/comfreyshelf/platform/wire.py
@@ -29,6 +29,8 @@
 MAX_PAYLOAD_BYTES = 4000
 CONFIG_KEY = "config"
 OPERATOR_TOPIC = "op"
+# Prefix of the keys of evacuations, followed by the zone.
+_EVACUATION_PREFIX = "evacuate/"
 _INSTANCES_PATH = "/v1/instances/"
 
 _STATE_BY_PHASE = {
@@ -102,6 +104,12 @@
     clock_ms: int = 0
     # When the runner started, in Unix milliseconds; it identifies the target's incarnation.
     born: int = 0
+    # For how long the target will be slow, after an evacuation of its zone.
+    cold_left_ms: int = 0
+
+
+class _Evacuation(msgspec.Struct):
+    """The value of an evacuation's record, which has no fields yet."""
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -220,6 +228,7 @@
         Incarnation(heartbeat.born),
         heartbeat.sequence,
         heartbeat.clock_ms,
+        max(0, heartbeat.cold_left_ms),
     )
 
 
@@ -255,6 +264,18 @@
     )
 
 
+def evacuated_zone(key: str) -> ZoneId | None:
+    """The zone that a key of the operators' topic evacuates; None for keys of other records."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return ZoneId(key.removeprefix(_EVACUATION_PREFIX))
+
+
+def check_evacuation(value: bytes) -> None:
+    """Raise WireError if the value of an evacuation's record is no object."""
+    _decode(value, _Evacuation)
+
+
 def encode_phase(phase: JobPhase) -> bytes:
     """Encode the answer to a query for a job's state."""
     return msgspec.json.encode({"state": _STATE_BY_PHASE[phase]})
@@ -284,6 +305,12 @@
     def decode_config(self, value: bytes) -> FleetConfig:
         return decode_config(value)
 
+    def evacuated_zone(self, key: str) -> ZoneId | None:
+        return evacuated_zone(key)
+
+    def check_evacuation(self, value: bytes) -> None:
+        check_evacuation(value)
+
     def encode_phase(self, phase: JobPhase) -> bytes:
         return encode_phase(phase)
 
