Test evacuations by feature, and place work at once when the topic has been read

Cause: evacuations had no tests. The scenario of a new owner that cannot read the operators' topic failed: the start came with the next tick, up to 0.25 s after the topic had been read.

The simulated targets have a zone and refuse starts there.

Ruled out: a message from the topic's reader to the owner after each read, at one a second for every entry, where the next event or tick serves as well.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -82,6 +82,8 @@
         self._update_remaining_times(now)
         self._stop_draining_and_stalled_runs(now)
         if not self._knows_evacuations(now):
+            # Work is placed as soon as the topic has been read, without waiting for a tick.
+            self.needs_plan = True
             return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -71,7 +71,7 @@
     """Calls an OwnerTask's handlers, as its thread would."""
 
     def __init__(
-        self, stack: ExitStack, store: FakeStore | None = None, **settings_options: int
+        self, stack: ExitStack, store: FakeStore | None = None, **settings_options: object
     ) -> None:
         self.now = 1000.0
         self.store, self.hub, self.metrics = store or FakeStore(), FakeHub(), Metrics()
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -1,6 +1,7 @@
 """A fleet owner with a simulated clock, store and targets, shared by several step files."""
 
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.evacuation.evacuations import OFFSET_UNSUPPORTED
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     Announcement,
@@ -18,7 +19,7 @@
     Step,
     Token,
 )
-from comfreyshelf.fleet.messages import CrashedRun, Report, RunnerCrash
+from comfreyshelf.fleet.messages import CrashedRun, Orders, Rejection, Report, RunnerCrash
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.ids import (
     JobId,
@@ -59,6 +60,10 @@
         self.machine = machine or f"m{number}"
         self.born = born
         self.service = SERVICE
+        self.zone = ZoneId("z")
+        # Up to where its target process knows the operators' topic.
+        self.operator_offset = OFFSET_UNSUPPORTED
+        self.rejected: list[Rejection] = []
         self.running: dict[str, RunningRow] = {}
         self.stopping: dict[str, int] = {}
         self.ended: list[EndedRow] = []
@@ -93,7 +98,7 @@
         announcement = Announcement(
             self.id,
             self.service,
-            ZoneId("z"),
+            self.zone,
             RackId(f"r{self.number // 2}"),
             ("a", f"r{self.number // 2}"),
             self.room,
@@ -112,12 +117,28 @@
             True,
             running,
             unacknowledged,
-            (),
+            tuple(self.rejected),
             self.machine,
             runner_up=self.down_until is None,
             crashes=tuple(self.crashes),
+            operator_offset=self.operator_offset,
         )
 
+    def refuse_evacuated(self, orders: Orders) -> bool:
+        """Refuse the starts of orders that evacuate the target's zone, if the process can."""
+        self.rejected.clear()
+        if self.operator_offset == OFFSET_UNSUPPORTED:
+            return False
+        self.operator_offset = max(self.operator_offset, orders.operator_offset)
+        is_evacuated = self.zone in orders.evacuated_zones
+        if is_evacuated:
+            self.rejected += [
+                Rejection(start.task, start.run, "zone evacuated")
+                for start in orders.starts
+                if start.task not in self.running
+            ]
+        return is_evacuated
+
     def end(self, task: str, kind: EndKind, checkpoint: str = "") -> None:
         row = self.running.pop(task)
         self.ended.append(EndedRow(len(self.ended) + 1, task, row.run, kind, checkpoint))
@@ -130,9 +151,10 @@
     enough rounds for these to take effect.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: Bounds | None = None) -> None:
         self.now = 100.0
-        self.core = OwnerCore(CONFIG, Bounds(), Token(1), self.now)
+        self.bounds = bounds or Bounds()
+        self.core = OwnerCore(CONFIG, self.bounds, Token(1), self.now)
         self.targets = [FakeTarget(number) for number in range(4)]
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
@@ -154,7 +176,7 @@
 
     def take_over(self) -> None:
         """Replace the owner by a new one, which knows what the old one has stored."""
-        self.core = OwnerCore(CONFIG, Bounds(), Token(self.core.token + 1), self.now)
+        self.core = OwnerCore(CONFIG, self.bounds, Token(self.core.token + 1), self.now)
         for job, progress in self.log.items():
             stored = StoredJob(self.jobs[job], job in self.cancelled, progress)
             self.core.load_job(stored, self.now, self.unix_now)
@@ -176,7 +198,8 @@
                 continue
             orders = self.core.orders_for(view)
             target.acknowledged = orders.acknowledged
-            for start in orders.starts:
+            is_evacuated = target.refuse_evacuated(orders)
+            for start in () if is_evacuated else orders.starts:
                 if start.task not in target.running:
                     target.running[start.task] = RunningRow(start.task, start.run, "", 1)
                     target.started.append((start.task, start.run))
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -367,8 +367,9 @@
 class Deployment:
     """Entries and target processes on loopback, each with its own services."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, bounds: Bounds | None = None) -> None:
         self.store = start_store(context)
+        self.bounds = bounds or Bounds()
         self.stack = context.stack
         self.entries = [self._entry(number) for number in range(2)]
         self.runners = [self._target(number) for number in range(3)]
@@ -385,6 +386,7 @@
             free_address(),
             pipe_port,
             (),
+            bounds=self.bounds,
             **more,  # type: ignore[arg-type]
         )
 
@@ -419,12 +421,17 @@
 
 
 @given("a store, two entries, and three target processes with runners")
-def start_deployment(context: Context) -> None:
+def start_deployment(context: Context, bounds: Bounds | None = None) -> None:
     context.stack.callback(
         setattr, entry_module, "SHUTDOWN_NOTICE_S", entry_module.SHUTDOWN_NOTICE_S
     )
     entry_module.SHUTDOWN_NOTICE_S = 0.1
-    context.fleet = Deployment(context)
+    context.fleet = Deployment(context, bounds)
+
+
+@given("a deployment of two entries and three target processes, whose zones may be evacuated")
+def start_evacuable_deployment(context: Context) -> None:
+    start_deployment(context, Bounds(evacuate_s=5.0))
 
 
 @when("a job of 5 tasks is submitted at one entry")
