Stop counting capacity once a waiting unit is known to fit

Cause: each waiting unit was compared with all targets while a zone was evacuated, which is a cost of waiting units times targets in each planning pass.

Change: the count ends as soon as the targets in service could hold the unit; only units that really wait for a zone look at all of them.

Ruled out: a cache by step, which would have to be dropped with each change of targets or zones.

--- a/comfreyshelf/fleet/evacuation/zone_gate.py
+++ b/comfreyshelf/fleet/evacuation/zone_gate.py
@@ -99,19 +99,24 @@
         """Whether a unit waits for an evacuated zone: it fits only together with targets there."""
         if not self._state.evacuations.zones:
             return False
-        evacuated = [
+        tasks = len(unit.tasks)
+        usable = _count_tasks(unit, candidates, tasks)
+        if usable >= tasks:
+            return False
+        evacuated = (
             CandidateTarget(view.announcement, view.announcement.room)
             for view in views
             if self.is_evacuated(view.announcement)
-        ]
-        usable = _max_tasks(unit, candidates)
-        return usable < len(unit.tasks) <= usable + _max_tasks(unit, evacuated)
-
-
-def _max_tasks(unit: Unit, candidates: Iterable[CandidateTarget]) -> int:
-    """How many tasks of a unit the targets could hold if they were empty."""
-    return sum(
-        max_tasks_that_fit(candidate.announcement.room, unit.step.demand)
-        for candidate in candidates
-        if candidate.can_run(unit)
-    )
+        )
+        return _count_tasks(unit, evacuated, tasks - usable) >= tasks - usable
+
+
+def _count_tasks(unit: Unit, candidates: Iterable[CandidateTarget], enough: int) -> int:
+    """How many tasks of a unit the targets could hold if they were empty; counts to `enough`."""
+    count = 0
+    for candidate in candidates:
+        if count >= enough:
+            break
+        if candidate.can_run(unit):
+            count += max_tasks_that_fit(candidate.announcement.room, unit.step.demand)
+    return count
