Leave orders that come while a target process stops to the next process

Ruled out: closing the link first, as its last report tells the owner what has started. Change: the executor refuses orders once it is closed, and counts them. Figures: the new scenario fails without the change (cannot schedule new futures after shutdown).

--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -1,5 +1,6 @@
 """Carries out the owner's orders on the runner of a target process."""
 
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from typing import NamedTuple
 
@@ -34,9 +35,19 @@
         self._pool = ThreadPoolExecutor(_ORDER_THREADS, "order")
         # Starts (task, run) sent by this process that the runner has not answered.
         self._unanswered_starts: set[tuple[str, int]] = set()
+        # Protects `_is_closed`, after which the pool takes no more work.
+        self._submit_lock = threading.Lock()
+        self._is_closed = False
 
     def execute(self, orders: Orders) -> None:
-        """Submit all orders that are not already in progress."""
+        """Submit all orders that are not already in progress; none once the process stops."""
+        with self._submit_lock:
+            if self._is_closed:
+                self._metrics.count("orders_while_stopping")
+                return
+            self._submit(orders)
+
+    def _submit(self, orders: Orders) -> None:
         pending = self._state.apply_orders(orders)
         origin = _Origin(pending.token, pending.life, monotonic())
         for stop in pending.stops:
@@ -150,4 +161,6 @@
 
     def close(self) -> None:
         """Cancel queued orders and wait for those in progress."""
+        with self._submit_lock:
+            self._is_closed = True
         self._pool.shutdown(wait=True, cancel_futures=True)
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -133,6 +133,13 @@
     When the process is paused for 3 seconds, and the runner answers again
     Then the order that waited is not carried out
 
+  Scenario: Orders that come while the target process stops are left to the next process
+    # Guards against an error that ends the thread that receives orders, as the pool that carries
+    # them out is closed already.
+    Given a target process that has orders of an owner with token 5
+    When the process stops, and an owner with token 5 orders a start and a stop
+    Then nothing is carried out
+
   Scenario: An order for a runner that has crashed is not carried out on the one that follows
     # Guards against a run that its owner has given up with its runner and started elsewhere, and that
     # an order of before starts once more.
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -401,6 +401,18 @@
     assert context.state.last_contact_at == context.clock - 2.0
 
 
+@when("the process stops, and an owner with token {token:d} orders a start and a stop")
+def send_orders_while_stopping(context: Context, token: int) -> None:
+    context.runner.answers.set()
+    context.executor.close()
+    send_old_orders(context, token)
+
+
+@then("nothing is carried out")
+def check_nothing_carried_out(context: Context) -> None:
+    assert not context.runner.started and not context.runner.stopped
+
+
 @given("a target process whose runner answers no call")
 def start_hanging_runner(context: Context) -> None:
     start_target_process(context)
