Test that reads before the election do not count, and that the limits add up

No scenario tied the limits to the timeouts that they allow for.

Change: the entry has read the topic 0.5 s before its election; a scenario adds up the limits and the timeouts of orders and of calls to runners.

--- a/features/fleet_evacuation.feature
+++ b/features/fleet_evacuation.feature
@@ -161,6 +161,11 @@
     When reads of the topic fail for 8 s and a job is accepted
     Then the job does not run, and that placement is held is logged and counted once
 
+  Scenario: The limits leave time for a start that is on its way
+    # Guards against longer timeouts of orders or of calls to runners that make starts come later
+    # than the bound, or later than a disturbance of the store extends it.
+    Then the limit and the time that a start may take are at most 5 s, and 11 s while reads fail
+
   Scenario: Without evacuations in the deployment, starts do not depend on the topic
     # Guards against a pause of starts in deployments that have no evacuations, also where the store
     # serves the owner an old copy.
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -8,11 +8,12 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds
 from comfreyshelf.fleet.evacuation import operator_topic
 from comfreyshelf.fleet.evacuation.evacuations import (
     OFFSET_UNSUPPORTED,
     Evacuations,
+    max_read_age_s,
 )
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic, OperatorTopicReader
 from comfreyshelf.fleet.job_table import job_record
@@ -42,6 +43,7 @@
 from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.ids import JobId, Offset, OrganisationId, TargetId, ZoneId
 from comfreyshelf.metrics import Metrics
+from comfreyshelf.platform.runner import CALL_TIMEOUT_S as RUNNER_TIMEOUT_S
 from comfreyshelf.platform.wire import PlatformCodec, decode_announcement
 from features.evacuation_world import EVACUATE_S, EvacuationWorld, FakeOperatorStore
 from features.owner_task_world import OwnerTaskWorld
@@ -427,6 +429,17 @@
     assert world.counts.count('placement_held{reason="operator_topic_not_read"}') == 1
 
 
+@then(
+    "the limit and the time that a start may take are at most {seconds:d} s, "
+    "and {more:d} s while reads fail"
+)
+def check_limits(context: Context, seconds: int, more: int) -> None:
+    bounds = Bounds(evacuate_s=seconds)
+    start_s = CONTACT_GRACE_S + RUNNER_TIMEOUT_S
+    assert max_read_age_s(bounds, failing=False) + start_s <= seconds
+    assert max_read_age_s(bounds, failing=True) + start_s <= more
+
+
 @given("each target reports that it knows newer records")
 def report_newer_records_everywhere(context: Context) -> None:
     for target in context.world.targets:
@@ -645,6 +658,9 @@
         JobId("job"), OrganisationId("other"), QueueName("usual"), "spec", (step(1),), time.time()
     )
     context.owner.store.append("jobs", [job_record(job)])
+    # What was read shortly before the election is recent, but the previous owner may know more.
+    read_topic(context)
+    context.owner.now += 0.5
     context.sender = FakeTarget(0)
     context.sender.operator_offset = Offset(0)
 
