Predict run times as distributions learned from all runs

Cause: the owner expected the mean of a queue's ended or projected runs, or the shortest sibling. Change: the feature `prediction` selects QuantileModel: decayed histograms of seconds and of the ratio to the estimate, by queue, gang and organisation, combined by inverse variance, and siblings by their own spread. Runs that end otherwise than done count as at least as long as they made progress. A gang counts once, with its slowest member. Progress that goes backwards is counted, and the speed is measured anew from there, also without the feature; a run over its time is not expected to end at once. DurationsRecord is the state for the next owner; nothing stores it yet.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,11 +1,12 @@
 """Measures the decision times and memory of the fleet's owner, by number of targets.
 
-Example: python -m benchmarks.fleet_cost
+Example: python -m benchmarks.fleet_cost [FEATURE...]
 """
 
 import gc
 import random
 import statistics
+import sys
 import time
 import tracemalloc
 
@@ -26,6 +27,7 @@
 )
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, Version, ZoneId
 
 SIZES = (11, 64, 300, 1_000, 2_000)
@@ -36,6 +38,7 @@
 QUEUED_JOBS = 20
 REPORT_ROUNDS = 20
 SEED = 7
+SCHEDULING = Scheduling(frozenset(Feature(name) for name in sys.argv[1:]))
 SERVICE = ServiceId("permit")
 TARGET_RESOURCES = Resources(64_000, 262_144, 8)
 SMALL_TASK = Resources(5_000, 16_000, 1)
@@ -59,7 +62,7 @@
             for n in range(ORGANISATIONS)
         )
         config = FleetConfig(Version(1), queues, organisations, 262_144)
-        self.core = OwnerCore(config, Bounds(), Token(1), self.now)
+        self.core = OwnerCore(config, Bounds(), Token(1), self.now, SCHEDULING)
         self.size = size
         self.running: dict[int, dict[str, int]] = {n: {} for n in range(size)}
         self.job_count = 0
--- a/benchmarks/fleet_policy.py
+++ b/benchmarks/fleet_policy.py
@@ -1,6 +1,7 @@
 """Worth of the owner's decisions under load, on simulated targets.
 
-Run it with `python -m benchmarks.fleet_policy SITE FIRST_SEED END_SEED`; SITE is small or large.
+Run it with `python -m benchmarks.fleet_policy SITE FIRST_SEED END_SEED [FEATURE...]`; SITE is small
+or large, and each FEATURE is one of the scheduling settings.
 Jobs of three kinds arrive at random and in bursts. A job earns its worth if it ends within its
 objective, less if it ends late; work that is thrown away costs a fixed amount a core-second.
 """
@@ -31,6 +32,7 @@
 )
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, Version, ZoneId
 
 TICK_S = 0.1
@@ -169,7 +171,7 @@
 class Simulation:
     """One day of load on one owner."""
 
-    def __init__(self, site: Site, seed: int) -> None:
+    def __init__(self, site: Site, seed: int, scheduling: Scheduling | None = None) -> None:
         self.site, self.rng, self.now = site, random.Random(seed), 0.0
         queues = tuple(
             Queue(
@@ -190,7 +192,7 @@
             for n in range(site.organisations)
         )
         config = FleetConfig(Version(1), queues, organisations, 1000)
-        self.core = OwnerCore(config, Bounds(), Token(1), self.now)
+        self.core = OwnerCore(config, Bounds(), Token(1), self.now, scheduling)
         self.targets = [_Target(n, site, self.rng.uniform(0.8, 1.2)) for n in range(site.targets)]
         self.by_id = {target.id: target for target in self.targets}
         self.work_s: dict[str, float] = {}
@@ -340,7 +342,8 @@
 def main() -> None:
     """Play days of one site from seeds and print each result, and the mean."""
     site, first, last = SITES[sys.argv[1]], int(sys.argv[2]), int(sys.argv[3])
-    results = [Simulation(site, seed).play() for seed in range(first, last)]
+    scheduling = Scheduling(frozenset(Feature(name) for name in sys.argv[4:]))
+    results = [Simulation(site, seed, scheduling).play() for seed in range(first, last)]
     for name in ("worth", "in_time", "waste", "stops", "runs"):
         values = [getattr(result, name) for result in results]
         print(f"{name:8} mean {sum(values) / len(values):9.3f}  worst {min(values):9.3f}")
--- a/comfreyshelf/fleet/active_run.py
+++ b/comfreyshelf/fleet/active_run.py
@@ -30,6 +30,18 @@
 MAX_LISTING_GAP_S = 2.0
 
 
+class FirstExpectation(msgspec.Struct, frozen=True):
+    """The run time that was expected of a run when it started, to compare it with the actual one.
+
+    `median_s` and `high_s` are quantiles in seconds; `has_siblings` is whether another task of the
+    step had shown its run time.
+    """
+
+    median_s: float
+    high_s: float
+    has_siblings: bool
+
+
 class ActiveRun(msgspec.Struct):
     """A run that occupies resources of a target.
 
@@ -63,6 +75,11 @@
     stalled_s: float = 0.0
     is_duration_recorded: bool = False
     slowdown: float = 1.0
+    # Whether the reported progress has ever gone backwards.
+    has_regressed: bool = False
+    # What was expected when the target first listed the run: the median and the high quantile, in
+    # seconds, and whether siblings had shown their run times. None until then.
+    first_expectation: FirstExpectation | None = None
     # Worked out once from the task's name, as each planning pass asks for them.
     full_name: str = ""
     step_number: int = 0
@@ -86,7 +103,16 @@
         if not self.is_confirmed:
             self.started_at, self.first_percent, self.first_reported_at = now, percent, listed_at
             self.listed_at = listed_at
+            self.first_expectation = FirstExpectation(
+                self.expected_s(Quantile.MEDIAN),
+                self.expected_s(Quantile.HIGH),
+                self.tracked.has_siblings(self.step_number),
+            )
         self.is_confirmed = True
+        if percent < self.percent:
+            # A speed is measured only over progress that has not been taken back.
+            self.has_regressed = True
+            self.first_percent, self.first_reported_at = percent, listed_at
         if percent != self.percent or not self.percent_changed_at:
             self.percent, self.percent_changed_at = percent, now
             self.percent_reported_at, self.stalled_s = listed_at, 0.0
@@ -112,20 +138,38 @@
         """Expected seconds of the whole task where this run is."""
         return self.tracked.task_duration_s(self.step_number, quantile) * self.slowdown
 
+    def record_end(self, is_whole: bool, now: float) -> None:
+        """Learn from the end of a run, unless its duration was projected already.
+
+        A run that does not do the `whole` task shows that the task takes at least as long as the
+        run made progress: a run on a target that hangs says nothing of its task.
+        """
+        if self.is_duration_recorded:
+            return
+        if is_whole:
+            self.record_duration(now - self.started_at)
+        elif self.is_confirmed and self.percent_reported_at > self.first_reported_at:
+            worked_s = self.percent_reported_at - self.first_reported_at
+            self.record_duration(worked_s, is_at_least=True)
+
     def worked_s(self, now: float) -> float:
         """Seconds of work done by the run, including work done before this owner first saw it."""
         prior_work_s = self.first_percent / 100 * self.expected_s()
         return prior_work_s + now - self.started_at
 
-    def remaining_s(self, now: float) -> float:
+    def remaining_s(self, now: float, quantile: Quantile = Quantile.MEDIAN) -> float:
         """Expected seconds until the run ends.
 
         Once the run has made MIN_PROGRESS_PERCENT of progress, its speed is extrapolated. Before
-        that, the expected duration of the task is used.
+        that, the expected duration of the task is used, given that it takes at least as long as it
+        has run.
         """
         gained_percent = self.percent - self.first_percent
         elapsed_s = self.percent_reported_at - self.first_reported_at
         if gained_percent >= MIN_PROGRESS_PERCENT and elapsed_s > 0:
+            elapsed_s += self.tracked.progress_error_s(quantile)
             remaining_s = (100 - self.percent) * elapsed_s / gained_percent
             return max(0.0, remaining_s - (now - self.percent_changed_at))
-        return max(0.0, self.expected_s() - (now - self.started_at))
+        ran_s = now - self.started_at
+        expected_s = self.tracked.task_duration_s(self.step_number, quantile, ran_s / self.slowdown)
+        return max(0.0, expected_s * self.slowdown - ran_s)
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -195,9 +195,8 @@
                 tracked.task_progress(member).checkpoint = checkpoint
         lasting = active.step.lasting
         self._record_health(view, tracked.job.id, kind, now)
+        active.record_end(kind is EndKind.DONE and not task.resumed_from, now)
         if kind is EndKind.DONE:
-            if not active.is_duration_recorded and not task.resumed_from:
-                active.record_duration(now - active.started_at)
             if not lasting:
                 self._complete_task(tracked, active.task, active.run, unix_now)
         elif kind is EndKind.FAILED:
--- a/comfreyshelf/fleet/learned/state.py
+++ b/comfreyshelf/fleet/learned/state.py
@@ -12,6 +12,11 @@
     # Key of the record.
     name: str
 
+    @property
+    def revision(self) -> int | None:
+        """A number that changes with the state; None if only its encodings can be compared."""
+        return None
+
     @abstractmethod
     def encode(self, unix_now: float) -> bytes:
         """The record's value."""
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -6,9 +6,11 @@
 from comfreyshelf.fleet.health.target_health import TargetHealth
 from comfreyshelf.fleet.learned.state import LearnedState
 from comfreyshelf.fleet.prediction.model import DurationModel
+from comfreyshelf.fleet.prediction.quantile_model import QuantileModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
+from comfreyshelf.fleet.prediction.record import DurationsRecord
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -24,4 +26,9 @@
 
 def make_policies(scheduling: Scheduling) -> Policies:
     """The policies for the features that are in use."""
-    return Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), DeadlineRanking())
+    durations: DurationModel = QueueMeanModel()
+    learned: list[LearnedState] = []
+    if scheduling.uses(Feature.PREDICTION):
+        durations = quantiles = QuantileModel()
+        learned.append(DurationsRecord(quantiles))
+    return Policies(durations, UniformSpeeds(), Quarantine(), DeadlineRanking(), tuple(learned))
--- a/comfreyshelf/fleet/prediction/model.py
+++ b/comfreyshelf/fleet/prediction/model.py
@@ -30,13 +30,27 @@
     """Expected run times of the tasks of one job."""
 
     @abstractmethod
-    def expected_s(self, step_number: int, quantile: Quantile = Quantile.MEDIAN) -> float:
-        """Expected seconds of one task of a step on a target of speed 1 near its data."""
+    def expected_s(
+        self, step_number: int, quantile: Quantile = Quantile.MEDIAN, at_least_s: float = 0.0
+    ) -> float:
+        """Expected seconds of one task of a step on a target of speed 1 near its data.
+
+        `at_least_s` is how long the task is known to take at the least; a model that knows no
+        distribution ignores it.
+        """
 
     @abstractmethod
     def observe(self, step_number: int, sample: RunSample) -> None:
         """Add what a run of a step's task has shown."""
 
+    def has_siblings(self, step_number: int) -> bool:
+        """Whether a run of another task of the step has shown its run time."""
+        return False
+
+    def progress_error_s(self, quantile: Quantile) -> float:
+        """Seconds by which a run's progress may be out of date when its end is projected."""
+        return 0.0
+
 
 class DurationModel(ABC):
     """Learns from the runs of all jobs how long tasks take."""
--- a/comfreyshelf/fleet/prediction/queue_mean.py
+++ b/comfreyshelf/fleet/prediction/queue_mean.py
@@ -54,12 +54,17 @@
         self._job = job
         self._observed_s: dict[int, float] = {}
 
-    def expected_s(self, step_number: int, quantile: Quantile = Quantile.MEDIAN) -> float:
+    def expected_s(
+        self, step_number: int, quantile: Quantile = Quantile.MEDIAN, at_least_s: float = 0.0
+    ) -> float:
         observed_s = self._observed_s.get(step_number)
         if observed_s is not None:
             return observed_s
         return self._model.expected_s(self._job.queue, self._job.steps[step_number])
 
+    def has_siblings(self, step_number: int) -> bool:
+        return step_number in self._observed_s
+
     def observe(self, step_number: int, sample: RunSample) -> None:
         if sample.is_at_least:
             return
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -153,7 +153,10 @@
             if active is None or active.run != row.run:
                 view.stop_unwanted(row)
                 continue
+            had_regressed = active.has_regressed
             active.update_progress(row.percent, now, view.listed_at)
+            if active.has_regressed and not had_regressed:
+                self._record_regression(active)
             self.policies.speeds.observe(active, now)
             self._clear_suspicion(active, view.listed_at)
             if row.checkpoint:
@@ -163,6 +166,17 @@
             del view.unwanted_runs[name]
             self.needs_plan = True
 
+    def _record_regression(self, active: ActiveRun) -> None:
+        """Count and log, once for each run, that its progress went backwards."""
+        self.count("progress_regressions")
+        self.log_event(
+            "progress went backwards",
+            task=active.full_name,
+            run=active.run,
+            target=active.target,
+            percent=active.percent,
+        )
+
     def _handle_ended_row(
         self,
         view: TargetView,
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -102,9 +102,22 @@
             return self.accepted_at
         return self.accepted_at + self.queue.latency_s + self.queue.stretch * self.critical_path_s
 
-    def task_duration_s(self, step_number: int, quantile: Quantile = Quantile.MEDIAN) -> float:
-        """Expected seconds of one task of a step on a target of speed 1 near its data."""
-        return self._durations.expected_s(step_number, quantile)
+    def task_duration_s(
+        self, step_number: int, quantile: Quantile = Quantile.MEDIAN, at_least_s: float = 0.0
+    ) -> float:
+        """Expected seconds of one task of a step on a target of speed 1 near its data.
+
+        `at_least_s` is how long the task is known to take at the least.
+        """
+        return self._durations.expected_s(step_number, quantile, at_least_s)
+
+    def has_siblings(self, step_number: int) -> bool:
+        """Whether another task of the step has shown its run time."""
+        return self._durations.has_siblings(step_number)
+
+    def progress_error_s(self, quantile: Quantile) -> float:
+        """Seconds by which the progress of a run may be out of date."""
+        return self._durations.progress_error_s(quantile)
 
     def record_duration(self, step_number: int, sample: RunSample) -> None:
         """Record what a run of one task of a step has shown of its run time."""
@@ -113,7 +126,12 @@
 
     @property
     def critical_path_s(self) -> float:
-        """Expected seconds of the longest chain of dependent steps."""
+        """Expected seconds of the longest chain of dependent steps.
+
+        This and what follows from it, such as the deadline, the outlook and the rank, uses medians:
+        a high quantile of each step would add up to an end that hardly any job needs, so that jobs
+        that will be in time would rank as late.
+        """
         if self._critical_path_s is None:
             step_numbers = range(len(self.job.steps))
             self._critical_path_s = self._longest_path_s(
--- /dev/null
+++ b/features/fleet_prediction.feature
@@ -0,0 +1,144 @@
+Feature: The owner learns how long tasks run
+
+  Run times are learned as distributions by queue, organisation, estimate and siblings.
+
+  Scenario: Long tasks count although they have not ended
+    # Guards against a model that learns from ended tasks only: tasks that end early are the short
+    # ones, so that everything seems short in a burst that follows.
+    Given a model that predicts run times
+    And 12 tasks of 2 seconds of the queue have ended, estimated at 2 seconds
+    When the progress of 12 tasks shows that they take 20 seconds, estimated at 20 seconds
+    Then a task estimated at 20 seconds is expected to take 14 to 24 seconds
+    And it ends within 18 to 60 seconds at the high quantile
+
+  Scenario Outline: Callers' estimates that are off by a known share are corrected
+    # Guards against planning with estimates that are off by 20 to 90 percent, or with the mean of a
+    # queue whose jobs differ by more than the estimates do.
+    Given a model that predicts run times
+    When 300 tasks with a spread of <spread> have run, with estimates off by up to <error> percent
+    Then half of 300 further tasks take 0.85 to 1.15 times as long as expected
+    And 90 percent of them take less than <ratio> times as long as expected
+    And 82 to 97 percent of them end within the high quantile
+
+    Examples:
+      | spread | error | ratio |
+      | 1.0    | 20    | 1.4   |
+      | 1.0    | 50    | 2.1   |
+      | 0.3    | 90    | 1.65  |
+      | 0.5    | 80    | 1.75  |
+
+  Scenario: Impossible estimates do not hide how accurate the others are
+    # Guards against an accuracy that seems as low as if all callers estimated at random, because a
+    # part of them states the same large time for all tasks.
+    Given a model that predicts run times
+    When 300 tasks with a spread of 1.0 have run, with estimates off by up to 20 percent
+    And 200 tasks with a spread of 1.0 have run, all estimated at 20000 seconds
+    Then half of 300 further tasks take 0.85 to 1.15 times as long as expected
+    And 90 percent of them take less than 1.4 times as long as expected
+
+  Scenario: An organisation whose estimates are too low does not spoil those of the others
+    # Guards against one accuracy of estimates for all callers.
+    Given a model that predicts run times
+    When 40 tasks of one organisation take as long as estimated, and 40 of another 4 times as long
+    Then a task of the first organisation is expected to take 0.9 to 1.2 times its estimate
+    And a task of the second organisation is expected to take 3.3 to 4.4 times its estimate
+
+  Scenario: Three tasks in a hundred that take seven times as long do not stretch the others
+    # Guards against a mean that a few long tasks pull up, so that jobs count as late.
+    Given a model that predicts run times
+    When 300 tasks of 10 seconds have run, of which 3 in 100 took 70 seconds
+    Then a task estimated at 10 seconds is expected to take 9 to 11 seconds
+    And a task that has run for 30 seconds is expected to take 50 to 110 seconds
+
+  Scenario: Siblings tell more than the estimate
+    # Guards against a wrong estimate that goes on to count after tasks of the same step have run.
+    Given a model that predicts run times
+    And 100 jobs of 4 equal tasks, with estimates off by up to 90 percent
+    When 3 tasks of a job estimated at 10 seconds take 30 seconds
+    Then its other tasks are expected to take 26 to 34 seconds
+    And they end within 30 to 45 seconds at the high quantile
+
+  Scenario: One sibling that takes seven times as long does not decide for the others
+    # Guards against a step that counts as hopeless after one of its tasks met with a long input.
+    Given a model that predicts run times
+    When 5 tasks of a job take 10, 10, 70, 10 and 10 seconds
+    Then its other tasks are expected to take 9 to 12 seconds
+
+  Scenario: Runs that were stopped count as at least as long as they ran
+    # Guards against a bias to short tasks where the long ones are preempted or lost before they end.
+    Given a model that predicts run times
+    And 50 tasks have run for 5 to 50 seconds without an estimate
+    When 25 runs are stopped after 40 seconds
+    Then a task without an estimate is expected to take 34 to 50 seconds
+
+  Scenario: Runs that were stopped early say nothing
+    # Guards against a storm of preemptions that makes all tasks seem short.
+    Given a model that predicts run times
+    And 50 tasks have run for 5 to 50 seconds without an estimate
+    When 100 runs are stopped after 1 second
+    Then a task without an estimate is expected to take 24 to 31 seconds
+
+  Scenario: A gang takes as long as its slowest member
+    # Guards against gangs that seem short because their fast members show their own pace, and that
+    # count once for each member.
+    Given a model that predicts run times
+    When 6 gangs run whose members take 10, 10, 10 and 16 seconds
+    Then a gang of the queue is expected to take 15 to 17 seconds
+
+  Scenario Outline: An impossible estimate changes nothing for other jobs
+    # Guards against a ratio near zero or beyond all bounds that one caller feeds into the model.
+    Given a model that predicts run times
+    And 40 tasks of 10 seconds of the queue have ended, estimated at 10 seconds
+    When 40 tasks of 10 seconds of the queue have ended, estimated at <estimate> seconds
+    Then a task estimated at 10 seconds is expected to take 9 to 11 seconds
+    And a task estimated at <estimate> seconds is expected to take 9 to 11 seconds
+
+    Examples:
+      | estimate |
+      | 0        |
+      | 1000000  |
+      | 3600     |
+
+  Scenario: Without anything learned the estimate counts
+    # Guards against a first owner that cannot plan, and against an estimate of 0 or 10^9 ms there.
+    Given a model that predicts run times
+    Then a task estimated at 7 seconds is expected to take 6 to 8 seconds
+    And a task estimated at 0 seconds is expected to take 9 to 11 seconds
+    And a task estimated at 1000000 seconds is expected to take 9 to 11 seconds
+
+  Scenario: Run times that change are learned again
+    # Guards against a model that thousands of old samples keep from learning.
+    Given a model that predicts run times
+    And 3000 tasks of 10 seconds of the queue have ended, estimated at 10 seconds
+    When 1000 tasks of 20 seconds of the queue have ended, estimated at 10 seconds
+    Then a task estimated at 10 seconds is expected to take 19 to 21 seconds
+
+  Scenario: Each run counts once, when it has shown its pace or when it ends
+    # Guards against runs that count twice, by their progress and by their end, and against long runs
+    # that do not count before they end.
+    Given an owner that predicts run times
+    When a run makes 10 percent a second for 4 seconds
+    Then 1 run time of 10 seconds was learned
+    When the run ends after 8 further seconds
+    Then 1 run time of 10 seconds was learned
+
+  Scenario: A run that is lost counts as at least as long as it made progress
+    # Guards against lost long runs that never count, and against a target that hangs: the time
+    # without progress says nothing of the task.
+    Given an owner that predicts run times
+    When a run makes 1 percent a second for 10 seconds, hangs for 3 seconds and is stopped
+    Then 1 lower bound of 10 seconds was learned
+
+  Scenario: Progress that goes backwards is counted and not measured
+    # Guards against an end in the far past or future, projected from progress that was taken back.
+    Given an owner that predicts run times
+    When a run reports 20, 40, 10, 20 and 30 percent, one second apart
+    Then the run is expected to end in 7 seconds
+    And the regression was counted once
+
+  Scenario: A run that outlasts its expectation is not expected to end at once
+    # Guards against urgent work that waits for a run, and against moves that are left undone, because
+    # a run without progress that is over its time seems to end in 0 seconds.
+    Given an owner that predicts run times
+    When a run of a task estimated at 5 seconds has run for 20 seconds without progress
+    Then the run is expected to go on for at least 3 seconds
