Name the quantile of each expectation, and count how far it was off

Cause: drains, stalls, preemptions and waits all used the same expectation, although they lose differently by an error; and nobody saw how far expectations were off. Ruled out: the high quantile for rank, outlook and borrowing, which would rank jobs as late and keep accelerators idle that are in time in half of the cases. Change: the high quantile decides whether a run ends soon, whether it is stalled, and whether a run with checkpoints ends before a drain; the median decides the rest, and whether a run without checkpoints ends before a drain. `run ended` states first_expected_s, first_high_s and ratio; the counters run_time_ratio_bucket and runs_within_high_quantile sum them up by priority.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -25,6 +25,7 @@
 from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.policies import Policies, make_policies
+from comfreyshelf.fleet.prediction.accuracy import ratio_counters, run_accuracy
 from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import TrackedJob
@@ -185,6 +186,7 @@
             percent=active.percent,
             first_percent=active.first_percent,
             expected_s=round(active.expected_s(), 1),
+            **self._measure_accuracy(active, kind, now),
             cause=active.stop_cause or kind.value,
             lost_core_s=round(
                 lost_core_s(active, kind, bool(checkpoint or task.checkpoint), now), 1
@@ -208,6 +210,19 @@
         if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
             self._break_gang(active)
 
+    def _measure_accuracy(self, active: ActiveRun, kind: EndKind, now: float) -> dict[str, float]:
+        """Count how a run's time compares with its first expectation; returns the log fields."""
+        accuracy = run_accuracy(active, now) if kind is EndKind.DONE else None
+        if accuracy is None:
+            return {}
+        for name in ratio_counters(accuracy, active.tracked.priority):
+            self.count(name)
+        return {
+            "first_expected_s": round(accuracy.median_s, 1),
+            "first_high_s": round(accuracy.high_s, 1),
+            "ratio": round(accuracy.ratio, 2),
+        }
+
     def _record_health(self, view: TargetView, job: JobId, kind: EndKind, now: float) -> None:
         event = HealthEvent(view.announcement, view.machine, job, kind)
         self.policies.health.record_end(event, now)
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -19,6 +19,7 @@
     PlanningCapacity,
     Victim,
 )
+from comfreyshelf.fleet.prediction.model import Quantile
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.scheduling import Scheduling
@@ -97,6 +98,8 @@
         """Place the units of a job that may start, in one planning pass."""
         unix_now = planning.unix_now
         is_covered = tracked.job.id in planning.covered_ids
+        # By medians, also for borrowing: a unit that is in time in half of the cases is worth more
+        # than accelerators that are kept idle for a guarantee.
         is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
         # Steps of which a task could not be placed. Their other tasks have the same demand and
         # could not be placed either.
@@ -127,7 +130,9 @@
             tracked.begin_planning_pass()
             for active in tracked.active_runs.values():
                 if active.stopping_since is None:
-                    tracked.remaining_s_by_task[active.task] = active.remaining_s(now)
+                    tracked.remaining_s_by_task[active.task] = active.remaining_s(
+                        now, Quantile.MEDIAN
+                    )
 
     def _unclaimed_accelerators(self, capacity: PlanningCapacity, unix_now: float) -> int:
         """Number of free accelerators beyond those that guarantees are expected to claim."""
@@ -155,7 +160,11 @@
                 if active.stopping_since is not None or not active.is_confirmed:
                     continue
                 if view.drain_until:
-                    if active.remaining_s(now) > view.drain_until - now:
+                    # A stop costs little with checkpoints, so a run that may not end in time stops.
+                    # Without them it loses all, so it goes on as long as it rather ends in time.
+                    has_checkpoints = active.step.checkpoints
+                    quantile = Quantile.HIGH if has_checkpoints else Quantile.MEDIAN
+                    if active.remaining_s(now, quantile) > view.drain_until - now:
                         self._stop_run(active, now, StopCause.DRAINED)
                 elif self._is_stalled(active):
                     active.tracked.avoided_targets.add(view.id)
@@ -167,7 +176,9 @@
         if active.percent >= 100:
             # A gang member at 100 percent waits for the other members.
             return False
-        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * active.expected_s())
+        # The high quantile, as a task that takes several times as long makes a percent as rarely.
+        expected_s = active.expected_s(Quantile.HIGH)
+        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * expected_s)
         return not active.step.lasting and active.stalled_s > stall_limit_s
 
     def _stop_run(
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -2,6 +2,7 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.placing import Assignment, Victim
+from comfreyshelf.fleet.prediction.model import Quantile
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 
 # Least time that a preempted run loses to being stopped, placed and started again.
@@ -33,7 +34,8 @@
     """The run as a victim, with the loss of stopping it and its whole gang."""
     tracked = active.tracked
     step = active.step
-    worked_s, remaining_s = active.worked_s(now), active.remaining_s(now)
+    # The median, as a high quantile would make nearly every victim late, and thus too dear.
+    worked_s, remaining_s = active.worked_s(now), active.remaining_s(now, Quantile.MEDIAN)
     if step.checkpoints:
         # The run saves a checkpoint when it is stopped, so that no work is lost.
         worked_s = 0.0
@@ -53,7 +55,8 @@
         active,
         lost_core_s,
         lateness_weight(tracked.priority) * tracked.core_seconds if becomes_late else 0.0,
-        active.is_confirmed and remaining_s <= ENDING_SOON_S,
+        # The high quantile, as urgent work that waits for the run has no time for a second wait.
+        active.is_confirmed and active.remaining_s(now, Quantile.HIGH) <= ENDING_SOON_S,
     )
 
 
@@ -65,7 +68,8 @@
         return True
     if tracked.outlook(unix_now) is not Outlook.IN_TIME:
         return False
-    duration_s = tracked.task_duration_s(unit.step_number)
+    # The median on both sides, as the gain is compared with what the victims are expected to lose.
+    duration_s = tracked.task_duration_s(unit.step_number, Quantile.MEDIAN)
     slack_s = tracked.deadline - unix_now - tracked.critical_path_s
     if tracked.priority > 0 and slack_s > WAIT_SLACK_RATIO * duration_s:
         return False
--- a/features/fleet_prediction.feature
+++ b/features/fleet_prediction.feature
@@ -142,3 +142,32 @@
     Given an owner that predicts run times
     When a run of a task estimated at 5 seconds has run for 20 seconds without progress
     Then the run is expected to go on for at least 3 seconds
+
+  Scenario: Run times are compared with what was expected at the start
+    # Guards against a model whose errors nobody sees, and against a comparison with an expectation
+    # that the run itself has corrected.
+    Given an owner that predicts run times
+    When a run of a task estimated at 5 seconds ends after 10 seconds
+    Then the log states that it took 2 times the 5 seconds expected, above the high quantile
+    And a run time of more than 1.5 and at most 3 times the expected one was counted
+
+  Scenario: Whether a run ends in time for a drain depends on what a stop would lose
+    # Guards against one quantile for all uses: a run with checkpoints stops while there is time, and
+    # one without them, which would lose its work, goes on as long as it rather ends in time.
+    Given an owner that predicts run times
+    When runs with and without checkpoints are expected to take 7 to 10 of the 8 seconds left
+    Then only the run with checkpoints is stopped
+
+  Scenario: A long task may go without progress for longer before it counts as stalled
+    # Guards against long tasks that are stopped and started again and again, because they make a
+    # percent more rarely than tasks of the median run time do.
+    Given an owner that predicts run times
+    When a run of a task estimated at 30 seconds makes no progress
+    Then it does not count as stalled after 12 seconds, but does after 17 seconds
+
+  Scenario: Urgent work waits only for a run that almost certainly ends soon
+    # Guards against a guarantee that is served too late, because a run that ends soon at the median
+    # goes on.
+    Given an owner that predicts run times
+    When a run is 0.9 seconds from its expected end, by progress that may be out of date
+    Then it does not count as ending soon
--- a/features/steps/fleet_prediction_steps.py
+++ b/features/steps/fleet_prediction_steps.py
@@ -12,6 +12,7 @@
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.prediction.model import JobDurations, Quantile, RunSample
 from comfreyshelf.fleet.prediction.quantile_model import Measure, QuantileModel
+from comfreyshelf.fleet.preemption_cost import make_victim
 from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.ids import JobId, OrganisationId
 from features.owner_world import CONFIG, World, step
@@ -226,6 +227,8 @@
         self.core = OwnerCore(CONFIG, Bounds(), Token(1), self.now, PREDICTION)
         self.counts: Counter[str] = Counter()
         self.core.count = lambda name: self.counts.update([name])
+        self.events: list[dict[str, object]] = []
+        self.core.log_event = lambda event, **fields: self.events.append(fields | {"event": event})
         self.settle()
 
     def report_percent(self, percent: int) -> None:
@@ -323,3 +326,89 @@
 def check_goes_on(context: Context) -> None:
     (active,) = context.world.core.jobs[JobId("job")].active_runs.values()
     assert active.remaining_s(context.world.now) >= 3.0, active.remaining_s(context.world.now)
+
+
+@when("a run of a task estimated at {estimate:g} seconds ends after {seconds:d} seconds")
+def run_longer(context: Context, estimate: float, seconds: int) -> None:
+    start_run(context, estimate)
+    for second in range(seconds):
+        context.world.report_percent(100 * second // seconds)
+    end_run(context, EndKind.DONE)
+
+
+@then(
+    "the log states that it took {ratio:g} times the {seconds:g} seconds expected, above "
+    "the high quantile"
+)
+def check_log(context: Context, ratio: float, seconds: float) -> None:
+    (ended,) = [fields for fields in context.world.events if fields["event"] == "run ended"]
+    assert abs(ended["ratio"] - ratio) < 0.1, ended
+    assert abs(ended["first_expected_s"] - seconds) < 0.2, ended
+    assert seconds < ended["first_high_s"] < ratio * seconds, ended
+
+
+@then("a run time of more than {low:g} and at most {high:g} times the expected one was counted")
+def check_ratio_counters(context: Context, low: float, high: float) -> None:
+    labels = 'priority="0",siblings="no"'
+    counts = context.world.counts
+    assert counts[f'run_time_ratio_bucket{{{labels},le="{low:g}"}}'] == 0, counts
+    assert counts[f'run_time_ratio_bucket{{{labels},le="{high:g}"}}'] == 1, counts
+    assert counts[f'run_time_ratio_bucket{{{labels},le="+Inf"}}'] == 1, counts
+    assert counts[f"runs_within_high_quantile{{{labels}}}"] == 0, counts
+
+
+@when("runs with and without checkpoints are expected to take 7 to 10 of the 8 seconds left")
+def drain_runs(context: Context) -> None:
+    world = context.world
+    for name, checkpoints in (("safe", True), ("plain", False)):
+        work = Step(1, step(1).demand, 7000, checkpoints=checkpoints)
+        world.accept(name, (work,))
+    world.settle()
+    for name in ("safe", "plain"):
+        (active,) = world.core.jobs[JobId(name)].active_runs.values()
+        world.core.targets[active.target].drain_until = world.now + 8.0
+        assert 5.0 < active.remaining_s(world.now) < 8.0
+        assert active.remaining_s(world.now, Quantile.HIGH) > 8.0
+    world.core.plan(world.now, world.unix_now)
+
+
+@then("only the run with checkpoints is stopped")
+def check_drained(context: Context) -> None:
+    stopped = [
+        fields["task"] for fields in context.world.events if fields["event"] == "run stopped"
+    ]
+    assert stopped == ["safe.0.0.0"], stopped
+
+
+@when("a run is 0.9 seconds from its expected end, by progress that may be out of date")
+def run_to_nearly_done(context: Context) -> None:
+    start_run(context, 10.0)
+    for percent in (0, 20, 40, 60, 80):
+        context.world.report_percent(percent)
+    context.world.now -= 0.9
+
+
+@then("it does not count as ending soon")
+def check_not_ending_soon(context: Context) -> None:
+    world = context.world
+    (active,) = world.core.jobs[JobId("job")].active_runs.values()
+    assert 0.0 < active.remaining_s(world.now) < 1.0, active.remaining_s(world.now)
+    assert not make_victim(active, world.now, world.unix_now).ends_soon
+
+
+@when("a run of a task estimated at 30 seconds makes no progress")
+def start_without_progress(context: Context) -> None:
+    start_run(context, 30.0)
+
+
+@then("it does not count as stalled after {low:d} seconds, but does after {high:d} seconds")
+def check_stalled(context: Context, low: int, high: int) -> None:
+    world = context.world
+    for _ in range(low):
+        world.report_percent(10)
+    assert not [fields for fields in world.events if fields["event"] == "run stopped"]
+    for _ in range(high - low + 1):
+        world.run_round()
+        world.now += 1.0
+    (stopped,) = [fields for fields in world.events if fields["event"] == "run stopped"]
+    assert stopped["why"] == "no progress", stopped
