Keep what an owner learns in the store for the next one

Cause: each new owner began with callers' estimates, as nothing that was learned outlived an owner. Ruled out: I/O in the owner's task, as a store that does not answer would delay plans and orders; writes without a fence, as an old owner could replace the newer record. Change: LearnedKeeper, a service of the entry, reads the keyed topic `learned` once in a term and writes what the owner's task sends, under a writer of its own with the owner's epoch. An empty append before the read makes the store refuse later writes of earlier owners; nothing is written before the read. LearnedExchange is the owner's side: it merges, and sends what changed every 5 s at most. A state that fails costs only itself. A record with a distribution that is none is refused as a whole.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -10,6 +10,7 @@
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import JobTable
 from comfreyshelf.fleet.leader_election import LeaderElection
+from comfreyshelf.fleet.learned.keeper import LearnedKeeper
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.ownership import JobChanged, OwnerTask, ReportReceived
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
@@ -73,7 +74,8 @@
             store, f"{settings.name}@{settings.pipe_address}", settings.cores, self._owner.send
         )
         self._election = election
-        self._owner.connect(self._job_sync, store, self._hub, election.end_term)
+        keeper = LearnedKeeper(store, self.metrics, self._owner.send)
+        self._owner.connect(self._job_sync, store, self._hub, election.end_term, keeper.send)
         self.kernel = Kernel()
         register = self.kernel.register
         register("metrics", self.metrics)
@@ -81,6 +83,7 @@
             register("metrics-server", metrics_server(settings.metrics_address, self.metrics))
         register("hub", self._hub)
         register("owner", self._owner)
+        register("learned", keeper)
         register("configuration", self._config_reader)
         register("jobs", JobReader(self._job_sync))
         register(
--- a/comfreyshelf/fleet/learned/state.py
+++ b/comfreyshelf/fleet/learned/state.py
@@ -14,7 +14,10 @@
 
     @property
     def revision(self) -> int | None:
-        """A number that changes with the state; None if only its encodings can be compared."""
+        """A number that changes with the state, 0 while nothing was learned or merged.
+
+        None if only its encodings can be compared.
+        """
         return None
 
     @abstractmethod
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -17,6 +17,8 @@
     split_records,
 )
 from comfreyshelf.fleet.jobs import FleetConfig, Token
+from comfreyshelf.fleet.learned.exchange import LearnedExchange
+from comfreyshelf.fleet.learned.messages import KeeperMessage, LearnedRead
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.settings import FleetSettings
@@ -63,7 +65,10 @@
     job: JobId
 
 
-class OwnerTask(Task[ReportReceived | JobChanged | Membership | FleetConfig]):
+OwnerMessage = ReportReceived | JobChanged | Membership | FleetConfig | LearnedRead
+
+
+class OwnerTask(Task[OwnerMessage]):
     """Runs an OwnerCore while this entry owns the schedule: stores its changes, sends its orders.
 
     A run is ordered to start only after its start is stored.
@@ -93,18 +98,26 @@
         # When the last append was sent that the store carried out under this owner's epoch.
         self._append_confirmed_at = float("-inf")
         self._last_removal_at = 0.0
+        self._learned = LearnedExchange(metrics, settings.max_record_bytes - RECORD_MARGIN_BYTES)
 
     def connect(
-        self, job_sync: JobSync, store: Store, hub: Hub, end_term: Callable[[], None]
+        self,
+        job_sync: JobSync,
+        store: Store,
+        hub: Hub,
+        end_term: Callable[[], None],
+        send_to_keeper: Callable[[KeeperMessage], None] = lambda message: None,
     ) -> None:
         """Set the objects that the owner works with; called once, before start.
 
-        `end_term` makes this entry leave the owner group.
+        `end_term` makes this entry leave the owner group. `send_to_keeper` passes on what has to
+        outlive this owner.
         """
+        self._learned.send = send_to_keeper
         self._job_sync, self._store, self._hub = job_sync, store, hub
         self._end_term = end_term
 
-    def handle(self, message: ReportReceived | JobChanged | Membership | FleetConfig) -> None:
+    def handle(self, message: OwnerMessage) -> None:
         """Process one event; planning runs once the inbox is empty."""
         match message:
             case Membership():
@@ -125,12 +138,18 @@
                 stored = self._job_table.get(job)
                 if self._core is not None and stored is not None:
                     self._load_job(self._core, stored, monotonic())
+            case LearnedRead():
+                if self._core is not None:
+                    self._learned.merge(message, self._unix_now())
+                    self._core.needs_plan = True
         if self._inbox.empty():
             self._plan_and_send(is_tick=False)
 
     def tick(self) -> None:
         """Plan for deadlines and timeouts that have passed, and update the metrics."""
         self._plan_and_send(is_tick=True)
+        if self._core is not None:
+            self._learned.send_changes(monotonic(), self._unix_now())
         self._update_metrics()
 
     def _update_metrics(self) -> None:
@@ -191,6 +210,7 @@
         self._core.count = self._metrics.count
         for stored in self._job_table.accepted_jobs():
             self._load_job(self._core, stored, now)
+        self._learned.begin_term(epoch, self._core.policies.learned)
         log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
     def _load_job(self, core: OwnerCore, stored: StoredJob, now: float) -> None:
@@ -205,6 +225,7 @@
         log_event("owner resigned", why=why)
         core, self._core = self._core, None
         self._unanswered_append = None
+        self._learned.end_term()
         if is_still_leader:
             # Regaining leadership in the same generation would reuse its epoch.
             self._end_term()
--- a/comfreyshelf/fleet/prediction/record.py
+++ b/comfreyshelf/fleet/prediction/record.py
@@ -1,5 +1,6 @@
 """The record in which what was learned of run times outlives its owner."""
 
+import math
 from itertools import pairwise
 
 import msgspec
@@ -84,11 +85,13 @@
         if not header or msgspec.msgpack.decode(header[0]) != RECORD_VERSION:
             raise msgspec.DecodeError("the record has another version")
         record = _decode(value)
+        if not all(_is_valid(entry) for entry in record.entries):
+            raise msgspec.DecodeError("the record has a distribution that is none")
         # The clocks of entries differ, so a record may be from the future.
         age_s = max(0.0, unix_now - record.written_at)
         share = 0.5 ** (age_s / HALF_LIFE_S)
         for entry in record.entries[-MAX_KEYS:]:
-            if not _is_valid(entry) or entry.weight * share < MIN_WEIGHT:
+            if entry.weight * share < MIN_WEIGHT:
                 continue
             key = Key(entry.queue, entry.organisation, entry.is_gang, entry.measure)
             points = Points(tuple(milli / 1000 for milli in entry.milli))
@@ -97,7 +100,8 @@
 
 def _is_valid(entry: _Entry) -> bool:
     return (
-        len(entry.milli) == POINTS
+        0.0 <= entry.weight < math.inf
+        and len(entry.milli) == POINTS
         and entry.milli[0] > 0
         and all(lower <= upper for lower, upper in pairwise(entry.milli))
     )
--- a/features/fleet_prediction.feature
+++ b/features/fleet_prediction.feature
@@ -171,3 +171,74 @@
     Given an owner that predicts run times
     When a run is 0.9 seconds from its expected end, by progress that may be out of date
     Then it does not count as ending soon
+
+  Scenario: The next owner goes on with what was learned
+    # Guards against callers' estimates that count again after each change of the owner.
+    Given an owner task that predicts run times and keeps them in a store
+    When 40 tasks take 4 times their estimate, and the owner dies 6 seconds later
+    Then the next owner expects 3.5 to 4.5 times the estimate
+
+  Scenario: An owner plans while the store does not give the learned records
+    # Guards against a takeover that waits for the records, or that writes over them unread.
+    Given an owner task that predicts run times and keeps them in a store
+    And 40 tasks took 4 times their estimate, and the owner has died 6 seconds later
+    When the next owner takes over while the topic of learned records is away for 30 seconds
+    Then it starts a job meanwhile and writes no learned record
+    And it expects 3.5 to 4.5 times the estimate once the topic is back
+
+  Scenario Outline: A record that makes no sense is ignored
+    # Guards against an owner that fails at, or learns from, a record of another version or of noise.
+    Given an owner task that predicts run times and keeps them in a store
+    And the store holds a learned record <record>
+    When the owner takes over
+    Then the record is counted as unreadable, and the estimate counts
+    And the owner writes its own record once it has learned something
+
+    Examples:
+      | record                          |
+      | of noise                        |
+      | of another version              |
+      | whose quantiles are out of order |
+      | of no bytes but one             |
+
+  Scenario: An old owner that writes late changes nothing
+    # Guards against a paused owner that puts its old record over the newer one.
+    Given an owner task that predicts run times and keeps them in a store
+    And 40 tasks took 4 times their estimate, and the owner has died 6 seconds later
+    When the next owner takes over, and the old one writes that tasks take half their estimate
+    Then the old owner's write is refused
+    And a third owner expects 3.5 to 4.5 times the estimate
+
+  Scenario: A write without an answer is repeated as it was
+    # Guards against a record that the store drops, because it takes a newer value under the same
+    # sequence number for the repeat of one that it has carried out.
+    Given an owner task that predicts run times and keeps them in a store
+    When the answer to a write is lost, the store is busy, and more is learned meanwhile
+    Then both records are in the store in order
+
+  Scenario: What did not change is not written, and what did is written every 5 seconds at most
+    # Guards against traffic and store calls without need.
+    Given an owner task that predicts run times and keeps them in a store
+    When 10 tasks end in each of 20 seconds, and nothing ends for 20 seconds
+    Then 4 or 5 records were written
+
+  Scenario: A learned state that fails costs only itself
+    # Guards against a fault in one part that loses what all others have learned, or stops the owner.
+    Given an owner task that predicts run times and keeps them in a store
+    And further learned states, of which one raises errors and one grows beyond a record
+    When 40 tasks take 4 times their estimate, and the owner dies 6 seconds later
+    Then the next owner expects 3.5 to 4.5 times the estimate
+    And the faults of the two states are counted
+
+  Scenario: What was learned ages
+    # Guards against last week's run times that count as much as today's.
+    Given a model that predicts run times
+    And 200 tasks of 10 seconds of the queue have ended, estimated at 10 seconds
+    When its record is merged 8 hours later, and 60 tasks of 20 seconds have ended
+    Then a task estimated at 10 seconds is expected to take 19 to 21 seconds
+
+  Scenario: The record is bounded
+    # Guards against a record that the store refuses, after callers of a thousand organisations.
+    Given a model that predicts run times
+    When 4 tasks of each of 1000 organisations have ended
+    Then its record has less than 32 KB
