--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -11,6 +11,7 @@
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import JobTable
 from comfreyshelf.fleet.leader_election import LeaderElection
+from comfreyshelf.fleet.learned.keeper import LearnedKeeper
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.ownership import JobChanged, OwnerTask, ReportReceived
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
@@ -68,7 +69,8 @@
             store, f"{settings.name}@{settings.pipe_address}", settings.cores, self._owner.send
         )
         self._election = election
-        self._owner.connect(self._job_sync, store, self._hub, election.end_term)
+        keeper = LearnedKeeper(store, self.metrics, self._owner.send)
+        self._owner.connect(self._job_sync, store, self._hub, election.end_term, keeper.send)
         self._owner.connect_operators(self._operator_topic, operator_reader.read_up_to)
         self.kernel = Kernel()
         register = self.kernel.register
@@ -77,6 +79,7 @@
             register("metrics-server", metrics_server(settings.metrics_address, self.metrics))
         register("hub", self._hub)
         register("owner", self._owner)
+        register("learned", keeper)
         register("configuration", operator_reader)
         register("jobs", JobReader(self._job_sync))
         register(
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -19,6 +19,8 @@
     split_records,
 )
 from comfreyshelf.fleet.jobs import FleetConfig, Token
+from comfreyshelf.fleet.learned.exchange import LearnedExchange
+from comfreyshelf.fleet.learned.messages import KeeperMessage, LearnedRead
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.settings import FleetSettings
@@ -65,7 +67,7 @@
     job: JobId
 
 
-OwnerMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations
+OwnerMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations | LearnedRead
 
 
 class OwnerTask(Task[OwnerMessage]):
@@ -102,14 +104,22 @@
         self._last_removal_at = 0.0
         # Whether the last orders had no starts, as the operators' topic had not been read lately.
         self._starts_left_out = False
+        self._learned = LearnedExchange(metrics, settings.max_record_bytes - RECORD_MARGIN_BYTES)
 
     def connect(
-        self, job_sync: JobSync, store: Store, hub: Hub, end_term: Callable[[], None]
+        self,
+        job_sync: JobSync,
+        store: Store,
+        hub: Hub,
+        end_term: Callable[[], None],
+        send_to_keeper: Callable[[KeeperMessage], None] = lambda message: None,
     ) -> None:
         """Set the objects that the owner works with; called once, before start.
 
-        `end_term` makes this entry leave the owner group.
+        `end_term` makes this entry leave the owner group. `send_to_keeper` passes on what has to
+        outlive this owner.
         """
+        self._learned.send = send_to_keeper
         self._job_sync, self._store, self._hub = job_sync, store, hub
         self._end_term = end_term
 
@@ -145,12 +155,18 @@
                 stored = self._job_table.get(job)
                 if self._core is not None and stored is not None:
                     self._load_job(self._core, stored, monotonic())
+            case LearnedRead():
+                if self._core is not None:
+                    self._learned.merge(message, self._unix_now())
+                    self._core.needs_plan = True
         if self._inbox.empty():
             self._plan_and_send(is_tick=False)
 
     def tick(self) -> None:
         """Plan for deadlines and timeouts that have passed, and update the metrics."""
         self._plan_and_send(is_tick=True)
+        if self._core is not None:
+            self._learned.send_changes(monotonic(), self._unix_now())
         self._update_metrics()
 
     def _update_metrics(self) -> None:
@@ -216,6 +232,7 @@
         self._read_operators(self._core, elected_at)
         for stored in self._job_table.accepted_jobs():
             self._load_job(self._core, stored, now)
+        self._learned.begin_term(epoch, self._core.policies.learned)
         log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
 
     def _read_operators(self, core: OwnerCore, elected_at: float) -> None:
@@ -246,6 +263,7 @@
         log_event("owner resigned", why=why)
         core, self._core = self._core, None
         self._unanswered_append = None
+        self._learned.end_term()
         if is_still_leader:
             # Regaining leadership in the same generation would reuse its epoch.
             self._end_term()
