--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -142,15 +142,8 @@
             case Evacuations():
                 # Each plan and each message of orders uses what the topic's reader knows by then.
                 pass
-            case ReportReceived(report, received_at):
-                if self._core is None:
-                    self._send_not_owner(report.announcement.id)
-                else:
-                    self._core.handle_report(report, received_at, self._unix_now())
-                    self._read_operators_up_to(report.operator_offset)
-                    view = self._core.targets.get(report.announcement.id)
-                    if view is not None:
-                        view.orders_changed = True
+            case ReportReceived():
+                self._handle_report(message.report, message.received_at)
             case JobChanged(job):
                 stored = self._job_table.get(job)
                 if self._core is not None and stored is not None:
@@ -162,6 +155,16 @@
         if self._inbox.empty():
             self._plan_and_send(is_tick=False)
 
+    def _handle_report(self, report: Report, received_at: float) -> None:
+        if self._core is None:
+            self._send_not_owner(report.announcement.id)
+            return
+        self._core.handle_report(report, received_at, self._unix_now())
+        self._read_operators_up_to(report.operator_offset)
+        view = self._core.targets.get(report.announcement.id)
+        if view is not None:
+            view.orders_changed = True
+
     def tick(self) -> None:
         """Plan for deadlines and timeouts that have passed, and update the metrics."""
         self._plan_and_send(is_tick=True)
