Order contested work by the shares of organisations

Cause: jobs of one rank were ordered by deadline alone, so an organisation with many older jobs took all room, and the least-served ones got what was left. Ruled out: an order by shares at all times, which delays work for which there is room; usage as a count of jobs, which charges a small job as much as a large one. Change: FairShareRanking keeps the classes of `rank` and, where a class needs more than is free, takes next the job of the organisation with the lowest usage by weight. Usage is the dominant share held now plus its average with a half-life, without work that a guarantee covers, and a LearnedState. Invalid settings fail the start of an entry, not a takeover. Options of scheduling.ini keep their case.

--- a/comfreyshelf/fleet/__main__.py
+++ b/comfreyshelf/fleet/__main__.py
@@ -9,6 +9,7 @@
 
 from comfreyshelf.errors import SettingsError, UserError
 from comfreyshelf.fleet.entry import EntryProcess
+from comfreyshelf.fleet.policies import make_policies
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.target_process import TargetProcess
 from comfreyshelf.logs import configure_daemon, log_event
@@ -29,9 +30,15 @@
 
 
 def load_settings(path: Path) -> FleetSettings:
-    """Read the settings, and the scheduling settings that the environment names."""
+    """Read the settings, and the scheduling settings that the environment names.
+
+    Raises SettingsError also for invalid settings of a scheduling feature, which would otherwise be
+    found only when an owner takes over.
+    """
     scheduling = os.environ.get(SCHEDULING_VARIABLE)
-    return read_settings(path, Path(scheduling) if scheduling else None)
+    settings = read_settings(path, Path(scheduling) if scheduling else None)
+    make_policies(settings.scheduling)
+    return settings
 
 
 def reload(process: EntryProcess | TargetProcess, path: Path) -> None:
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -20,6 +20,7 @@
     Victim,
 )
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
+from comfreyshelf.fleet.ranking import PassView, Ranking
 from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.targets import TargetView
@@ -86,6 +87,7 @@
             PlanningCapacity(self._list_candidates(now, unix_now, covered_ids)),
         )
         planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
+        self.policies.ranking.begin_pass(self._pass_view(planning))
         for tracked in self.policies.ranking.sort(jobs, covered_ids, unix_now):
             try:
                 self._place_job(tracked, planning)
@@ -93,6 +95,19 @@
                 self._failed_jobs.add(tracked.job.id)
                 self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
 
+    def _pass_view(self, planning: "_PlanningPass") -> PassView:
+        return PassView(
+            planning.now,
+            planning.unix_now,
+            self.bounds.early_start_s,
+            self.config,
+            planning.covered_ids,
+            self.targets.values(),
+            planning.capacity.candidates.values(),
+            self.log_event,
+            self.count,
+        )
+
     def _place_job(self, tracked: TrackedJob, planning: "_PlanningPass") -> None:
         """Place the units of a job that may start, in one planning pass."""
         unix_now = planning.unix_now
@@ -197,7 +212,9 @@
                 if not active.is_confirmed or now - active.started_at <= YOUNG_RUN_S:
                     is_trial = is_suspect(active.tracked, (active.task,))
                     candidate.add_young_run(active.tracked.job.id, is_trial)
-            candidate.list_victims = partial(_list_victims, view, covered_ids, now, unix_now)
+            candidate.list_victims = partial(
+                _list_victims, view, covered_ids, self.policies.ranking, now, unix_now
+            )
             candidate.work_at_risk = partial(_work_at_risk, view, now)
             candidates[view.id] = candidate
         return candidates
@@ -264,6 +281,8 @@
                 priority=tracked.priority,
                 outlook=tracked.outlook(unix_now).value,
                 slack_s=round(tracked.deadline - unix_now - tracked.remaining_critical_path_s, 1),
+                organisation=tracked.job.organisation,
+                share=round(self.policies.ranking.shares().get(tracked.job.organisation, 0.0), 3),
             )
         tracked.wait_reason = why or tracked.wait_reason
 
@@ -335,11 +354,15 @@
 
 
 def _list_victims(
-    view: TargetView, covered_ids: set[JobId], now: float, unix_now: float
+    view: TargetView,
+    covered_ids: set[JobId],
+    ranking: Ranking,
+    now: float,
+    unix_now: float,
 ) -> list[Victim]:
     """The runs of a target that may be preempted, by their total loss in ascending order."""
     victims = [
-        make_victim(active, now, unix_now)
+        make_victim(active, now, unix_now, ranking.loss_factor(active.tracked.job.organisation))
         for active in view.active_runs.values()
         if active.stopping_since is None and active.tracked.job.id not in covered_ids
     ]
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -148,6 +148,10 @@
             set_gauge('belief_age_seconds{of="targets"}', round(max(report_ages_s, default=0.0), 3))
             set_gauge("targets", len(report_ages_s))
             set_gauge("jobs_open", len(self._core.jobs))
+            for organisation, share in self._core.policies.ranking.shares().items():
+                # The strings of JSON are escaped as those of the metrics' text format.
+                label = msgspec.json.encode(organisation).decode()
+                set_gauge(f"organisation_share{{organisation={label}}}", round(share, 4))
 
     def _unix_now(self) -> float:
         """Return Unix time in seconds, unaffected by steps of the system clock during a term."""
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -8,7 +8,10 @@
 from comfreyshelf.fleet.prediction.model import DurationModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
+from comfreyshelf.fleet.shares.ranking import FairShareRanking
+from comfreyshelf.fleet.shares.settings import read_share_settings
+from comfreyshelf.fleet.shares.usage import OrganisationUsage
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -23,5 +26,12 @@
 
 
 def make_policies(scheduling: Scheduling) -> Policies:
-    """The policies for the features that are in use."""
-    return Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), DeadlineRanking())
+    """The policies for the features that are in use; raises SettingsError for invalid settings."""
+    ranking: Ranking = DeadlineRanking()
+    learned: list[LearnedState] = []
+    if scheduling.uses(Feature.FAIR_SHARES):
+        shares = read_share_settings(scheduling)
+        usage = OrganisationUsage(shares.half_life_s)
+        ranking = FairShareRanking(shares, usage)
+        learned.append(usage)
+    return Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), ranking, tuple(learned))
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -29,8 +29,11 @@
     return LATENESS_WEIGHTS[min(priority, len(LATENESS_WEIGHTS) - 1)]
 
 
-def make_victim(active: ActiveRun, now: float, unix_now: float) -> Victim:
-    """The run as a victim, with the loss of stopping it and its whole gang."""
+def make_victim(active: ActiveRun, now: float, unix_now: float, loss_factor: float = 1.0) -> Victim:
+    """The run as a victim, with the loss of stopping it and its whole gang.
+
+    `loss_factor` is below 1 for runs that are stopped in preference to others of equal loss.
+    """
     tracked = active.tracked
     step = active.step
     worked_s, remaining_s = active.worked_s(now), active.remaining_s(now)
@@ -42,6 +45,7 @@
         * step.demand.core_equivalents
         * active.gang_size
         * (1 + REPEATED_STOP_LOSS_SHARE * (active.run - 1))
+        * loss_factor
     )
     is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
     becomes_late = (
--- a/comfreyshelf/fleet/ranking.py
+++ b/comfreyshelf/fleet/ranking.py
@@ -1,9 +1,15 @@
 """The order in which jobs are planned."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable, Collection
 
+import msgspec
+
+from comfreyshelf.fleet.jobs import FleetConfig
+from comfreyshelf.fleet.placing import CandidateTarget
+from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob
-from comfreyshelf.ids import JobId
+from comfreyshelf.ids import JobId, OrganisationId
 
 # Jobs that can no longer be of use are ranked behind all others.
 TOO_LATE_RANK = 7
@@ -18,9 +24,31 @@
 HIGH_SLACK_RATIO = 1.5
 
 
+class PassView(msgspec.Struct, frozen=True):
+    """The fleet at the start of a planning pass.
+
+    `now` is on the owner's clock, `unix_now` in seconds since the Unix epoch. `candidates` are the
+    targets that may be given work, with their free room.
+    """
+
+    now: float
+    unix_now: float
+    early_start_s: float
+    config: FleetConfig
+    covered_ids: set[JobId]
+    targets: Collection[TargetView]
+    candidates: Collection[CandidateTarget]
+    log_event: Callable[..., None]
+    count: Callable[[str], None]
+
+
 class Ranking(ABC):
     """Decides which job is offered free room first."""
 
+    @abstractmethod
+    def begin_pass(self, view: PassView) -> None:
+        """Take note of the fleet; called before `sort` in each planning pass."""
+
     @abstractmethod
     def sort(
         self, jobs: list[TrackedJob], covered_ids: set[JobId], unix_now: float
@@ -30,15 +58,32 @@
         Those in `covered_ids` are within the guarantee of their organisation.
         """
 
+    @abstractmethod
+    def shares(self) -> dict[OrganisationId, float]:
+        """The share of the fleet that each organisation holds, as far as it counts here."""
+
+    @abstractmethod
+    def loss_factor(self, organisation: OrganisationId) -> float:
+        """Factor of the work that is lost by stopping a run of an organisation."""
+
 
 class DeadlineRanking(Ranking):
     """Covered jobs first, then by priority and outlook, then by deadline."""
 
+    def begin_pass(self, view: PassView) -> None:
+        pass
+
     def sort(
         self, jobs: list[TrackedJob], covered_ids: set[JobId], unix_now: float
     ) -> list[TrackedJob]:
         return sorted(jobs, key=lambda t: (t.job.id not in covered_ids, rank(t, unix_now)))
 
+    def shares(self) -> dict[OrganisationId, float]:
+        return {}
+
+    def loss_factor(self, organisation: OrganisationId) -> float:
+        return 1.0
+
 
 def rank(tracked: TrackedJob, unix_now: float) -> tuple[int, float]:
     """Rank by priority and outlook, then deadline, or for late jobs the work in core-seconds.
--- a/comfreyshelf/fleet/scheduling.py
+++ b/comfreyshelf/fleet/scheduling.py
@@ -66,6 +66,8 @@
     Raises SettingsError if the file cannot be read or names an unknown feature.
     """
     parser = ConfigParser(interpolation=None)
+    # Options may contain the id of an organisation, so their case matters.
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
     try:
         parser.read_string(path.read_text(encoding="utf-8"), str(path))
     except (OSError, UnicodeDecodeError, ConfigParserError) as exc:
--- /dev/null
+++ b/comfreyshelf/fleet/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of contested capacity between organisations."""
