--- a/benchmarks/fleet_policy.py
+++ b/benchmarks/fleet_policy.py
@@ -7,7 +7,7 @@
 
 import random
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from comfreyshelf.fleet.bounds import Bounds
@@ -31,13 +31,14 @@
 )
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.ranking import Ranking
 from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, Version, ZoneId
 
 TICK_S = 0.1
 REPORT_INTERVAL_S = 1.0
 STOP_GRACE_S = 0.2
-DAY_S = 40.0
 DRAIN_S = 60.0
+STRAGGLER_FACTOR = 7.0
 SERVICE = ServiceId("s")
 # Worth lost by one core-second of work that is thrown away.
 WASTE_WORTH_PER_CORE_S = 0.005
@@ -59,11 +60,23 @@
     late_worth: float
     stretch: float
     latency_s: float
+    same_rack_share: float = 1.0
+    checkpoint_share: float = 0.5
+    # Largest error of the caller's estimate as a share of it; 0 for a log-normal error.
+    estimate_error: float = 0.0
+    # Share of the tasks that run STRAGGLER_FACTOR times as long.
+    straggler_share: float = 0.0
 
 
 @dataclass(frozen=True)
 class Site:
-    """A fleet, its load and its organisations."""
+    """A fleet, its load and its organisations.
+
+    `submitters` are the relative numbers of jobs that the organisations submit; without it, a few
+    organisations submit most. The jobs of the first organisation have `first_size` times as many
+    tasks as those of the others. `speeds` are those of the targets; without it, they are random.
+    The owner plans once in `plan_ticks` ticks.
+    """
 
     targets: int
     per_rack: int
@@ -72,6 +85,12 @@
     guaranteed: int
     kinds: tuple[Kind, ...]
     burst: float = 5.0
+    day_s: float = 40.0
+    memory_mb: int = 1_000_000
+    submitters: tuple[float, ...] = ()
+    first_size: float = 1.0
+    speeds: tuple[float, ...] = ()
+    plan_ticks: int = 1
 
 
 SMALL = Site(
@@ -98,9 +117,19 @@
         Kind("volume", 2, 0.40, 38, 19.0, 5.6, (1,), 0.0, 1.0, 0.1, 4.0, 3.0),
     ),
 )
+FIRST_ORGANISATION = OrganisationId("o0")
 SITES = {"small": SMALL, "large": LARGE}
 
 
+@dataclass(frozen=True)
+class _Accepted:
+    kind: Kind
+    organisation: OrganisationId
+    accepted_at: float
+    objective_s: float
+    core_s: float
+
+
 @dataclass
 class _Run:
     run: int
@@ -133,7 +162,7 @@
             ZoneId("z"),
             RackId(rack),
             ("a", rack),
-            Resources(self.site.cores * 1000, 1_000_000, 8),
+            Resources(self.site.cores * 1000, self.site.memory_mb, 8),
             False,
             0,
             Incarnation(1),
@@ -157,19 +186,25 @@
 
 @dataclass
 class Result:
-    """What one simulated day earned."""
+    """What one simulated day earned.
+
+    `by_organisation` and `by_size` are the worth earned and the worth of all jobs, of each
+    organisation, and of the largest tenth of the jobs of each kind and the others.
+    """
 
     worth: float
     in_time: float
     waste: float
     stops: int
     runs: int
+    by_organisation: dict[OrganisationId, tuple[float, float]]
+    by_size: dict[str, tuple[float, float]]
 
 
 class Simulation:
-    """One day of load on one owner."""
+    """One day of load on one owner; `ranking` replaces the owner's present one."""
 
-    def __init__(self, site: Site, seed: int) -> None:
+    def __init__(self, site: Site, seed: int, ranking: Ranking | None = None) -> None:
         self.site, self.rng, self.now = site, random.Random(seed), 0.0
         queues = tuple(
             Queue(
@@ -191,23 +226,35 @@
         )
         config = FleetConfig(Version(1), queues, organisations, 1000)
         self.core = OwnerCore(config, Bounds(), Token(1), self.now)
-        self.targets = [_Target(n, site, self.rng.uniform(0.8, 1.2)) for n in range(site.targets)]
+        if ranking is not None:
+            self.core.policies.ranking = ranking
+        self.targets = [
+            _Target(
+                n,
+                site,
+                site.speeds[n % len(site.speeds)] if site.speeds else self.rng.uniform(0.8, 1.2),
+            )
+            for n in range(site.targets)
+        ]
         self.by_id = {target.id: target for target in self.targets}
         self.work_s: dict[str, float] = {}
         self.saved_s: dict[str, float] = {}
-        self.accepted: dict[JobId, tuple[Kind, float, float, float]] = {}
+        self.accepted: dict[JobId, _Accepted] = {}
         self.ended_at: dict[JobId, float] = {}
         self.lost_core_s = 0.0
+        self.ticks = 0
         self.counts: Counter[str] = Counter()
         self.bursts = [
             (self.rng.choice(site.kinds), start, start + 5.0)
-            for start in (self.rng.uniform(2, 30) for _ in range(3))
+            for start in (self.rng.uniform(2, 0.75 * site.day_s) for _ in range(3))
         ]
 
     def play(self) -> Result:
-        while self.now < DAY_S + DRAIN_S and (self.now < DAY_S or self.core.jobs):
+        while self.now < self.site.day_s + DRAIN_S and (
+            self.now < self.site.day_s or self.core.jobs
+        ):
             self.now += TICK_S
-            if self.now < DAY_S:
+            if self.now < self.site.day_s:
                 self._accept_jobs()
             for target in self.targets:
                 self._advance(target)
@@ -215,6 +262,9 @@
                 if target.is_changed or self.now - target.reported_at >= REPORT_INTERVAL_S:
                     target.is_changed, target.reported_at = False, self.now
                     self.core.handle_report(target.report(self.now), self.now, self.now)
+            self.ticks += 1
+            if self.ticks % self.site.plan_ticks:
+                continue
             self.core.plan(self.now, self.now)
             for job, progress in self.core.changes():
                 if progress.phase is JobPhase.COMPLETED:
@@ -236,27 +286,52 @@
         rng = self.rng
         job_id = JobId(f"{len(self.accepted):016x}")
         work_s = kind.work_s * rng.lognormvariate(0.0, 0.35)
-        count = max(1, round(kind.tasks * rng.lognormvariate(0.0, 0.5)))
+        size = rng.lognormvariate(0.0, 0.5)
         is_gang = rng.random() < kind.gang_share
+        demand = Resources(int(kind.cores * 1000), 1000, rng.choice(kind.accelerators))
+        estimate_ms = int(work_s * 1000 * self._draw_estimate_factor(kind))
+        has_checkpoints = rng.random() < kind.checkpoint_share
+        organisation = self._draw_organisation()
+        if organisation == FIRST_ORGANISATION:
+            size *= self.site.first_size
+        count = max(1, round(kind.tasks * size))
         step = Step(
             count,
-            Resources(int(kind.cores * 1000), 1000, rng.choice(kind.accelerators)),
-            int(work_s * 1000 * rng.lognormvariate(0.0, 0.5)),
-            checkpoints=rng.random() < 0.5,
+            demand,
+            estimate_ms,
+            checkpoints=has_checkpoints,
             gang=is_gang,
-            same_rack=is_gang,
+            same_rack=is_gang and self._is_drawn(kind.same_rack_share),
         )
-        organisation = OrganisationId(f"o{int(rng.paretovariate(1.2)) % self.site.organisations}")
         job = Job(job_id, organisation, QueueName(kind.name), "", (step,), self.now)
         for index in range(count):
             slowness = 1.0 if is_gang else rng.lognormvariate(0.0, 0.2)
+            if self._is_drawn(kind.straggler_share):
+                slowness *= STRAGGLER_FACTOR
             self.work_s[f"{job_id}.0.0.{index}"] = work_s * slowness
         core_s = count * work_s * step.demand.core_equivalents
         longest_s = max(self.work_s[f"{job_id}.0.0.{index}"] for index in range(count))
         objective_s = kind.stretch * longest_s + kind.latency_s
-        self.accepted[job_id] = (kind, self.now, objective_s, core_s)
+        self.accepted[job_id] = _Accepted(kind, organisation, self.now, objective_s, core_s)
         self.core.load_job(StoredJob(job), self.now, self.now)
 
+    def _is_drawn(self, share: float) -> bool:
+        """Whether an event of this probability happens; one that is certain takes no number."""
+        return share >= 1 or (share > 0 and self.rng.random() < share)
+
+    def _draw_organisation(self) -> OrganisationId:
+        site = self.site
+        if site.submitters:
+            (number,) = self.rng.choices(range(len(site.submitters)), site.submitters)
+        else:
+            number = int(self.rng.paretovariate(1.2)) % site.organisations
+        return OrganisationId(f"o{number}")
+
+    def _draw_estimate_factor(self, kind: Kind) -> float:
+        if kind.estimate_error:
+            return self.rng.uniform(1 - kind.estimate_error, 1 + kind.estimate_error)
+        return self.rng.lognormvariate(0.0, 0.5)
+
     def _advance(self, target: _Target) -> None:
         for name, run in list(target.running.items()):
             if name in target.stopping and run.done_s < run.work_s:
@@ -312,21 +387,31 @@
                     target.stopping.setdefault(stop.task, self.now + STOP_GRACE_S)
 
     def _result(self) -> Result:
-        mean_core_s = {
-            kind.name: sum(j[3] for j in jobs) / len(jobs)
+        core_s_by_kind = {
+            kind.name: sorted(job.core_s for job in self.accepted.values() if job.kind is kind)
             for kind in self.site.kinds
-            if (jobs := [j for j in self.accepted.values() if j[0] is kind])
         }
         owed = earned = in_time = 0.0
-        for job, (kind, accepted_at, objective_s, core_s) in self.accepted.items():
-            size = min(4.0, 0.3 + 0.7 * core_s / mean_core_s[kind.name])
-            owed += kind.worth * size
-            took_s = self.ended_at.get(job, 1e9) - accepted_at
-            if took_s <= objective_s:
-                earned += kind.worth * size
-                in_time += kind.worth * size
-            elif took_s <= 3 * objective_s:
-                earned += kind.late_worth * size
+        by_organisation: defaultdict[OrganisationId, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        by_size: defaultdict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for job_id, job in self.accepted.items():
+            core_s = core_s_by_kind[job.kind.name]
+            size = min(4.0, 0.3 + 0.7 * job.core_s * len(core_s) / sum(core_s))
+            full = job.kind.worth * size
+            took_s = self.ended_at.get(job_id, 1e9) - job.accepted_at
+            got = job.kind.late_worth * size if took_s <= 3 * job.objective_s else 0.0
+            if took_s <= job.objective_s:
+                got = full
+                in_time += full
+            owed += full
+            earned += got
+            is_large = job.core_s >= core_s[len(core_s) * 9 // 10]
+            for row in (
+                by_organisation[job.organisation],
+                by_size["large" if is_large else "rest"],
+            ):
+                row[0] += got
+                row[1] += full
         waste = self.lost_core_s * WASTE_WORTH_PER_CORE_S / owed
         return Result(
             earned / owed - waste,
@@ -334,6 +419,8 @@
             waste,
             self.counts["stopped"],
             self.counts["done"] + self.counts["stopped"],
+            {name: (row[0], row[1]) for name, row in by_organisation.items()},
+            {name: (row[0], row[1]) for name, row in by_size.items()},
         )
 
 
