Print the worth of each organisation in the comparison of orders

Cause: the least-served organisation may be the one that submits most, which one figure does not show. Ruled out: a column for each organisation, as the table would not fit a line.

--- a/benchmarks/fair_shares.py
+++ b/benchmarks/fair_shares.py
@@ -245,15 +245,15 @@
     return sum(days) / len(days)
 
 
-def pooled(results: list[Result]) -> list[float]:
-    """Worth of each organisation over all days, in ascending order."""
+def pooled(results: list[Result]) -> dict[OrganisationId, float]:
+    """Worth of each organisation over all days."""
     got: Counter[OrganisationId] = Counter()
     owed: Counter[OrganisationId] = Counter()
     for result in results:
         for name, (earned, full) in result.by_organisation.items():
             got[name] += earned  # type: ignore[assignment]
             owed[name] += full  # type: ignore[assignment]
-    return sorted(got[name] / owed[name] for name in owed)
+    return {name: got[name] / owed[name] for name in sorted(owed)}
 
 
 def main() -> None:
@@ -263,7 +263,7 @@
     print(f"{sys.argv[1]}, load {load}, {last - first} days of {site.day_s:.0f} s")
     print(
         f"{'order':14} {'whole':>7} {'in time':>8} {'least tenth':>12} {'least pooled':>13} "
-        f"{'largest jobs':>13} {'waste':>6} {'stops':>6}"
+        f"{'largest jobs':>13} {'waste':>6} {'stops':>6}  by organisation"
     )
     for text in sys.argv[5:] or list(ORDERS):
         order, _, half_life = text.partition(":")
@@ -277,9 +277,10 @@
         print(
             f"{text:14} {sum(r.worth for r in results) / count:7.3f} "
             f"{sum(r.in_time for r in results) / count:8.3f} {least_served(results):12.3f} "
-            f"{pooled(results)[0]:13.3f} {large_worth:13.3f} "
+            f"{min(pooled(results).values()):13.3f} {large_worth:13.3f} "
             f"{sum(r.waste for r in results) / count:6.3f} "
-            f"{sum(r.stops for r in results) / count:6.1f}",
+            f"{sum(r.stops for r in results) / count:6.1f}  "
+            + " ".join(f"{worth:.2f}" for worth in pooled(results).values()),
             flush=True,
         )
 
