Plan beside a job whose demand cannot be worked out, and say once that a weight is ignored

Cause: a job whose startable units raise an error would have ended the whole planning pass in the ranking, before the owner can set that job aside; a weight was reported again with each configuration. Ruled out: leaving such a job out of the order, as the owner then never reports it. Change: the job claims nothing and keeps its place; a weight is reported once until it is used again.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,11 +1,13 @@
 """Measures the decision times and memory of the fleet's owner, by number of targets.
 
 Example: python -m benchmarks.fleet_cost
+Features of the scheduling are switched on by name: python -m benchmarks.fleet_cost fair_shares
 """
 
 import gc
 import random
 import statistics
+import sys
 import time
 import tracemalloc
 
@@ -26,6 +28,7 @@
 )
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.ids import JobId, OrganisationId, RackId, ServiceId, TargetId, Version, ZoneId
 
 SIZES = (11, 64, 300, 1_000, 2_000)
@@ -48,7 +51,7 @@
     `running` maps the number of each target to the run of each of its tasks.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, scheduling: Scheduling) -> None:
         self.now = 100.0
         queues = tuple(
             Queue(QueueName(f"q{n}"), "h", f"/q{n}/", SERVICE, n, 3, 3.0, 1.0, False)
@@ -59,7 +62,7 @@
             for n in range(ORGANISATIONS)
         )
         config = FleetConfig(Version(1), queues, organisations, 262_144)
-        self.core = OwnerCore(config, Bounds(), Token(1), self.now)
+        self.core = OwnerCore(config, Bounds(), Token(1), self.now, scheduling)
         self.size = size
         self.running: dict[int, dict[str, int]] = {n: {} for n in range(size)}
         self.job_count = 0
@@ -113,7 +116,7 @@
         return elapsed_s * 1000
 
 
-def measure(size: int) -> list[float]:
+def measure(size: int, scheduling: Scheduling) -> list[float]:
     """Measure one number of targets.
 
     Returns the median milliseconds of a report, of a planning pass without a new job and of one
@@ -122,7 +125,7 @@
     random.seed(SEED)
     gc.collect()
     tracemalloc.start()
-    fleet = Fleet(size)
+    fleet = Fleet(size, scheduling)
     for _ in range(size * TASKS_PER_TARGET // 32):
         fleet.submit(32, SMALL_TASK, 2)
     fleet.plan()
@@ -146,9 +149,10 @@
 
 def main() -> None:
     """Print a row for each number of targets."""
+    scheduling = Scheduling(frozenset(Feature(name) for name in sys.argv[1:]))
     print(f"{'targets':>8} {'report ms':>10} {'pass ms':>8} {'urgent ms':>10} {'KB/target':>10}")
     for size in SIZES:
-        report, idle, busy, memory = measure(size)
+        report, idle, busy, memory = measure(size, scheduling)
         print(f"{size:>8} {report:>10.3f} {idle:>8.2f} {busy:>10.2f} {memory:>10.1f}", flush=True)
 
 
--- a/comfreyshelf/fleet/shares/ranking.py
+++ b/comfreyshelf/fleet/shares/ranking.py
@@ -49,6 +49,7 @@
         self._checked_config: FleetConfig | None = None
         # The weights of the organisations that the configuration contains.
         self._weights: dict[OrganisationId, float] = {}
+        self._ignored_weights: set[OrganisationId] = set()
         self._open_organisations: set[OrganisationId] = set()
         self._above_share: set[OrganisationId] = set()
         # Mean critical path of the open jobs in seconds.
@@ -161,24 +162,27 @@
     def _claims(self, ranked: list[TrackedJob], view: PassView) -> dict[JobId, Claim]:
         claims = {}
         for tracked in ranked:
-            demand = waiting_demand(tracked, view)
+            try:
+                demand = waiting_demand(tracked, view)
+            except Exception:  # The owner reports the error when it plans the job.
+                continue
             if demand != Resources():
                 claims[tracked.job.id] = Claim(tracked, demand)
         return claims
 
     def _check_weights(self, view: PassView) -> None:
-        """Count and log the weights that are not used, once for each configuration."""
+        """Count and log the weights that are not used, each once until it is used again."""
         known = {organisation.id for organisation in view.config.organisations}
         given = self._settings.weights
         self._weights = {name: weight for name, weight in given.items() if name in known}
-        problems = [(name, "is not a positive number") for name in self._settings.invalid_weights]
-        problems += [
-            (name, "is of an organisation that is not in the configuration")
-            for name in sorted(given.keys() - known)
-        ]
-        for name, why in problems:
-            view.count("weights_ignored")
-            view.log_event("weight ignored", organisation=name, why=why, used=DEFAULT_WEIGHT)
+        problems = dict.fromkeys(self._settings.invalid_weights, "is not a positive number")
+        for name in sorted(given.keys() - known):
+            problems[name] = "is of an organisation that is not in the configuration"
+        for name, why in problems.items():
+            if name not in self._ignored_weights:
+                view.count("weights_ignored")
+                view.log_event("weight ignored", organisation=name, why=why, used=DEFAULT_WEIGHT)
+        self._ignored_weights = set(problems)
         self._checked_config = view.config
 
 
--- a/features/fleet_shares.feature
+++ b/features/fleet_shares.feature
@@ -177,6 +177,13 @@
       | nan  |
       | much |
 
+  Scenario: A job that cannot be planned costs only itself
+    # Guards against one bad job whose demand cannot be worked out, so that nothing is planned.
+    When a job that cannot be planned waits for the same room
+    And "big" submits 9 jobs, and then 3 others submit 3 jobs each
+    Then each of the 4 organisations has a run on 1 target
+    And the log says that it cannot be planned
+
   Scenario: An invalid half-life fails the start, and names the remedy
     # Guards against a setting that is found wrong only when an owner takes over.
     Then a half-life of 0 seconds is refused when the settings are loaded
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -1,5 +1,7 @@
 """A fleet owner with a simulated clock, store and targets, shared by several step files."""
 
+from collections.abc import Callable
+
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
@@ -131,10 +133,17 @@
     enough rounds for these to take effect.
     """
 
-    def __init__(self, config: FleetConfig = CONFIG, scheduling: Scheduling | None = None) -> None:
+    def __init__(
+        self,
+        config: FleetConfig = CONFIG,
+        scheduling: Scheduling | None = None,
+        watch: Callable[[OwnerCore], None] = lambda core: None,
+    ) -> None:
+        """`watch` is called with each new owner before its first planning pass."""
         self.now = 100.0
-        self.config, self.scheduling = config, scheduling
+        self.config, self.scheduling, self.watch = config, scheduling, watch
         self.core = OwnerCore(config, Bounds(), Token(1), self.now, scheduling)
+        watch(self.core)
         self.targets = [FakeTarget(number) for number in range(4)]
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
@@ -158,6 +167,7 @@
         """Replace the owner by a new one, which knows what the old one has stored."""
         token = Token(self.core.token + 1)
         self.core = OwnerCore(self.config, Bounds(), token, self.now, self.scheduling)
+        self.watch(self.core)
         for job, progress in self.log.items():
             stored = StoredJob(self.jobs[job], job in self.cancelled, progress)
             self.core.load_job(stored, self.now, self.unix_now)
--- a/features/steps/fleet_shares_steps.py
+++ b/features/steps/fleet_shares_steps.py
@@ -16,6 +16,7 @@
 from comfreyshelf.fleet.guarantee import covered_jobs
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, Job, Organisation, Resources, Step
+from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.fleet.shares.usage import OrganisationUsage
 from comfreyshelf.ids import JobId, OrganisationId, Version
@@ -43,20 +44,14 @@
 
 def create_world(context: Context, **options: str) -> World:
     scheduling = Scheduling(frozenset({Feature.FAIR_SHARES}), {"fair_shares": options})
-    context.world = World(SHARED_CONFIG, scheduling)
-    watch_owner(context)
-    # The weights are checked again, now that the log is watched.
-    context.world.core.configure(msgspec.structs.replace(SHARED_CONFIG, version=Version(2)))
-    context.world.settle()
-    return context.world
+    context.log_lines, context.counts = [], Counter()
 
+    def watch(core: OwnerCore) -> None:
+        core.log_event = lambda event, **fields: context.log_lines.append((event, fields))
+        core.count = lambda name: context.counts.update([name])
 
-def watch_owner(context: Context) -> None:
-    """Keep the events that the owner logs and counts."""
-    context.log_lines, context.counts = [], Counter()
-    core = context.world.core
-    core.log_event = lambda event, **fields: context.log_lines.append((event, fields))
-    core.count = lambda name: context.counts.update([name])
+    context.world = World(SHARED_CONFIG, scheduling, watch)
+    return context.world
 
 
 def submit(
@@ -497,18 +492,35 @@
 @when('"big" is removed from the configuration')
 def remove_organisation(context: Context) -> None:
     organisations = tuple(o for o in SHARED_CONFIG.organisations if o.id != "big")
-    context.world.core.configure(FleetConfig(Version(3), SHARED_CONFIG.queues, organisations, 1000))
+    context.world.core.configure(FleetConfig(Version(2), SHARED_CONFIG.queues, organisations, 1000))
     context.world.settle()
 
 
 @then('the log says once that the weight of "big" is ignored')
 def check_weight_ignored(context: Context) -> None:
+    core = context.world.core
+    core.configure(msgspec.structs.replace(core.config, version=Version(9)))
     pass_time(context.world, 3)
     lines = [fields for event, fields in context.log_lines if event == "weight ignored"]
     assert [line["organisation"] for line in lines] == ["big"], lines
     assert context.counts["weights_ignored"] == 1
 
 
+@when("a job that cannot be planned waits for the same room")
+def submit_bad_job(context: Context) -> None:
+    (bad,) = submit(context.world, "o5", step(1))
+    tracked = context.world.core.jobs[bad.id]
+    context.stack.enter_context(
+        mock.patch.object(tracked, "startable_units", side_effect=IndexError("no such step"))
+    )
+
+
+@then("the log says that it cannot be planned")
+def check_bad_job(context: Context) -> None:
+    events = [event for event, _ in context.log_lines]
+    assert events.count("job cannot be planned") == 1, events
+
+
 @then("a half-life of 0 seconds is refused when the settings are loaded")
 def check_half_life(context: Context) -> None:
     with TemporaryDirectory() as folder:
