--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -11,6 +11,9 @@
 from comfreyshelf.fleet.prediction.record import DurationsRecord
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
 from comfreyshelf.fleet.scheduling import Feature, Scheduling
+from comfreyshelf.fleet.shares.ranking import FairShareRanking
+from comfreyshelf.fleet.shares.settings import read_share_settings
+from comfreyshelf.fleet.shares.usage import OrganisationUsage
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -25,10 +28,16 @@
 
 
 def make_policies(scheduling: Scheduling) -> Policies:
-    """The policies for the features that are in use."""
+    """The policies for the features that are in use; raises SettingsError for invalid settings."""
     durations: DurationModel = QueueMeanModel()
+    ranking: Ranking = DeadlineRanking()
     learned: list[LearnedState] = []
     if scheduling.uses(Feature.PREDICTION):
         durations = quantiles = QuantileModel()
         learned.append(DurationsRecord(quantiles))
-    return Policies(durations, UniformSpeeds(), Quarantine(), DeadlineRanking(), tuple(learned))
+    if scheduling.uses(Feature.FAIR_SHARES):
+        shares = read_share_settings(scheduling)
+        usage = OrganisationUsage(shares.half_life_s)
+        ranking = FairShareRanking(shares, usage)
+        learned.append(usage)
+    return Policies(durations, UniformSpeeds(), Quarantine(), ranking, tuple(learned))
--- a/features/evacuation_world.py
+++ b/features/evacuation_world.py
@@ -80,7 +80,7 @@
         self.is_read = True
         self.events: list[tuple[str, dict]] = []
         self.counts: list[str] = []
-        super().__init__(Bounds(evacuate_s=evacuate_s))
+        super().__init__(bounds=Bounds(evacuate_s=evacuate_s))
         self.targets = [FakeTarget(number) for number in range(targets)]
         for target in self.targets:
             target.zone = ZoneId(f"z{target.number // 2}")
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -1,5 +1,7 @@
 """A fleet owner with a simulated clock, store and targets, shared by several step files."""
 
+from collections.abc import Callable
+
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.evacuation.evacuations import OFFSET_UNSUPPORTED
 from comfreyshelf.fleet.job_table import StoredJob
@@ -21,6 +23,7 @@
 )
 from comfreyshelf.fleet.messages import CrashedRun, Orders, Rejection, Report, RunnerCrash
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.ids import (
     JobId,
     OrganisationId,
@@ -151,10 +154,19 @@
     enough rounds for these to take effect.
     """
 
-    def __init__(self, bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        config: FleetConfig = CONFIG,
+        scheduling: Scheduling | None = None,
+        watch: Callable[[OwnerCore], None] = lambda core: None,
+        bounds: Bounds | None = None,
+    ) -> None:
+        """`watch` is called with each new owner before its first planning pass."""
         self.now = 100.0
+        self.config, self.scheduling, self.watch = config, scheduling, watch
         self.bounds = bounds or Bounds()
-        self.core = OwnerCore(CONFIG, self.bounds, Token(1), self.now)
+        self.core = OwnerCore(config, self.bounds, Token(1), self.now, scheduling)
+        watch(self.core)
         self.targets = [FakeTarget(number) for number in range(4)]
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
@@ -176,7 +188,9 @@
 
     def take_over(self) -> None:
         """Replace the owner by a new one, which knows what the old one has stored."""
-        self.core = OwnerCore(CONFIG, self.bounds, Token(self.core.token + 1), self.now)
+        token = Token(self.core.token + 1)
+        self.core = OwnerCore(self.config, self.bounds, token, self.now, self.scheduling)
+        self.watch(self.core)
         for job, progress in self.log.items():
             stored = StoredJob(self.jobs[job], job in self.cancelled, progress)
             self.core.load_job(stored, self.now, self.unix_now)
