Test that a change of the evacuated zones is sent at once

Change: a scenario asks for orders that name the zone as soon as the owner is told of the change, without a report.

Ruled out: checking it in the deployment on loopback, where a report comes within a second anyway.

The whole of features/ was not run.

--- a/features/fleet_evacuation.feature
+++ b/features/fleet_evacuation.feature
@@ -241,6 +241,13 @@
     When the operators' topic has been read
     Then the orders hold the start again, without a report
 
+  Scenario: A change of the evacuated zones is sent without waiting for reports
+    # Guards against starts that target processes carry out up to a second after their owner has
+    # read the evacuation.
+    Given an elected entry that has placed a job
+    When the records "evacuate/z" are written and read
+    Then the entry sends orders that name zone "z" as soon as it is told
+
   Scenario: The gauge shows the number of evacuated zones
     # Guards against a gauge that keeps an old value, or shows none on an entry that is not owner.
     Given an entry that follows the operators' topic and does not own the schedule
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -746,6 +746,14 @@
     assert context.owner.hub.sent[-1][1].starts
 
 
+@then('the entry sends orders that name zone "{zone}" as soon as it is told')
+def check_sent_early(context: Context, zone: str) -> None:
+    sent = len(context.owner.hub.sent)
+    assert isinstance(context.changes[-1], Evacuations)
+    context.owner.task.handle(context.changes[-1])
+    assert [orders.evacuated_zones for _, orders in context.owner.hub.sent[sent:]] == [(zone,)]
+
+
 @given("an entry that follows the operators' topic and does not own the schedule")
 def follow_as_other(context: Context) -> None:
     connect_owner(context)
