Learn the speeds of machines and correct run times by them

The owner took all for equal, so run times learned on slow targets count as those of usual ones.

Ruled out: comparison with the expectation of queue or caller, which is wrong by a factor of up to 2.

Change: LearnedSpeeds compares runs of the same step on different machines (median of the newest nine runs, shrunk towards what was believed before), and each run with its own earlier pace, which shows a turn within three listings. ActiveRun.slowdown is set at the start, at adoption, when the target reports and when the speed changes.

--- a/comfreyshelf/fleet/active_run.py
+++ b/comfreyshelf/fleet/active_run.py
@@ -39,7 +39,9 @@
     clock; `first_reported_at`, `percent_reported_at` and `listed_at` are times of listings, on
     the target's clock. `stalled_s` is for how long listings have shown the run without progress.
     `gang_key` is equal for all members of a gang, and unique for any other task. The task takes
-    `slowdown` times as long there as on a target of speed 1 near its data.
+    `slowdown` times as long there as on a target of speed 1 near its data, of which `remote_factor`
+    is for the distance from its data or its gang. The slowdown of a gang is that of its slowest
+    member; only the progress of that member shows how long the gang takes.
     """
 
     tracked: "TrackedJob"
@@ -63,6 +65,8 @@
     stalled_s: float = 0.0
     is_duration_recorded: bool = False
     slowdown: float = 1.0
+    remote_factor: float = 1.0
+    is_slowest_member: bool = True
     # Worked out once from the task's name, as each planning pass asks for them.
     full_name: str = ""
     step_number: int = 0
@@ -97,6 +101,7 @@
         gained_percent, elapsed_s = percent - self.first_percent, listed_at - self.first_reported_at
         if (
             not self.is_duration_recorded
+            and self.is_slowest_member
             and gained_percent >= MIN_SAMPLE_PERCENT
             and elapsed_s >= MIN_SAMPLE_S
         ):
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -25,10 +25,11 @@
 from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.policies import Policies, make_policies
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
+from comfreyshelf.fleet.speed.slowdown import set_slowdowns
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import TrackedJob
-from comfreyshelf.ids import JobId, TargetId
+from comfreyshelf.ids import JobId, RackId, TargetId
 
 EventLogger = Callable[..., None]
 
@@ -136,6 +137,23 @@
             self._unreported_runs.setdefault(task.target, []).append(active)
         else:
             view.active_runs[active.full_name] = active
+        self._update_slowdown(active)
+
+    def _update_slowdown(self, active: ActiveRun) -> None:
+        """Work out the slowdown of a run and its gang from what is known of their targets."""
+        if self.scheduling.uses(Feature.TARGET_SPEED):
+            runs = active.tracked.active_runs
+            members = active.tracked.gang_members(active.task)
+            set_slowdowns(
+                [runs[name] for name in members if name in runs],
+                self._rack_of,
+                self.policies.speeds.speed,
+                self.bounds.remote_factor,
+            )
+
+    def _rack_of(self, target: TargetId) -> RackId | None:
+        view = self.targets.get(target)
+        return view.announcement.rack if view is not None else None
 
     def configure(self, config: FleetConfig) -> None:
         """Apply a newer configuration."""
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -309,6 +309,7 @@
             tracked.active_runs[name] = active
             self._unstored_runs.append(active)
             view.orders_changed = True
+        self._update_slowdown(active)
         tracked.set_phase(JobPhase.RUNNING, 0.0)
         self._dirty_jobs.add(tracked.job.id)
         self.log_event(
@@ -321,6 +322,7 @@
             tasks=unit.tasks if unit.step.gang else unit.tasks[0],
             priority=tracked.priority,
             slack_s=round(tracked.deadline - unix_now - tracked.critical_path_s, 1),
+            slowdown=round(active.slowdown, 2),
             version=self.config.version,
         )
 
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -8,7 +8,8 @@
 from comfreyshelf.fleet.prediction.model import DurationModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
+from comfreyshelf.fleet.speed.learned_speeds import LearnedSpeeds
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -24,4 +25,9 @@
 
 def make_policies(scheduling: Scheduling) -> Policies:
     """The policies for the features that are in use."""
-    return Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), DeadlineRanking())
+    policies = Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), DeadlineRanking())
+    if scheduling.uses(Feature.TARGET_SPEED):
+        speeds = LearnedSpeeds(scheduling)
+        policies.speeds = speeds
+        policies.learned += (speeds,)
+    return policies
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -11,10 +11,14 @@
     split_full_name,
 )
 from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.speed.machine_speed import DISTURBED_SPEED
 from comfreyshelf.fleet.targets import TargetView, new_target_view
 from comfreyshelf.fleet.tracked_job import TrackedJob
 from comfreyshelf.ids import TargetId
 
+# Smaller relative changes of a machine's speed leave the slowdowns of its runs as they are.
+MIN_SPEED_CHANGE = 0.05
+
 
 class ReportHandling(FleetState):
     """Applies reports to the state: targets, running and ended runs, refusals and crashes."""
@@ -39,6 +43,8 @@
             for active in list(view.active_runs.values()):
                 if active.incarnation != report.incarnation:
                     self._end_run(view, active, EndKind.LOST, "", now, unix_now)
+            for active in view.active_runs.values():
+                self._update_slowdown(active)
             self.log_event("target joined", target=target, incarnation=report.incarnation)
         if report.announcement.draining and not view.drain_until:
             view.drain_until = now + report.announcement.drain_left_ms / 1000
@@ -159,10 +165,29 @@
             if row.checkpoint:
                 for member in active.tracked.gang_members(active.task):
                     active.tracked.task_progress(member).checkpoint = row.checkpoint
+        self._apply_speed(view)
         for name in [name for name in view.unwanted_runs if name not in listed]:
             del view.unwanted_runs[name]
             self.needs_plan = True
 
+    def _apply_speed(self, view: TargetView) -> None:
+        """Correct the slowdowns of a target's runs if the speed of its machine has changed."""
+        speed = self.policies.speeds.speed(view.machine)
+        if abs(speed - view.speed) < MIN_SPEED_CHANGE * view.speed:
+            return
+        if (speed < DISTURBED_SPEED) != (view.speed < DISTURBED_SPEED):
+            self.count("machines_slowed" if speed < DISTURBED_SPEED else "machines_recovered")
+            self.log_event(
+                "target speed changed",
+                target=view.id,
+                machine=view.machine,
+                speed=round(speed, 2),
+                before=round(view.speed, 2),
+            )
+        view.speed = speed
+        for active in view.active_runs.values():
+            self._update_slowdown(active)
+
     def _handle_ended_row(
         self,
         view: TargetView,
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -21,8 +21,9 @@
     numbered: those up to `processed_ends` have been handled, and those up to `acknowledged_ends`
     are in the store as well. `unwanted_runs` are stop orders for listed runs that the owner does
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
-    A target whose runner refused a start gets none until `no_starts_until`. `orders_changed` is set
-    when new orders have to be sent.
+    A target whose runner refused a start gets none until `no_starts_until`. `speed` is the one
+    that the slowdowns of its runs are based on. `orders_changed` is set when new orders have to be
+    sent.
     """
 
     announcement: Announcement
@@ -38,6 +39,7 @@
     acknowledged_ends: int = 0
     drain_until: float = 0.0
     no_starts_until: float = 0.0
+    speed: float = 1.0
     orders_changed: bool = True
 
     @property
