Do not blame gang members that keep pace with the slowest one

Cause: members are listed one after the other, so the first one listed after a turn seemed to be the only one that had turned. A machine whose gang waits for another was blamed, or cleared.

Change: a gang member shows a turn in two listings and only beside a steady member; members of equal pace are not compared; the median of all machines is the unit, within 1.25 of 1.

--- a/comfreyshelf/fleet/speed/learned_speeds.py
+++ b/comfreyshelf/fleet/speed/learned_speeds.py
@@ -14,13 +14,20 @@
     cautious_median,
     clamp_log,
 )
-from comfreyshelf.fleet.speed.run_pace import Listing, RunKey, RunPace, StepKey, new_run_pace
+from comfreyshelf.fleet.speed.run_pace import (
+    Listing,
+    RunKey,
+    RunPace,
+    StepKey,
+    is_turn,
+    new_run_pace,
+)
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds
 
-# A run whose pace changes by at least this factor shows that its machine has turned slow or fast.
-TURN_FACTOR = 2.0
-# A member of a gang shows a turn only if another member's pace changed less than this factor.
+# A member of a gang shows a turn only if another member's pace changed less than this factor,
 STEADY_FACTOR = 1.5
+# and in this many listings, so that the other members have been listed since the turn.
+MIN_GANG_LISTINGS = 2
 # Members of a gang whose paces differ by less may wait for each other, and then show nothing.
 LOCKSTEP_FACTOR = 1.08
 # Runs of one step on other machines that make a comparison.
@@ -33,6 +40,8 @@
 MAX_MACHINES = 1000
 # With fewer machines the usual speed is not known.
 MIN_MACHINES = 5
+# The usual speed is limited to this, as a few slow machines may be all that were seen.
+MAX_USUAL_SPEED = 1.25
 RECORD_VERSION = 1
 # Speeds this close to 1, as a logarithm, are not stored.
 NEGLIGIBLE_LOG = 0.02
@@ -106,7 +115,7 @@
         pace.remote_factor = active.remote_factor
         if not pace.add(Listing(active.listed_at, active.percent)):
             return
-        if pace.change is not None and self._is_turn(pace.change):
+        if pace.change is not None and is_turn(pace.change):
             self._check_turn(pace)
         seconds = pace.take_sample()
         if seconds is not None:
@@ -145,10 +154,6 @@
 
     # Sudden changes
 
-    @staticmethod
-    def _is_turn(change: float) -> bool:
-        return change <= 1 / TURN_FACTOR or change >= TURN_FACTOR
-
     def _check_turn(self, pace: RunPace) -> None:
         """Change the speed of a machine if the runs there agree that it has changed."""
         runs = self._paces_by_machine[pace.machine]
@@ -160,7 +165,7 @@
         if not changes:
             return
         change = math.exp(cautious_median(changes))
-        if not self._is_turn(change):
+        if not is_turn(change):
             return
         self._machine(pace.machine).turn(change, self._half_lives)
         self._update_speed(pace.machine)
@@ -173,7 +178,7 @@
         """Whether a change of pace tells of the run's machine, not of another member's machine."""
         if pace.gang is None:
             return True
-        return any(
+        return pace.turn_listings >= MIN_GANG_LISTINGS and any(
             other.machine != pace.machine
             and other.gang == pace.gang
             and other.change is not None
@@ -194,7 +199,8 @@
             machine.age_s += elapsed_s
             self._update_speed(name)
         if len(self._speeds) >= MIN_MACHINES:
-            self._usual_speed = median(self._speeds.values())
+            usual = median(self._speeds.values())
+            self._usual_speed = min(MAX_USUAL_SPEED, max(1 / MAX_USUAL_SPEED, usual))
         for pace in self._paces.values():
             pace.idle_s += elapsed_s
         for step in self._steps.values():
--- a/comfreyshelf/fleet/speed/run_pace.py
+++ b/comfreyshelf/fleet/speed/run_pace.py
@@ -23,6 +23,8 @@
 MIN_EXPECTED_GAIN = 4.0
 # A pace of at least this share of the earlier one counts as unchanged.
 STEADY_SHARE = 0.67
+# A run whose pace changes by at least this factor shows that its machine has turned slow or fast.
+TURN_FACTOR = 2.0
 # A run's next sample is taken once its progress has grown by this factor.
 SAMPLE_GROWTH = 1.6
 
@@ -39,7 +41,8 @@
 
     `first` is the first listing since the machine last changed its speed. `change` is the recent
     pace divided by the earlier one, None if that cannot be told. `idle_s` is for how long the run
-    has not been listed, `has_sample` whether it has shown a speed of its machine.
+    has not been listed, `has_sample` whether it has shown a speed of its machine. The last
+    `turn_listings` of the listings showed a turn.
     """
 
     machine: str
@@ -50,6 +53,7 @@
     recent: deque[Listing]
     next_sample_gain: float = MIN_PROGRESS_PERCENT
     has_sample: bool = False
+    turn_listings: int = 0
     change: float | None = None
     idle_s: float = 0.0
 
@@ -64,12 +68,15 @@
         self.idle_s = 0.0
         self.recent.append(listing)
         self.change = self._change()
+        if self.change is not None:
+            self.turn_listings = self.turn_listings + 1 if is_turn(self.change) else 0
         return True
 
     def restart(self, listing: Listing) -> None:
         """Measure the pace from a listing on."""
         self.first, self.change, self.next_sample_gain = listing, None, MIN_PROGRESS_PERCENT
         self.recent = deque([listing], MAX_RECENT_INTERVALS + 1)
+        self.turn_listings = 0
 
     def take_sample(self) -> float | None:
         """Seconds of the whole task at the pace so far and near its data, if a sample is due."""
@@ -115,6 +122,11 @@
         return max(before, last) if before > STEADY_SHARE else last
 
 
+def is_turn(change: float) -> bool:
+    """Whether a machine that changes its pace by this factor has turned slow or fast."""
+    return change <= 1 / TURN_FACTOR or change >= TURN_FACTOR
+
+
 def new_run_pace(active: ActiveRun) -> RunPace:
     """Start to measure a run from its latest listing."""
     listing = Listing(active.listed_at, active.percent)
--- a/features/fleet_target_speed.feature
+++ b/features/fleet_target_speed.feature
@@ -8,6 +8,13 @@
     Then the machines of speed 0.8 are taken for slower than those of speed 1.25
     And the speed of each machine is known to within a third
 
+  Scenario: The speeds of all machines do not drift together
+    # Guards against a fleet that seems to become slower for hours, as machines are compared with
+    # each other.
+    Given 12 targets of the speeds 0.8, 1 and 1.25
+    When 12 jobs of 48 small tasks that differ by a quarter run for 90 seconds
+    Then the mean speed of the machines is still within a sixth of 1
+
   Scenario: A machine that turns slow is noticed from the progress of its runs
     # Guards against a runner that turns 5 times slower and is given work as before.
     Given 6 targets of speed 1 with small tasks of 22 seconds
@@ -17,8 +24,9 @@
 
   Scenario: A machine that turns slow under a single gang member is noticed, the others are not blamed
     # Guards against a member that delays its gang for ever, and against blame for all its members.
+    # The other members have to be listed after the turn, which takes one listing more.
     Given 6 targets of speed 1 with a gang of 5 tasks
-    When one machine turns 5 times slower and 3 seconds pass
+    When one machine turns 5 times slower and 4 seconds pass
     Then that machine is taken for less than half as fast, and the others for usual
 
   Scenario: A gang whose members keep pace with the slowest one blames no machine
@@ -47,9 +55,15 @@
 
   Scenario: A machine that has recovered between two runs is noticed by the next two
     # Guards against a healthy machine that its earlier runs outvote for minutes.
-    Given 6 targets of speed 1, one of which has shown to be 5 times slower
-    When it recovers and works on two more tasks of 6 seconds
-    Then no machine is taken for slow
+    Given a machine that 6 runs have shown to be 5 times slower
+    When two more runs show that it is as fast as usual
+    Then it is taken for at least 0.75 times as fast as usual
+
+  Scenario: A gang whose members keep pace with the slowest one does not clear a slow machine
+    # Guards against a slow machine that counts as usual because its gang is as slow.
+    Given 6 targets, one of which was last seen 5 times slower
+    When a gang of 6 tasks that all keep the pace of the slowest one runs for 20 seconds
+    Then the speeds are as before
 
   Scenario: A machine that was slow and has no work is tried again
     # Guards against a machine that never gets work again, and so never shows that it recovered.
