Place work by its expected end

Cause: a covered gang that asks for one rack was spread over several as soon as no rack had room, even for a rack that was free within a second, and then took three times as long. Runs of other guarantees were not waited for, as only runs that may be stopped were asked whether they end soon.

Change: with target_speed, a unit goes where it ends in time (free room, else preemption within one rack), otherwise where it ends soonest; that may be where it waits for the runs that hold its rack, unless its guarantee demands a start. Members of a gang go on equal targets, work with high slack on slow ones, and small tasks into racks that are in use.

--- a/comfreyshelf/fleet/placement_by_end.py
+++ b/comfreyshelf/fleet/placement_by_end.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from comfreyshelf.fleet.bounds import RECLAIM_MARGIN_S, Bounds
+from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.candidate_target import CandidateTarget
 from comfreyshelf.fleet.placement_goal import PlacementGoal
 from comfreyshelf.fleet.placing import (
@@ -15,7 +15,7 @@
     PlanningCapacity,
     max_tasks_that_fit,
 )
-from comfreyshelf.fleet.room_forecast import ExpectedRoom, forecast_room
+from comfreyshelf.fleet.room_forecast import MIN_END_S, ExpectedRoom, forecast_room
 from comfreyshelf.fleet.speed.slowdown import remote_factors
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import RackId, TargetId
@@ -24,6 +24,13 @@
 EQUAL_FACTOR = 1.1
 # Room that is expected within this time is held for the unit that waits for it.
 MAX_HOLD_S = 2.0
+# Expected time for a stop to reach its target, and for the report of it to come back.
+STOP_DELAY_S = 0.4
+# Runs end later than expected; waiting has to end sooner by this.
+WAIT_MARGIN_S = 0.4
+# A unit waits for runs that end soon only if this much of its slack is left at the speed of their
+# targets, as they may end later than expected.
+MIN_WAIT_SLACK_S = 1.5
 # Cost of each free accelerator in the rack, so that small tasks leave whole racks to gangs. It is
 # below the cost of a free accelerator of the target itself.
 RACK_ROOM_COST = 0.001
@@ -38,7 +45,6 @@
     delay_s: float
     end_s: float
     assignment: Assignment | None
-    is_wait: bool = False
 
 
 class EndAwareCapacity(PlanningCapacity):
@@ -50,10 +56,11 @@
 
     def __init__(self, candidates: dict[TargetId, CandidateTarget], bounds: Bounds) -> None:
         super().__init__(candidates)
-        self._bounds = bounds
+        self.bounds = bounds
         self._racks: dict[RackId, Group] = {}
         for candidate in candidates.values():
             self._racks.setdefault(candidate.announcement.rack, []).append(candidate)
+        self._is_uniform = len({_level(candidate) for candidate in candidates.values()}) <= 1
         for rack in self._racks:
             self._update_rack_room(rack)
 
@@ -62,11 +69,40 @@
         for rack in {self.candidates[target].announcement.rack for target in targets}:
             self._update_rack_room(rack)
 
+    def find_assignment(
+        self,
+        unit: Unit,
+        avoided: set[TargetId],
+        count_tasks: TaskCounter,
+        limits: PlacementLimits,
+    ) -> Assignment | None:
+        goal = limits.goal
+        if goal is None or unit.step.per_target:
+            return super().find_assignment(unit, avoided, count_tasks, limits)
+        # The search without a goal has one result for all units that wait for equal resources.
+        best_fit = super().find_assignment(
+            unit,
+            avoided,
+            count_tasks,
+            msgspec.structs.replace(limits, goal=None, allow_rack_spread=True),
+        )
+        if best_fit is None or self._meets(goal, unit, best_fit):
+            return best_fit
+        return super().find_assignment(unit, avoided, count_tasks, limits)
+
+    def _meets(self, goal: PlacementGoal, unit: Unit, assignment: Assignment) -> bool:
+        """Whether no other assignment suits the goal better, as far as can be told at once."""
+        if self.slowdown(unit, assignment.targets) > goal.safe_slowdown:
+            return False
+        if self._is_uniform and (assignment.can_start_now or assignment.victims):
+            return True
+        return assignment.can_start_now and len(unit.tasks) == 1 and not goal.prefers_slow
+
     def slowdown(self, unit: Unit, targets: Sequence[TargetId]) -> float:
         """The slowdown of a unit on these targets, that of its slowest task."""
         candidates = [self.candidates[target] for target in targets]
         racks = [candidate.announcement.rack for candidate in candidates]
-        factors = remote_factors(unit.step, racks, self._bounds.remote_factor)
+        factors = remote_factors(unit.step, racks, self.bounds.remote_factor)
         return max(
             factor / candidate.speed for factor, candidate in zip(factors, candidates, strict=True)
         )
@@ -126,7 +162,17 @@
             found = self._within(groups, limit, needs_free_room=True)
             if found is not None:
                 return found
-        return self._within(groups, goal.max_slowdown, needs_free_room=False)
+        found = self._within(groups, goal.max_slowdown, needs_free_room=False)
+        if found is None or found.victims or not self.limits.wait_for_ends:
+            return found
+        slack_s = goal.duration_s * (
+            goal.max_slowdown - self.capacity.slowdown(self.unit, found.targets)
+        )
+        if slack_s >= MIN_WAIT_SLACK_S:
+            return found
+        # There is no time left to wait for runs that end soon.
+        self.limits = msgspec.structs.replace(self.limits, wait_for_ends=False)
+        return self._within(groups, goal.max_slowdown, needs_free_room=False) or found
 
     def soonest(self, preferred: list[Group], eligible: Group) -> Assignment | None:
         """The assignment that ends soonest; None if that is to wait for longer than MAX_HOLD_S."""
@@ -143,13 +189,17 @@
         return min(starting, key=lambda option: option.end_s).assignment
 
     def _late_options(self, groups: list[Group]) -> Iterator[_Option]:
-        for needs_free_room in (True, False):
-            found = self._within(groups, math.inf, needs_free_room)
-            if found is not None:
-                delay_s = 0.0
-                if not found.can_start_now:
-                    delay_s = self.capacity._bounds.stop_grace_s + RECLAIM_MARGIN_S
-                yield self._option(delay_s, found.targets, found)
+        for limit in (self.goal.patient_slowdown, math.inf):
+            for needs_free_room in (True, False):
+                found = self._within(groups, limit, needs_free_room)
+                if found is not None:
+                    yield self._option(self._start_delay_s(found), found.targets, found)
+
+    def _start_delay_s(self, assignment: Assignment) -> float:
+        if assignment.victims:
+            return self.capacity.bounds.stop_grace_s + STOP_DELAY_S
+        # The runs that hold the room have been told to stop, or end soon.
+        return 0.0 if assignment.can_start_now else MIN_END_S
 
     def _wait_option(self, preferred: list[Group]) -> _Option | None:
         """Waiting for targets that the unit would rather have."""
@@ -158,6 +208,7 @@
             room
             for group in preferred
             if (room := forecast_room(self.unit, _up_to(group, limit))) is not None
+            and room.after_s > 0
         ]
         options = [self._wait_for(room) for room in rooms]
         return min(options, key=lambda option: option.end_s, default=None)
@@ -167,7 +218,7 @@
         if room.after_s <= MAX_HOLD_S:
             held = Assignment(room.targets, [], False, WAIT_COST_CORE_S)
         option = self._option(room.after_s, room.targets, held)
-        return msgspec.structs.replace(option, is_wait=True)
+        return msgspec.structs.replace(option, end_s=option.end_s + WAIT_MARGIN_S)
 
     def _option(
         self, delay_s: float, targets: list[TargetId], assignment: Assignment | None
--- a/comfreyshelf/fleet/placement_goal.py
+++ b/comfreyshelf/fleet/placement_goal.py
@@ -15,8 +15,9 @@
 # Less urgent work that may take this many times as long goes on the slow targets.
 HIGH_SLACK_SLOWDOWN = 2.0
 MAX_SLOWDOWN = 8.0
-# From the order of a start until the run has begun.
-START_DELAY_S = 0.5
+# From the planning of a start until the run has begun, usually and at most.
+ORDER_DELAY_S = 0.2
+START_DELAY_S = 0.3
 # Steps to which slowdowns and seconds are rounded, so that equal units share one search.
 SLOWDOWN_STEP = 0.05
 START_STEP_S = 0.25
@@ -61,7 +62,7 @@
     max_slowdown = _round_down(min(MAX_SLOWDOWN, max(0.0, left_s / duration_s)), SLOWDOWN_STEP)
     start_within_s = inf
     if is_covered:
-        left_s = bounds.reclaim_s - START_DELAY_S - (unix_now - tracked.accepted_at)
+        left_s = bounds.reclaim_s - ORDER_DELAY_S - (unix_now - tracked.accepted_at)
         start_within_s = max(0.0, _round_down(left_s, START_STEP_S))
     return PlacementGoal(
         round(duration_s, 1) or duration_s,
--- a/comfreyshelf/fleet/room_forecast.py
+++ b/comfreyshelf/fleet/room_forecast.py
@@ -41,11 +41,12 @@
     demand = unit.step.demand
     free = [candidate.free for candidate in group]
     fits = [max_tasks_that_fit(room, demand) for room in free]
-    events = sorted(
+    events = [
         (end.after_s, index, end.demand)
         for index, candidate in enumerate(group)
         for end in candidate.ends
-    )
+    ]
+    events.sort(key=lambda event: event[:2])
     ready_after_s = 0.0
     for after_s, index, released in events:
         if sum(fits) >= len(unit.tasks):
--- a/features/fleet_placement_by_end.feature
+++ b/features/fleet_placement_by_end.feature
@@ -81,13 +81,13 @@
 
   Scenario: A burst of urgent gangs on a fleet of unequal targets with fragmented racks
     # Guards against urgent gangs that are placed at once and end late: spread over racks, or with a
-    # slow member.
+    # slow member. Small urgent tasks arrive beside them and break up racks.
     Given 30 targets of the speeds 0.8, 1 and 1.25 in racks of 5, fragmented by less urgent work
-    When 10 urgent gangs arrive within 8 seconds, with the feature and without
-    Then at most half as many gangs are late with the feature, and each covered gang starts within 2.9 seconds
+    When 14 urgent gangs arrive within 21 seconds, with the feature and without
+    Then at most half as many gangs are late with the feature, and each gang starts in time
 
   Scenario: A burst of urgent tasks while a sixth of the targets is 5 times slower
     # Guards against urgent work on targets that have turned slow.
     Given 30 equal targets in racks of 5, half full of small tasks, of which 5 turn 5 times slower
     When 30 urgent tasks arrive within 15 seconds, with the feature and without
-    Then at most half as many tasks are late with the feature, and each covered task starts within 2.9 seconds
+    Then at most half as many tasks are late with the feature, and each task starts in time
--- a/features/steps/fleet_placement_by_end_steps.py
+++ b/features/steps/fleet_placement_by_end_steps.py
@@ -246,13 +246,15 @@
 
 def run_burst(world: SpeedWorld, seed: int, is_gang: bool) -> tuple[int, float]:
     """Play a burst of urgent jobs; returns how many are late, and the longest wait in seconds."""
-    rng = random.Random(seed)
-    count = 10 if is_gang else 30
+    rng = random.Random(seed + 100)
+    count = 14 if is_gang else 30
     for number in range(count):
         if is_gang:
             options = {"count": rng.choice((3, 4, 5)), "gang": True, "same_rack": True}
             submit(world, f"urgent{number}", 5.0, True, **options)
-            world.advance(0.75)
+            pair = {"count": 2, "demand": Resources(1000, 1000, 2)}
+            submit(world, f"small{number}", 5.0, True, **pair)
+            world.advance(1.5)
         else:
             submit(world, f"urgent{number}", 5.0, True, demand=Resources(1000, 1000, 4))
             world.advance(0.5)
@@ -300,7 +302,7 @@
     context.results = []
     for scheduling in (WITH_TARGET_SPEED, WITHOUT_FEATURES):
         late, longest_wait_s = 0, 0.0
-        for seed in range(2):
+        for seed in range(3):
             world = context.make_world(scheduling)
             fill_fleet(world, seed, 8)
             for number in context.slow:
@@ -311,9 +313,7 @@
         context.results.append((late, longest_wait_s))
 
 
-@then(
-    "at most half as many {kind} are late with the feature, and each covered {one} starts within 2.9 seconds"
-)
+@then("at most half as many {kind} are late with the feature, and each {one} starts in time")
 def check_bursts(context: Context, kind: str, one: str) -> None:
     (late, longest_wait_s), (late_without, _) = context.results
     assert late <= late_without / 2 and late_without > 0, context.results
