--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -10,6 +10,7 @@
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.evacuation.evacuations import Evacuations
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
+from comfreyshelf.fleet.fragmentation import largest_gangs
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
     JobTable,
@@ -195,6 +196,8 @@
                 # The strings of JSON are escaped as those of the metrics' text format.
                 label = msgspec.json.encode(organisation).decode()
                 set_gauge(f"organisation_share{{organisation={label}}}", round(share, 4))
+            for size, tasks in largest_gangs(self._core.targets.values(), now).items():
+                set_gauge(f'largest_gang_tasks{{accelerators="{size}"}}', tasks)
 
     def _unix_now(self) -> float:
         """Return Unix time in seconds, unaffected by steps of the system clock during a term."""
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -14,6 +14,7 @@
 from comfreyshelf.fleet.shares.ranking import FairShareRanking
 from comfreyshelf.fleet.shares.settings import read_share_settings
 from comfreyshelf.fleet.shares.usage import OrganisationUsage
+from comfreyshelf.fleet.speed.learned_speeds import LearnedSpeeds
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -40,4 +41,8 @@
         usage = OrganisationUsage(shares.half_life_s)
         ranking = FairShareRanking(shares, usage)
         learned.append(usage)
-    return Policies(durations, UniformSpeeds(), Quarantine(), ranking, tuple(learned))
+    speeds: TargetSpeeds = UniformSpeeds()
+    if scheduling.uses(Feature.TARGET_SPEED):
+        speeds = learned_speeds = LearnedSpeeds(scheduling)
+        learned.append(learned_speeds)
+    return Policies(durations, speeds, Quarantine(), ranking, tuple(learned))
