Put the stops of draining and stalled runs behind an interface

Cause: the owner stopped such runs itself, so that no deployment could choose another policy. Ruled out: one method for the old and the new policy, as the old one has to stop its runs before room is worked out (a stall may quarantine a target), and the new one needs the room to decide. Change: MovePolicy, with the present behaviour as ImmediateStops, the stall rule and preemption_cost.py in comfreyshelf/fleet/moves/. The owner asks the policy for reserved room and for targets to avoid; the present policy has none.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -12,6 +12,12 @@
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
+from comfreyshelf.fleet.moves.move_policy import FleetAccess, MovePass
+from comfreyshelf.fleet.moves.preemption_cost import (
+    ENDING_SOON_S,
+    is_worth_preempting,
+    make_victim,
+)
 from comfreyshelf.fleet.placing import (
     Assignment,
     CandidateTarget,
@@ -19,7 +25,6 @@
     PlanningCapacity,
     Victim,
 )
-from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.targets import TargetView
@@ -31,24 +36,21 @@
 # Urgent work waits for a run to end only with this much slack, as the run may end later than
 # expected, and stopping another one then takes time too.
 MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
-# A run is stalled if it made no progress for longer than both MIN_STALL_S and this share of the
-# expected duration of its task. It is stopped and, if possible, placed on another target.
-MIN_STALL_S = 4.0
-STALL_ESTIMATE_SHARE = 0.3
 
 
 class _PlanningPass(msgspec.Struct):
     """State of one planning pass.
 
-    `unclaimed_accelerators` are free and not expected to be claimed by guarantees. `reserved_units`
-    counts the units that had capacity reserved although they fit nowhere yet.
+    `moves` has what the policy for moves needs, among it the free accelerators that guarantees are
+    not expected to claim. `reserved_units` counts the units that had capacity reserved although
+    they fit nowhere yet.
     """
 
     now: float
     unix_now: float
     covered_ids: set[JobId]
     capacity: PlanningCapacity
-    unclaimed_accelerators: int = 0
+    moves: MovePass
     reserved_units: int = 0
 
 
@@ -76,18 +78,18 @@
         self.needs_plan = False
         self._drop_silent_targets(now, unix_now)
         self._update_remaining_times(now)
-        self._stop_draining_and_stalled_runs(now)
+        fleet = self._fleet_access()
+        self.policies.moves.stop_runs(fleet, now)
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
-        planning = _PlanningPass(
-            now,
-            unix_now,
-            covered_ids,
-            PlanningCapacity(self._list_candidates(now, unix_now, covered_ids)),
-        )
-        planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
+        capacity = PlanningCapacity(self._list_candidates(now, unix_now, covered_ids))
+        moves = MovePass(now, unix_now, fleet, capacity, covered_ids, bool(self._unstored_runs))
+        self.policies.moves.begin_pass(moves)
+        moves.unclaimed_accelerators = self._unclaimed_accelerators(capacity, unix_now)
+        planning = _PlanningPass(now, unix_now, covered_ids, capacity, moves)
         for tracked in self.policies.ranking.sort(jobs, covered_ids, unix_now):
             try:
+                self.policies.moves.move_units(tracked, moves)
                 self._place_job(tracked, planning)
             except Exception as exc:  # One bad job must not keep all others from being planned.
                 self._failed_jobs.add(tracked.job.id)
@@ -103,16 +105,22 @@
         blocked_steps: set[tuple[int, int]] = set()
         for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
             needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
-            if (unit.occurrence, unit.step_number) not in blocked_steps:
-                if needed_accelerators > planning.unclaimed_accelerators and not may_borrow(
-                    tracked, unit, is_in_time
+            is_reserved = self.policies.moves.is_reserved(tracked, unit)
+            if is_reserved or (unit.occurrence, unit.step_number) not in blocked_steps:
+                unclaimed = planning.moves.unclaimed_accelerators
+                if (
+                    needed_accelerators > unclaimed
+                    and not is_reserved
+                    and not may_borrow(tracked, unit, is_in_time)
                 ):
                     why = "guarantees may claim the room"
                 else:
                     why = self._place_unit(tracked, unit, is_covered, planning)
+                    self.policies.moves.reclaim_reserved(planning.moves)
                 self._log_wait(tracked, unit, why, unix_now)
                 if not why:
-                    planning.unclaimed_accelerators -= 0 if is_covered else needed_accelerators
+                    if not is_covered and not is_reserved:
+                        planning.moves.unclaimed_accelerators -= needed_accelerators
                     continue
                 blocked_steps.add((unit.occurrence, unit.step_number))
             if (
@@ -122,6 +130,19 @@
             ):
                 planning.reserved_units += self._reserve_for_blocked(planning.capacity, unit)
 
+    def _fleet_access(self) -> FleetAccess:
+        return FleetAccess(
+            self.targets,
+            self.jobs,
+            self.bounds,
+            self.policies.speeds,
+            self._stop_run,
+            self._record_stall,
+            self._task_counter,
+            self.log_event,
+            self.count,
+        )
+
     def _update_remaining_times(self, now: float) -> None:
         for tracked in self.jobs.values():
             tracked.begin_planning_pass()
@@ -148,27 +169,11 @@
             for target in list(self._unreported_runs):
                 self._drop_unreported_runs(target, "its target never reported")
 
-    def _stop_draining_and_stalled_runs(self, now: float) -> None:
-        """Stop runs that cannot end before their target has drained, and stalled runs."""
-        for view in self.targets.values():
-            for active in view.active_runs.values():
-                if active.stopping_since is not None or not active.is_confirmed:
-                    continue
-                if view.drain_until:
-                    if active.remaining_s(now) > view.drain_until - now:
-                        self._stop_run(active, now, StopCause.DRAINED)
-                elif self._is_stalled(active):
-                    active.tracked.avoided_targets.add(view.id)
-                    self._record_health(view, active.tracked.job.id, EndKind.FAILED, now)
-                    self._stop_run(active, now, StopCause.STALLED)
-
-    @staticmethod
-    def _is_stalled(active: ActiveRun) -> bool:
-        if active.percent >= 100:
-            # A gang member at 100 percent waits for the other members.
-            return False
-        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * active.expected_s())
-        return not active.step.lasting and active.stalled_s > stall_limit_s
+    def _record_stall(self, active: ActiveRun, now: float) -> None:
+        """Keep the job away from the target of a stalled run, and count it against the target."""
+        active.tracked.avoided_targets.add(active.target)
+        view = self.targets[active.target]
+        self._record_health(view, active.tracked.job.id, EndKind.FAILED, now)
 
     def _stop_run(
         self, active: ActiveRun, now: float, cause: StopCause, for_job: JobId | None = None
@@ -232,14 +237,9 @@
             wait_for_ends=tracked.priority == 0 and may_wait,
             trial_job=tracked.job.id if is_suspect(tracked, unit.tasks) else None,
         )
-        assignment = capacity.find_assignment(
-            unit,
-            tracked.avoided_targets,
-            self._task_counter(tracked, unit),
-            limits,
-        )
+        assignment, why = self._find_room(tracked, unit, limits, planning)
         if assignment is None:
-            return "no room"
+            return why
         if not is_covered and not is_worth_preempting(tracked, unit, assignment, unix_now):
             return "others would lose more"
         capacity.reserve(unit, assignment.targets)
@@ -253,6 +253,34 @@
             self._stop_run(victim, now, cause, tracked.job.id)
         return ""
 
+    def _find_room(
+        self, tracked: TrackedJob, unit: Unit, limits: PlacementLimits, planning: "_PlanningPass"
+    ) -> tuple[Assignment | None, str]:
+        """The assignment of a unit, or None and the reason; reserved room is used first."""
+        policy, moves, capacity = self.policies.moves, planning.moves, planning.capacity
+        reserved = policy.take_reserved(tracked, unit, moves)
+        if reserved is not None:
+            return Assignment(reserved, [], True, 0.0), ""
+        to_avoid = policy.targets_to_avoid(tracked, unit, moves)
+        avoided = tracked.avoided_targets
+        if to_avoid.avoided:
+            avoided = avoided | to_avoid.avoided
+        count_tasks = self._task_counter(tracked, unit)
+        assignment = capacity.find_assignment(unit, avoided, count_tasks, limits)
+        if (
+            tracked.job.id in planning.covered_ids
+            and (assignment is None or not assignment.can_start_now)
+            and policy.lend_reserved(moves)
+        ):
+            with_lent = capacity.find_assignment(unit, avoided, count_tasks, limits)
+            if assignment is None or (with_lent is not None and with_lent.can_start_now):
+                assignment = with_lent
+        if assignment is None:
+            return None, "no room"
+        if not to_avoid.excluded.isdisjoint(assignment.targets):
+            return None, "the room is on targets that are about to leave"
+        return assignment, ""
+
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
         """Log why a unit waits, if the reason differs from the last one logged for its job."""
         if why and why != tracked.wait_reason:
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -5,6 +5,8 @@
 from comfreyshelf.fleet.health.quarantine import Quarantine
 from comfreyshelf.fleet.health.target_health import TargetHealth
 from comfreyshelf.fleet.learned.state import LearnedState
+from comfreyshelf.fleet.moves.immediate_stops import ImmediateStops
+from comfreyshelf.fleet.moves.move_policy import MovePolicy
 from comfreyshelf.fleet.prediction.model import DurationModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
@@ -19,9 +21,16 @@
     speeds: TargetSpeeds
     health: TargetHealth
     ranking: Ranking
+    moves: MovePolicy
     learned: tuple[LearnedState, ...] = ()
 
 
 def make_policies(scheduling: Scheduling) -> Policies:
     """The policies for the features that are in use."""
-    return Policies(QueueMeanModel(), UniformSpeeds(), Quarantine(), DeadlineRanking())
+    return Policies(
+        QueueMeanModel(),
+        UniformSpeeds(),
+        Quarantine(),
+        DeadlineRanking(),
+        ImmediateStops(),
+    )
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -7,13 +7,13 @@
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.guarantee import covered_jobs
 from comfreyshelf.fleet.jobs import EndKind, Resources, RunningRow, RunNumber, TaskName
+from comfreyshelf.fleet.moves.preemption_cost import make_victim
 from comfreyshelf.fleet.placing import (
     WAIT_COST_CORE_S,
     CandidateTarget,
     PlacementLimits,
     PlanningCapacity,
 )
-from comfreyshelf.fleet.preemption_cost import make_victim
 from comfreyshelf.fleet.tracked_job import Outlook, Unit
 from comfreyshelf.ids import JobId, ServiceId
 from features.owner_world import CONFIG, SERVICE, World, step
