Move whole units off targets that leave, are slow or do not make progress

Cause: runs on a draining target were stopped one by one and at once, whether or not there was room for them elsewhere; a gang ended with its first stopped member; work with checkpoints left its target idle; a shorter second notice was not read; and work was placed on targets next in a rollout. Ruled out: moving before any work is placed whatever its rank, as a move of low rank would take room from work that ranks before it; preempting for a move, as the work of the victims is lost as well; reservations in the store, as room that a new owner holds for nobody is idle until it lapses. Change: UnitMoves (feature moves) decides for each unit at risk when its job's turn comes, reserves room for the whole unit and only then stops its runs. TargetView.certain_until is the shortest notice.

--- a/comfreyshelf/fleet/lost_work.py
+++ b/comfreyshelf/fleet/lost_work.py
@@ -13,6 +13,7 @@
     PREEMPTED = "preempted by more urgent work"
     DRAINED = "its target drains"
     STALLED = "no progress"
+    SLOW_TARGET = "its target is slow"
     GANG_BROKEN = "another member of its gang ended"
     CANCELLED = "its job was cancelled"
     JOB_FAILED = "its job failed"
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -38,6 +38,9 @@
 MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
 
 
+ROOM_IS_LEAVING = "the room is on targets that are about to leave"
+
+
 class _PlanningPass(msgspec.Struct):
     """State of one planning pass.
 
@@ -100,13 +103,14 @@
         unix_now = planning.unix_now
         is_covered = tracked.job.id in planning.covered_ids
         is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
-        # Steps of which a task could not be placed. Their other tasks have the same demand and
-        # could not be placed either.
-        blocked_steps: set[tuple[int, int]] = set()
+        # Steps of which a task could not be placed, and why. Their other tasks have the same demand
+        # and could not be placed either.
+        blocked_steps: dict[tuple[int, int], str] = {}
         for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
             needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
+            step = (unit.occurrence, unit.step_number)
             is_reserved = self.policies.moves.is_reserved(tracked, unit)
-            if is_reserved or (unit.occurrence, unit.step_number) not in blocked_steps:
+            if is_reserved or step not in blocked_steps:
                 unclaimed = planning.moves.unclaimed_accelerators
                 if (
                     needed_accelerators > unclaimed
@@ -122,9 +126,10 @@
                     if not is_covered and not is_reserved:
                         planning.moves.unclaimed_accelerators -= needed_accelerators
                     continue
-                blocked_steps.add((unit.occurrence, unit.step_number))
+                blocked_steps[step] = why
             if (
                 planning.reserved_units < MAX_RESERVED_UNITS
+                and blocked_steps[step] != ROOM_IS_LEAVING
                 and tracked.priority <= 1
                 and is_in_time
             ):
@@ -262,23 +267,25 @@
         if reserved is not None:
             return Assignment(reserved, [], True, 0.0), ""
         to_avoid = policy.targets_to_avoid(tracked, unit, moves)
-        avoided = tracked.avoided_targets
-        if to_avoid.avoided:
-            avoided = avoided | to_avoid.avoided
         count_tasks = self._task_counter(tracked, unit)
-        assignment = capacity.find_assignment(unit, avoided, count_tasks, limits)
-        if (
-            tracked.job.id in planning.covered_ids
-            and (assignment is None or not assignment.can_start_now)
-            and policy.lend_reserved(moves)
-        ):
-            with_lent = capacity.find_assignment(unit, avoided, count_tasks, limits)
-            if assignment is None or (with_lent is not None and with_lent.can_start_now):
-                assignment = with_lent
+
+        def find(avoided: frozenset[TargetId]) -> Assignment | None:
+            known = tracked.avoided_targets
+            return capacity.find_assignment(
+                unit, known | avoided if avoided else known, count_tasks, limits
+            )
+
+        assignment = find(to_avoid.avoided)
+        if to_avoid.avoided != to_avoid.excluded:
+            # Free room that is only to be avoided is better than preempting or waiting.
+            assignment = _sooner(assignment, find(to_avoid.excluded))
+        is_covered = tracked.job.id in planning.covered_ids
+        if is_covered and not _can_start_now(assignment) and policy.lend_reserved(moves):
+            assignment = _sooner(assignment, find(to_avoid.excluded))
         if assignment is None:
             return None, "no room"
         if not to_avoid.excluded.isdisjoint(assignment.targets):
-            return None, "the room is on targets that are about to leave"
+            return None, ROOM_IS_LEAVING
         return assignment, ""
 
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
@@ -353,6 +360,17 @@
         )
 
 
+def _can_start_now(assignment: Assignment | None) -> bool:
+    return assignment is not None and assignment.can_start_now
+
+
+def _sooner(first: Assignment | None, second: Assignment | None) -> Assignment | None:
+    """The second assignment if only that one can start now, or if there is no first one."""
+    if first is None or (not first.can_start_now and _can_start_now(second)):
+        return second
+    return first
+
+
 def _work_at_risk(view: TargetView, now: float) -> float:
     """Core-seconds of work that would be lost if the runner of a target crashed."""
     return sum(
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -187,6 +187,12 @@
             self.candidates[target].free -= unit.step.demand
         self._cache.clear()
 
+    def give_back(self, unit: Unit, targets: Iterable[TargetId]) -> None:
+        """Undo `reserve`, so that later units get the room."""
+        for target in targets:
+            self.candidates[target].free += unit.step.demand
+        self._cache.clear()
+
     def mark_started(self, targets: Iterable[TargetId], job: JobId, is_trial: bool) -> None:
         """Record that runs of a job are started on these targets."""
         for target in targets:
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -7,10 +7,11 @@
 from comfreyshelf.fleet.learned.state import LearnedState
 from comfreyshelf.fleet.moves.immediate_stops import ImmediateStops
 from comfreyshelf.fleet.moves.move_policy import MovePolicy
+from comfreyshelf.fleet.moves.unit_moves import UnitMoves
 from comfreyshelf.fleet.prediction.model import DurationModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
 from comfreyshelf.fleet.ranking import DeadlineRanking, Ranking
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds, UniformSpeeds
 
 
@@ -32,5 +33,5 @@
         UniformSpeeds(),
         Quarantine(),
         DeadlineRanking(),
-        ImmediateStops(),
+        UnitMoves(scheduling) if scheduling.uses(Feature.MOVES) else ImmediateStops(),
     )
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -49,6 +49,8 @@
         elif not report.announcement.draining:
             view.drain_until = 0.0
         view.announcement = report.announcement
+        if view.record_notice(now):
+            self.needs_plan = True
         view.seen_at = now
         view.report_sent_at = report.sent_at
         view.listed_at = report.listed_at or report.sent_at
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -21,6 +21,8 @@
     numbered: those up to `processed_ends` have been handled, and those up to `acknowledged_ends`
     are in the store as well. `unwanted_runs` are stop orders for listed runs that the owner does
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
+    `certain_until` is until when the target certainly stays, by the shortest notice that it gave; 0
+    if it has not announced its departure.
     A target whose runner refused a start gets none until `no_starts_until`. `orders_changed` is set
     when new orders have to be sent.
     """
@@ -37,6 +39,7 @@
     processed_ends: int = 0
     acknowledged_ends: int = 0
     drain_until: float = 0.0
+    certain_until: float = 0.0
     no_starts_until: float = 0.0
     orders_changed: bool = True
 
@@ -56,6 +59,20 @@
             and not self.unwanted_runs
         )
 
+    def record_notice(self, now: float) -> bool:
+        """Apply the announced departure; returns whether the target may leave earlier than known.
+
+        A heartbeat that is reported again repeats its time left, so only shorter times count.
+        """
+        before = self.certain_until
+        left_ms = self.announcement.drain_left_ms
+        if not self.announcement.draining and left_ms <= 0:
+            self.certain_until = 0.0
+            return False
+        leaves_at = now + max(0, left_ms) / 1000
+        self.certain_until = min(before, leaves_at) if before else leaves_at
+        return self.certain_until != before
+
     def record_refusal(self, now: float) -> None:
         """Record that the runner refused a start that was meant to be carried out."""
         self.no_starts_until = now + REFUSAL_PAUSE_S
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -20,6 +20,7 @@
 )
 from comfreyshelf.fleet.messages import CrashedRun, Report, RunnerCrash
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.ids import (
     JobId,
     OrganisationId,
@@ -130,10 +131,11 @@
     enough rounds for these to take effect.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, scheduling: Scheduling | None = None, targets: int = 4) -> None:
         self.now = 100.0
-        self.core = OwnerCore(CONFIG, Bounds(), Token(1), self.now)
-        self.targets = [FakeTarget(number) for number in range(4)]
+        self.scheduling = scheduling or Scheduling()
+        self.core = OwnerCore(CONFIG, Bounds(), Token(1), self.now, self.scheduling)
+        self.targets = [FakeTarget(number) for number in range(targets)]
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
         self.jobs: dict[JobId, Job] = {}
@@ -154,7 +156,9 @@
 
     def take_over(self) -> None:
         """Replace the owner by a new one, which knows what the old one has stored."""
-        self.core = OwnerCore(CONFIG, Bounds(), Token(self.core.token + 1), self.now)
+        self.core = OwnerCore(
+            CONFIG, Bounds(), Token(self.core.token + 1), self.now, self.scheduling
+        )
         for job, progress in self.log.items():
             stored = StoredJob(self.jobs[job], job in self.cancelled, progress)
             self.core.load_job(stored, self.now, self.unix_now)
