--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -13,11 +13,16 @@
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
+from comfreyshelf.fleet.moves.move_policy import FleetAccess, MovePass
+from comfreyshelf.fleet.moves.preemption_cost import (
+    ENDING_SOON_S,
+    is_worth_preempting,
+    make_victim,
+)
 from comfreyshelf.fleet.placement_by_end import EndAwareCapacity
 from comfreyshelf.fleet.placement_goal import make_goal
 from comfreyshelf.fleet.placing import Assignment, PlacementLimits, PlanningCapacity
 from comfreyshelf.fleet.prediction.model import Quantile
-from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.ranking import PassView, Ranking
 from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.room_forecast import list_ends
@@ -33,26 +38,28 @@
 # Urgent work waits for a run to end only with this much slack, as the run may end later than
 # expected, and stopping another one then takes time too.
 MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
-# A run is stalled if it made no progress for longer than both MIN_STALL_S and this share of the
-# expected duration of its task. It is stopped and, if possible, placed on another target.
-MIN_STALL_S = 4.0
-STALL_ESTIMATE_SHARE = 0.3
-# Why a unit waits that would fit only together with targets in evacuated zones.
+# Why a unit waits that would fit only together with targets in evacuated zones, or on targets that
+# leave soon.
 ZONES_EVACUATED = "its targets are in evacuated zones"
+ROOM_IS_LEAVING = "the room is on targets that are about to leave"
+# What waits for one of these reserves no capacity elsewhere, as it may wait for hours or does not
+# lack room.
+WAITS_WITHOUT_RESERVATION = (ZONES_EVACUATED, ROOM_IS_LEAVING)
 
 
 class _PlanningPass(msgspec.Struct):
     """State of one planning pass.
 
-    `unclaimed_accelerators` are free and not expected to be claimed by guarantees. `reserved_units`
-    counts the units that had capacity reserved although they fit nowhere yet.
+    `moves` has what the policy for moves needs, among it the free accelerators that guarantees are
+    not expected to claim. `reserved_units` counts the units that had capacity reserved although
+    they fit nowhere yet.
     """
 
     now: float
     unix_now: float
     covered_ids: set[JobId]
     capacity: PlanningCapacity
-    unclaimed_accelerators: int = 0
+    moves: MovePass
     reserved_units: int = 0
 
 
@@ -82,23 +89,23 @@
         self.needs_plan = False
         self._drop_silent_targets(now, unix_now)
         self._update_remaining_times(now)
-        self._stop_draining_and_stalled_runs(now)
+        fleet = self._fleet_access()
+        self.policies.moves.stop_runs(fleet, now)
         if not self._knows_evacuations(now):
             # Work is placed as soon as the topic has been read, without waiting for a tick.
             self.needs_plan = True
             return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
-        planning = _PlanningPass(
-            now,
-            unix_now,
-            covered_ids,
-            self._make_capacity(self._list_candidates(now, unix_now, covered_ids)),
-        )
-        planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
+        capacity = self._make_capacity(self._list_candidates(now, unix_now, covered_ids))
+        moves = MovePass(now, unix_now, fleet, capacity, covered_ids, bool(self._unstored_runs))
+        self.policies.moves.begin_pass(moves)
+        moves.unclaimed_accelerators = self._unclaimed_accelerators(capacity, unix_now)
+        planning = _PlanningPass(now, unix_now, covered_ids, capacity, moves)
         self.policies.ranking.begin_pass(self._pass_view(planning))
         for tracked in self.policies.ranking.sort(jobs, covered_ids, unix_now):
             try:
+                self.policies.moves.move_units(tracked, moves)
                 self._place_job(tracked, planning)
             except Exception as exc:  # One bad job must not keep all others from being planned.
                 self._failed_jobs.add(tracked.job.id)
@@ -146,37 +153,55 @@
         # By medians, also for borrowing: a unit that is in time in half of the cases is worth more
         # than accelerators that are kept idle for a guarantee.
         is_in_time = tracked.outlook(unix_now) is Outlook.IN_TIME
-        # Steps of which a task could not be placed. Their other tasks have the same demand and
-        # could not be placed either. The value is why.
+        # Steps of which a task could not be placed, and why. Their other tasks have the same demand
+        # and could not be placed either.
         blocked_steps: dict[tuple[int, int], str] = {}
         for unit in tracked.startable_units(unix_now, self.bounds.early_start_s):
             needed_accelerators = unit.step.demand.accelerators * len(unit.tasks)
             step = (unit.occurrence, unit.step_number)
-            if step not in blocked_steps:
-                if needed_accelerators > planning.unclaimed_accelerators and not may_borrow(
-                    tracked, unit, is_in_time
+            is_reserved = self.policies.moves.is_reserved(tracked, unit)
+            if is_reserved or step not in blocked_steps:
+                unclaimed = planning.moves.unclaimed_accelerators
+                if (
+                    needed_accelerators > unclaimed
+                    and not is_reserved
+                    and not may_borrow(tracked, unit, is_in_time)
                 ):
                     why = "guarantees may claim the room"
                 else:
                     why = self._place_unit(tracked, unit, is_covered, planning)
+                    self.policies.moves.reclaim_reserved(planning.moves)
                 if why and self.zone_gate.blocks(
                     unit, planning.capacity.candidates.values(), self.targets.values()
                 ):
                     why = ZONES_EVACUATED
                 self._log_wait(tracked, unit, why, unix_now)
                 if not why:
-                    planning.unclaimed_accelerators -= 0 if is_covered else needed_accelerators
+                    if not is_covered and not is_reserved:
+                        planning.moves.unclaimed_accelerators -= needed_accelerators
                     continue
                 blocked_steps[step] = why
-            # What waits for a zone may wait for hours, so it reserves no capacity elsewhere.
             if (
-                blocked_steps[step] != ZONES_EVACUATED
-                and planning.reserved_units < MAX_RESERVED_UNITS
+                planning.reserved_units < MAX_RESERVED_UNITS
+                and blocked_steps[step] not in WAITS_WITHOUT_RESERVATION
                 and tracked.priority <= 1
                 and is_in_time
             ):
                 planning.reserved_units += self._reserve_for_blocked(planning.capacity, unit)
 
+    def _fleet_access(self) -> FleetAccess:
+        return FleetAccess(
+            self.targets,
+            self.jobs,
+            self.bounds,
+            self.policies.speeds,
+            self._stop_run,
+            self._record_stall,
+            self._task_counter,
+            self.log_event,
+            self.count,
+        )
+
     def _update_remaining_times(self, now: float) -> None:
         for tracked in self.jobs.values():
             tracked.begin_planning_pass()
@@ -205,33 +230,11 @@
             for target in list(self._unreported_runs):
                 self._drop_unreported_runs(target, "its target never reported")
 
-    def _stop_draining_and_stalled_runs(self, now: float) -> None:
-        """Stop runs that cannot end before their target has drained, and stalled runs."""
-        for view in self.targets.values():
-            for active in view.active_runs.values():
-                if active.stopping_since is not None or not active.is_confirmed:
-                    continue
-                if view.drain_until:
-                    # A stop costs little with checkpoints, so a run that may not end in time stops.
-                    # Without them it loses all, so it goes on as long as it rather ends in time.
-                    has_checkpoints = active.step.checkpoints
-                    quantile = Quantile.HIGH if has_checkpoints else Quantile.MEDIAN
-                    if active.remaining_s(now, quantile) > view.drain_until - now:
-                        self._stop_run(active, now, StopCause.DRAINED)
-                elif self._is_stalled(active):
-                    active.tracked.avoided_targets.add(view.id)
-                    self._record_health(view, active.tracked.job.id, EndKind.FAILED, now)
-                    self._stop_run(active, now, StopCause.STALLED)
-
-    @staticmethod
-    def _is_stalled(active: ActiveRun) -> bool:
-        if active.percent >= 100:
-            # A gang member at 100 percent waits for the other members.
-            return False
-        # The high quantile, as a task that takes several times as long makes a percent as rarely.
-        expected_s = active.expected_s(Quantile.HIGH)
-        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * expected_s)
-        return not active.step.lasting and active.stalled_s > stall_limit_s
+    def _record_stall(self, active: ActiveRun, now: float) -> None:
+        """Keep the job away from the target of a stalled run, and count it against the target."""
+        active.tracked.avoided_targets.add(active.target)
+        view = self.targets[active.target]
+        self._record_health(view, active.tracked.job.id, EndKind.FAILED, now)
 
     def _stop_run(
         self, active: ActiveRun, now: float, cause: StopCause, for_job: JobId | None = None
@@ -304,18 +307,15 @@
         if self.scheduling.uses(Feature.TARGET_SPEED):
             goal = make_goal(tracked, unit, is_covered, self.bounds, unix_now)
             limits = msgspec.structs.replace(limits, goal=goal)
-        count_tasks = self._task_counter(tracked, unit)
-        assignment = capacity.find_assignment(unit, tracked.avoided_targets, count_tasks, limits)
+        assignment, why = self._find_room(tracked, unit, limits, planning)
         if assignment is None:
-            return "no room"
+            return why
         if not is_covered and not is_worth_preempting(tracked, unit, assignment, unix_now):
             if limits.goal is None:
                 return "others would lose more"
             # Free room may end the unit later, but stops nothing.
             limits = msgspec.structs.replace(limits, preempt_above=NO_PREEMPTION)
-            assignment = capacity.find_assignment(
-                unit, tracked.avoided_targets, count_tasks, limits
-            )
+            assignment, _ = self._find_room(tracked, unit, limits, planning)
             if assignment is None:
                 return "others would lose more"
         capacity.reserve(unit, assignment.targets)
@@ -332,6 +332,36 @@
             self._stop_run(victim, now, cause, tracked.job.id)
         return ""
 
+    def _find_room(
+        self, tracked: TrackedJob, unit: Unit, limits: PlacementLimits, planning: "_PlanningPass"
+    ) -> tuple[Assignment | None, str]:
+        """The assignment of a unit, or None and the reason; reserved room is used first."""
+        policy, moves, capacity = self.policies.moves, planning.moves, planning.capacity
+        reserved = policy.take_reserved(tracked, unit, moves)
+        if reserved is not None:
+            return Assignment(reserved, [], True, 0.0), ""
+        to_avoid = policy.targets_to_avoid(tracked, unit, moves)
+        count_tasks = self._task_counter(tracked, unit)
+
+        def find(avoided: frozenset[TargetId]) -> Assignment | None:
+            known = tracked.avoided_targets
+            return capacity.find_assignment(
+                unit, known | avoided if avoided else known, count_tasks, limits
+            )
+
+        assignment = find(to_avoid.avoided)
+        if to_avoid.avoided != to_avoid.excluded:
+            # Free room that is only to be avoided is better than preempting or waiting.
+            assignment = _sooner(assignment, find(to_avoid.excluded))
+        is_covered = tracked.job.id in planning.covered_ids
+        if is_covered and not _can_start_now(assignment) and policy.lend_reserved(moves):
+            assignment = _sooner(assignment, find(to_avoid.excluded))
+        if assignment is None:
+            return None, "no room"
+        if not to_avoid.excluded.isdisjoint(assignment.targets):
+            return None, ROOM_IS_LEAVING
+        return assignment, ""
+
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
         """Log why a unit waits, if the reason differs from the last one logged for its job."""
         if why and why != tracked.wait_reason:
@@ -418,6 +448,17 @@
             self.count("placements_late")
 
 
+def _can_start_now(assignment: Assignment | None) -> bool:
+    return assignment is not None and assignment.can_start_now
+
+
+def _sooner(first: Assignment | None, second: Assignment | None) -> Assignment | None:
+    """The second assignment if only that one can start now, or if there is no first one."""
+    if first is None or (not first.can_start_now and _can_start_now(second)):
+        return second
+    return first
+
+
 def _work_at_risk(view: TargetView, now: float) -> float:
     """Core-seconds of work that would be lost if the runner of a target crashed."""
     return sum(
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -1,6 +1,6 @@
 """Choice of targets for a unit: best fit, in one rack if required, with preemption if allowed."""
 
-from collections.abc import Callable, Hashable, Sequence
+from collections.abc import Callable, Hashable, Iterable, Sequence
 
 import msgspec
 
@@ -90,6 +90,12 @@
             self.candidates[target].free -= unit.step.demand
         self._cache.clear()
 
+    def give_back(self, unit: Unit, targets: Iterable[TargetId]) -> None:
+        """Undo `reserve`, so that later units get the room."""
+        for target in targets:
+            self.candidates[target].free += unit.step.demand
+        self._cache.clear()
+
     def mark_started(self, targets: Sequence[TargetId], job: JobId, is_trial: bool) -> None:
         """Record that runs of a job are started on these targets."""
         for target in targets:
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -5,6 +5,9 @@
 from comfreyshelf.fleet.health.quarantine import Quarantine
 from comfreyshelf.fleet.health.target_health import TargetHealth
 from comfreyshelf.fleet.learned.state import LearnedState
+from comfreyshelf.fleet.moves.immediate_stops import ImmediateStops
+from comfreyshelf.fleet.moves.move_policy import MovePolicy
+from comfreyshelf.fleet.moves.unit_moves import UnitMoves
 from comfreyshelf.fleet.prediction.model import DurationModel
 from comfreyshelf.fleet.prediction.quantile_model import QuantileModel
 from comfreyshelf.fleet.prediction.queue_mean import QueueMeanModel
@@ -25,6 +28,7 @@
     speeds: TargetSpeeds
     health: TargetHealth
     ranking: Ranking
+    moves: MovePolicy
     learned: tuple[LearnedState, ...] = ()
 
 
@@ -45,4 +49,5 @@
     if scheduling.uses(Feature.TARGET_SPEED):
         speeds = learned_speeds = LearnedSpeeds(scheduling)
         learned.append(learned_speeds)
-    return Policies(durations, speeds, Quarantine(), ranking, tuple(learned))
+    moves = UnitMoves(scheduling) if scheduling.uses(Feature.MOVES) else ImmediateStops()
+    return Policies(durations, speeds, Quarantine(), ranking, moves, tuple(learned))
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -4,6 +4,7 @@
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
 from comfreyshelf.fleet.fleet_state import FleetState
 from comfreyshelf.fleet.jobs import (
+    Announcement,
     EndKind,
     RunNumber,
     TaskName,
@@ -32,29 +33,8 @@
         if view is not None and report.incarnation < view.incarnation:
             return
         if view is None or view.incarnation != report.incarnation:
-            old = view
-            view = new_target_view(report, now)
-            self.targets[target] = view
-            self.needs_plan = True
-            if old is not None:
-                self._drop_runs(old, unix_now, "its target started again")
-            for active in self._unreported_runs.pop(target, []):
-                view.active_runs[active.full_name] = active
-            for active in list(view.active_runs.values()):
-                if active.incarnation != report.incarnation:
-                    self._end_run(view, active, EndKind.LOST, "", now, unix_now)
-            for active in view.active_runs.values():
-                self._update_slowdown(active)
-            self.log_event("target joined", target=target, incarnation=report.incarnation)
-        if report.announcement.draining and not view.drain_until:
-            view.drain_until = now + report.announcement.drain_left_ms / 1000
-            view.orders_changed = self.needs_plan = True
-            self.log_event(
-                "target drains", target=target, left_ms=report.announcement.drain_left_ms
-            )
-        elif not report.announcement.draining:
-            view.drain_until = 0.0
-        view.announcement = report.announcement
+            view = self._join_target(report, view, now, unix_now)
+        self._apply_announcement(view, report.announcement, now)
         view.seen_at = now
         view.report_sent_at = report.sent_at
         view.listed_at = report.listed_at or report.sent_at
@@ -73,6 +53,37 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
+    def _join_target(
+        self, report: Report, old: TargetView | None, now: float, unix_now: float
+    ) -> TargetView:
+        """Create the view of a target that is new or has started again since `old`."""
+        target = report.announcement.id
+        view = new_target_view(report, now)
+        self.targets[target] = view
+        self.needs_plan = True
+        if old is not None:
+            self._drop_runs(old, unix_now, "its target started again")
+        for active in self._unreported_runs.pop(target, []):
+            view.active_runs[active.full_name] = active
+        for active in list(view.active_runs.values()):
+            if active.incarnation != report.incarnation:
+                self._end_run(view, active, EndKind.LOST, "", now, unix_now)
+        for active in view.active_runs.values():
+            self._update_slowdown(active)
+        self.log_event("target joined", target=target, incarnation=report.incarnation)
+        return view
+
+    def _apply_announcement(self, view: TargetView, announcement: Announcement, now: float) -> None:
+        if announcement.draining and not view.drain_until:
+            view.drain_until = now + announcement.drain_left_ms / 1000
+            view.orders_changed = self.needs_plan = True
+            self.log_event("target drains", target=view.id, left_ms=announcement.drain_left_ms)
+        elif not announcement.draining:
+            view.drain_until = 0.0
+        view.announcement = announcement
+        if view.record_notice(now):
+            self.needs_plan = True
+
     def _update_cold(self, view: TargetView, now: float) -> None:
         """Record for how long a target will be slow after an evacuation of its zone."""
         cold_left_s = view.announcement.cold_left_ms / 1000
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -160,6 +160,7 @@
         scheduling: Scheduling | None = None,
         watch: Callable[[OwnerCore], None] = lambda core: None,
         bounds: Bounds | None = None,
+        targets: int = 4,
     ) -> None:
         """`watch` is called with each new owner before its first planning pass."""
         self.now = 100.0
@@ -167,7 +168,7 @@
         self.bounds = bounds or Bounds()
         self.core = OwnerCore(config, self.bounds, Token(1), self.now, scheduling)
         watch(self.core)
-        self.targets = [FakeTarget(number) for number in range(4)]
+        self.targets = [FakeTarget(number) for number in range(targets)]
         self.silent: set[TargetId] = set()
         self.log: dict[JobId, Progress] = {}
         self.jobs: dict[JobId, Job] = {}
