--- a/features/moving_world.py
+++ b/features/moving_world.py
@@ -78,10 +78,10 @@
         self.ended_unix: dict[str, float] = {}
         super().__init__(scheduling=scheduling, targets=0)
         self.targets = [LeavingTarget(number) for number in range(targets)]
-        self.watch()
+        self.collect_events()
         self.settle()
 
-    def watch(self) -> None:
+    def collect_events(self) -> None:
         """Collect the events and counters of the present owner."""
         self.core.configure(MOVING_CONFIG)
         self.core.log_event = self._log
@@ -89,7 +89,7 @@
 
     def take_over(self) -> None:
         super().take_over()
-        self.watch()
+        self.collect_events()
 
     def _log(self, event: str, **fields: object) -> None:
         self.events.append((event, fields))
--- a/features/steps/fleet_prediction_steps.py
+++ b/features/steps/fleet_prediction_steps.py
@@ -9,10 +9,10 @@
 
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.jobs import EndKind, Job, QueueName, Resources, RunningRow, Step, Token
+from comfreyshelf.fleet.moves.preemption_cost import make_victim
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.prediction.model import JobDurations, Quantile, RunSample
 from comfreyshelf.fleet.prediction.quantile_model import Measure, QuantileModel
-from comfreyshelf.fleet.preemption_cost import make_victim
 from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.ids import JobId, OrganisationId
 from features.owner_world import CONFIG, World, step
