Work out expectations once for each revision of a queue

Ruled out: a cache in each run, which would have to be cleared by runs of other jobs. Change: a job keeps the quantiles of its steps until its queue has learned something, and conditions on the time that a run has taken only beyond the least known value. The stall limit and the high quantile of victims are worked out only for runs that need them.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -176,10 +176,10 @@
         if active.percent >= 100:
             # A gang member at 100 percent waits for the other members.
             return False
+        if active.stalled_s <= MIN_STALL_S or active.step.lasting:
+            return False
         # The high quantile, as a task that takes several times as long makes a percent as rarely.
-        expected_s = active.expected_s(Quantile.HIGH)
-        stall_limit_s = max(MIN_STALL_S, STALL_ESTIMATE_SHARE * expected_s)
-        return not active.step.lasting and active.stalled_s > stall_limit_s
+        return active.stalled_s > STALL_ESTIMATE_SHARE * active.expected_s(Quantile.HIGH)
 
     def _stop_run(
         self, active: ActiveRun, now: float, cause: StopCause, for_job: JobId | None = None
--- a/comfreyshelf/fleet/prediction/quantile_model.py
+++ b/comfreyshelf/fleet/prediction/quantile_model.py
@@ -89,15 +89,11 @@
         self._distributions: OrderedDict[Key, LearnedDistribution] = OrderedDict()
         # Grows with each sample; expectations are cached for one revision of their queue.
         self.revision = 0
-        self._revision_by_queue: dict[QueueName, int] = {}
+        self.revision_by_queue: dict[QueueName, int] = {}
 
     def for_job(self, job: Job) -> JobDurations:
         return _LearnedDurations(self, job)
 
-    def revision_of(self, queue: QueueName) -> int:
-        """A number that changes with each sample of a queue."""
-        return self._revision_by_queue.get(queue, 0)
-
     def items(self) -> Iterator[tuple[Key, LearnedDistribution]]:
         """All distributions, those that were updated last at the end."""
         yield from self._distributions.items()
@@ -109,7 +105,7 @@
         if len(self._distributions) > MAX_KEYS:
             self._distributions.popitem(last=False)
         self.revision += 1
-        self._revision_by_queue[key.queue] = self.revision
+        self.revision_by_queue[key.queue] = self.revision
         return found
 
     def learn(
@@ -199,11 +195,30 @@
         self._job = job
         self._siblings_s: dict[int, list[float]] = {}
         self._gangs: dict[int, _GangSample] = {}
-        self._points: dict[int, tuple[int, Points]] = {}
+        # Valid for one revision of the queue: the distribution of each step, and its quantiles with
+        # its least value, as planning asks for those of each run in each pass.
+        self._revision = -1
+        self._points: dict[int, Points] = {}
+        self._medians: dict[int, tuple[float, float]] = {}
+        self._highs: dict[int, tuple[float, float]] = {}
 
     def expected_s(
         self, step_number: int, quantile: Quantile = Quantile.MEDIAN, at_least_s: float = 0.0
     ) -> float:
+        revision = self._model.revision_by_queue.get(self._job.queue, 0)
+        if revision != self._revision:
+            self._revision = revision
+            for cache in (self._points, self._medians, self._highs):
+                cache.clear()
+        quantiles = self._medians if quantile is Quantile.MEDIAN else self._highs
+        found = quantiles.get(step_number)
+        if found is None:
+            points = self._step_points(step_number)
+            found = points.quantile(quantile.value), points.values[0]
+            quantiles[step_number] = found
+        expected_s, least_s = found
+        if at_least_s <= least_s:
+            return expected_s
         return self._step_points(step_number).quantile(quantile.value, at_least_s)
 
     def has_siblings(self, step_number: int) -> bool:
@@ -213,17 +228,16 @@
         return PROGRESS_ERROR_S if quantile is Quantile.HIGH else 0.0
 
     def _step_points(self, step_number: int) -> Points:
-        revision = self._model.revision_of(self._job.queue)
         cached = self._points.get(step_number)
-        if cached is not None and cached[0] == revision:
-            return cached[1]
+        if cached is not None:
+            return cached
         is_gang = _is_gang(self._job.steps[step_number])
         sources = self._model.prior_sources(self._job, is_gang, self._estimate_s(step_number))
         siblings_s = self._siblings_s.get(step_number)
         if siblings_s:
             sources.append(self._sibling_source(is_gang, siblings_s))
         points = _combine(sources)
-        self._points[step_number] = (revision, points)
+        self._points[step_number] = points
         return points
 
     def _sibling_source(self, is_gang: bool, siblings_s: list[float]) -> _Source:
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -56,7 +56,9 @@
         lost_core_s,
         lateness_weight(tracked.priority) * tracked.core_seconds if becomes_late else 0.0,
         # The high quantile, as urgent work that waits for the run has no time for a second wait.
-        active.is_confirmed and active.remaining_s(now, Quantile.HIGH) <= ENDING_SOON_S,
+        active.is_confirmed
+        and remaining_s <= ENDING_SOON_S
+        and active.remaining_s(now, Quantile.HIGH) <= ENDING_SOON_S,
     )
 
 
