Count what an organisation holds four times as much as its average

Cause: with equal weight of both, the organisation that submits half of the work got least of all. Change: RECENT_WEIGHT; the scenarios on recent usage use gangs of the whole fleet.

--- a/benchmarks/fair_shares.py
+++ b/benchmarks/fair_shares.py
@@ -77,6 +77,13 @@
         return self._usage.current(organisation)
 
 
+class EqualRecentRanking(FairShareRanking):
+    """What an organisation has used lately counts as much as what it holds."""
+
+    def level(self, organisation: OrganisationId) -> float:
+        return self._usage.current(organisation) + self._usage.recent(organisation)
+
+
 class RecentRanking(FairShareRanking):
     """Only the decayed usage counts."""
 
@@ -163,7 +170,7 @@
                 self._credit[name] += needed
         while self._credit[self._ring[0]] <= 0 or self._ring[0] not in waiting:
             self._ring.append(self._ring.pop(0))
-        credit = dict(self._credit)
+        credit = defaultdict(float, self._credit)
         turns = [name for name in self._ring if name in waiting]
         order: list[TrackedJob] = []
         while turns:
@@ -213,6 +220,7 @@
     "drf": DominantResourceRanking,
     "deficit": DeficitRoundRobinRanking,
     "queueing": FairQueueingRanking,
+    "equal_recent": EqualRecentRanking,
     "recent": RecentRanking,
     "band": BandRanking,
     "late_by_size": BySizeRanking,
--- a/comfreyshelf/fleet/shares/ranking.py
+++ b/comfreyshelf/fleet/shares/ranking.py
@@ -16,6 +16,9 @@
 from comfreyshelf.fleet.tracked_job import TOO_LATE_OBJECTIVE_RATIO, TrackedJob
 from comfreyshelf.ids import JobId, OrganisationId, ServiceId
 
+# Weight of the average usage beside what an organisation holds now. With 1, the least-served tenth
+# of organisations gets less where one of them submits half of the work.
+RECENT_WEIGHT = 0.25
 # Loss of stopping a run of an organisation above its share, as a share of the usual loss. Losses
 # that differ by less than this count as equal.
 ABOVE_SHARE_LOSS_FACTOR = 0.8
@@ -131,7 +134,8 @@
 
     def level(self, organisation: OrganisationId) -> float:
         """Usage of an organisation, now and lately, divided by its weight."""
-        usage = self._usage.current(organisation) + self._usage.recent(organisation)
+        lately = RECENT_WEIGHT * self._usage.recent(organisation)
+        usage = self._usage.current(organisation) + lately
         return usage / self._weight(organisation)
 
     def shares(self) -> dict[OrganisationId, float]:
--- a/features/fleet_shares.feature
+++ b/features/fleet_shares.feature
@@ -29,7 +29,7 @@
     # Guards against an organisation that takes all room again and again between short jobs.
     Given "big" has used all targets for 180 seconds
     When all runs end
-    And "big" submits 4 jobs and then "small" submits 4 jobs
+    And "big" and then "small" submit a gang of 4 tasks
     Then "small" has runs on 4 targets
 
   Scenario: What an organisation holds counts at once
@@ -44,8 +44,8 @@
     # Guards against an organisation that pays for its usage for ever.
     Given "big" has used all targets for 180 seconds
     When all runs end, and 1200 seconds pass
-    And "big" submits 4 jobs and then "small" submits 4 jobs
-    Then "big" has runs on 2 targets
+    And "big" and then "small" submit a gang of 4 tasks
+    Then "big" has runs on 4 targets
 
   Scenario: Weights set the shares
     # Guards against weights that are read and have no effect.
@@ -109,7 +109,7 @@
     # Guards against an organisation that starts from nothing whenever the owner dies.
     Given "big" has used all targets for 180 seconds
     When the owner dies, all runs end, and the next owner reads what it has learned
-    And "big" submits 4 jobs and then "small" submits 4 jobs
+    And "big" and then "small" submit a gang of 4 tasks
     Then "small" has runs on 4 targets
 
   Scenario: The next owner plans by what runs hold if nothing was learned
--- a/features/steps/fleet_shares_steps.py
+++ b/features/steps/fleet_shares_steps.py
@@ -249,10 +249,10 @@
     pass_time(context.world, seconds)
 
 
-@when('"big" submits 4 jobs and then "small" submits 4 jobs')
-def submit_equal(context: Context) -> None:
-    submit(context.world, "big", step(1), jobs=4)
-    submit(context.world, "small", step(1), jobs=4)
+@when('"big" and then "small" submit a gang of 4 tasks')
+def submit_gangs(context: Context) -> None:
+    for name in ("big", "small"):
+        submit(context.world, name, step(4, gang=True))
     context.world.settle()
 
 
