Weigh the orders of contested capacity, and skip jobs that wait for nothing

Ruled out: asking only the jobs that waited in the last pass, as a step may have become startable since.

--- a/comfreyshelf/fleet/shares/ranking.py
+++ b/comfreyshelf/fleet/shares/ranking.py
@@ -192,6 +192,9 @@
 
 def waiting_demand(tracked: TrackedJob, view: PassView) -> Resources:
     """What all units of a job need that may start now."""
+    tasks = sum(step.count for step in tracked.job.steps)
+    if tracked.job.times <= 0 and len(tracked.active_runs) == tasks:
+        return Resources()
     counts: Counter[int] = Counter()
     for unit in tracked.startable_units(view.unix_now, view.early_start_s):
         counts[unit.step_number] += len(unit.tasks)
@@ -243,13 +246,16 @@
     targets: Iterable[TargetView], covered_ids: set[JobId]
 ) -> dict[OrganisationId, Resources]:
     """What the active runs of each organisation hold, without work that a guarantee covers."""
-    held: dict[OrganisationId, list[Resources]] = defaultdict(list)
+    held: dict[OrganisationId, list[int]] = {}
     for view in targets:
         for active in view.active_runs.values():
             job = active.tracked.job
             if job.id not in covered_ids:
-                held[job.organisation].append(active.demand)
-    return {name: total(demands) for name, demands in held.items()}
+                amounts = held.setdefault(job.organisation, [0, 0, 0])
+                amounts[0] += active.demand.cpu_millicores
+                amounts[1] += active.demand.memory_mb
+                amounts[2] += active.demand.accelerators
+    return {name: Resources(*amounts) for name, amounts in held.items()}
 
 
 def _free_by_service(view: PassView) -> dict[ServiceId, Resources]:
