--- a/comfreyshelf/fleet/shares/ranking.py
+++ b/comfreyshelf/fleet/shares/ranking.py
@@ -16,6 +16,9 @@
 from comfreyshelf.fleet.tracked_job import TOO_LATE_OBJECTIVE_RATIO, TrackedJob
 from comfreyshelf.ids import JobId, OrganisationId, ServiceId
 
+# Weight of the average usage beside what an organisation holds now. With 1, the least-served tenth
+# of organisations gets less where one of them submits half of the work.
+RECENT_WEIGHT = 0.25
 # Loss of stopping a run of an organisation above its share, as a share of the usual loss. Losses
 # that differ by less than this count as equal.
 ABOVE_SHARE_LOSS_FACTOR = 0.8
@@ -131,7 +134,8 @@
 
     def level(self, organisation: OrganisationId) -> float:
         """Usage of an organisation, now and lately, divided by its weight."""
-        usage = self._usage.current(organisation) + self._usage.recent(organisation)
+        lately = RECENT_WEIGHT * self._usage.recent(organisation)
+        usage = self._usage.current(organisation) + lately
         return usage / self._weight(organisation)
 
     def shares(self) -> dict[OrganisationId, float]:
@@ -188,6 +192,9 @@
 
 def waiting_demand(tracked: TrackedJob, view: PassView) -> Resources:
     """What all units of a job need that may start now."""
+    tasks = sum(step.count for step in tracked.job.steps)
+    if tracked.job.times <= 0 and len(tracked.active_runs) == tasks:
+        return Resources()
     counts: Counter[int] = Counter()
     for unit in tracked.startable_units(view.unix_now, view.early_start_s):
         counts[unit.step_number] += len(unit.tasks)
@@ -239,13 +246,16 @@
     targets: Iterable[TargetView], covered_ids: set[JobId]
 ) -> dict[OrganisationId, Resources]:
     """What the active runs of each organisation hold, without work that a guarantee covers."""
-    held: dict[OrganisationId, list[Resources]] = defaultdict(list)
+    held: dict[OrganisationId, list[int]] = {}
     for view in targets:
         for active in view.active_runs.values():
             job = active.tracked.job
             if job.id not in covered_ids:
-                held[job.organisation].append(active.demand)
-    return {name: total(demands) for name, demands in held.items()}
+                amounts = held.setdefault(job.organisation, [0, 0, 0])
+                amounts[0] += active.demand.cpu_millicores
+                amounts[1] += active.demand.memory_mb
+                amounts[2] += active.demand.accelerators
+    return {name: Resources(*amounts) for name, amounts in held.items()}
 
 
 def _free_by_service(view: PassView) -> dict[ServiceId, Resources]:
