Stop work without checkpoints that cannot end before its target leaves

Ruled out: stopping all of it, as an expectation may be too long. Change: without room, a unit goes on only if it would end in time with 0.6 of what is expected. Two scenarios let work leave in 16 s instead of 10 and 6, so that it may still end, as they are about work that goes on. The check of six of sixty targets held each stopped run to a start within 2 s; it now holds moved ones to it, and checks that no other run was stopped that might have ended, as runs are now stopped without room, too. A new scenario fails without the change.

--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -31,6 +31,9 @@
 MAX_MOVES = 3
 # The end of a run has to be reported before its target leaves, or it counts as lost.
 END_REPORT_S = ANSWER_MARGIN_S
+# Work without checkpoints and without room elsewhere goes on if it would end in time should it need
+# only this share of what is expected; else it would only do more work that is thrown away.
+HOPEFUL_REMAINING_SHARE = 0.6
 # A stalled run is stopped without room elsewhere after this many times the time after which it
 # counts as stalled, as it holds room that other work could use.
 STALLED_STOP_RATIO = 2.0
@@ -65,6 +68,9 @@
     NOT_WORTH = "not_worth"
 
 
+_WITHOUT_ROOM = (Stay.NO_ROOM, Stay.GUARANTEE)
+
+
 def stop_margin_s(bounds: Bounds) -> float:
     """Least time before a departure at which a run has to be stopped to save its checkpoint.
 
@@ -189,7 +195,11 @@
         if at_risk.surely_remaining_s(moves.now) + END_REPORT_S <= at_risk.left_s:
             return Stay.ENDS_IN_TIME
         if not at_risk.unit.step.checkpoints:
-            return self._move_if_possible(at_risk, moves)
+            stay = self._move_if_possible(at_risk, moves)
+            if stay not in _WITHOUT_ROOM or self._may_still_end(at_risk, moves):
+                return stay
+            self._stop(at_risk, None, moves)
+            return None
         if at_risk.left_s > stop_margin_s(moves.fleet.bounds):
             return Stay.UNTIL_LATEST
         # Its checkpoint is saved only if it is stopped, so it is stopped even without room.
@@ -197,6 +207,11 @@
         self._stop(at_risk, assignment if isinstance(assignment, Assignment) else None, moves)
         return None
 
+    @staticmethod
+    def _may_still_end(at_risk: UnitAtRisk, moves: MovePass) -> bool:
+        hoped_s = HOPEFUL_REMAINING_SHARE * at_risk.remaining_s(moves.now)
+        return hoped_s + END_REPORT_S <= at_risk.left_s
+
     def _move_if_possible(self, at_risk: UnitAtRisk, moves: MovePass) -> Stay | None:
         key = unit_key(at_risk.tracked, at_risk.unit)
         if self._moves[key] >= self._max_moves or (
--- a/features/fleet_moves.feature
+++ b/features/fleet_moves.feature
@@ -56,10 +56,11 @@
     And the log says what the move cost and saved
 
   Scenario: Work without checkpoints goes on if there is no room, and moves once there is
-    # Guards against stopping a run that can start nowhere, and against forgetting it then.
+    # Guards against stopping a run that can start nowhere though it may end after all, and against
+    # forgetting it then.
     Given a job of 30 seconds that has run for 8 seconds
     And other work on all other targets
-    When its target leaves in 10 seconds
+    When its target leaves in 16 seconds
     And the fleet runs on for 2 s
     Then no run of the job was stopped
     And the counter moves_declined{reason="no_room"} is 1
@@ -81,10 +82,21 @@
     # Guards against stopping one member on a leaving target, which ends the whole gang for nothing.
     Given a gang of 3 tasks of 30 seconds that has run for 8 seconds
     And other work on all other targets
-    When the target of one member leaves in 6 seconds
+    When the target of one member leaves in 16 seconds
     And the fleet runs on for 4 s
     Then no run of the job was stopped
 
+  Scenario: Work without checkpoints that cannot end in time any more is stopped without room
+    # Guards against work on a leaving target for seconds that are thrown away with it.
+    Given a job of 30 seconds that has run for 8 seconds
+    And other work on all other targets
+    When its target leaves in 6 seconds
+    And the fleet runs on for 1 s
+    Then the counter stops_without_room{reason="departure"} is 1
+    When work of another target ends
+    And the fleet runs on for 1 s
+    Then the job runs on a target that stays
+
   Scenario: Reserved room is not given to lower-ranked work while the stopped runs end
     # Guards against a unit that is stopped for room that another job takes meanwhile.
     Given a job of 30 seconds that has run for 8 seconds
@@ -272,7 +284,8 @@
     And an urgent job within its guarantee is submitted each second, for 8 seconds
     Then no run with checkpoints was lost
     And no run that could end before its target left was stopped
-    And each run without checkpoints that was stopped started again within 2 seconds
+    And each run without checkpoints that was moved started again within 2 seconds
+    And no other run without checkpoints was stopped that might have ended in time
     And each urgent job started within its time
 
   Scenario: A rollout passes over half of the fleet
