Place work by its expected end

Cause: a covered gang that asks for one rack was spread over several as soon as no rack had room, even for a rack that was free within a second, and then took three times as long. Runs of other guarantees were not waited for, as only runs that may be stopped were asked whether they end soon. The scenario 'An urgent gang waits for a run that is about to leave its rack' shows both: 2 racks and late without the feature, 1 rack and in time with it.

Change: with target_speed, a unit goes where it ends in time (free room, else preemption within one rack), otherwise where it ends soonest; that may be where it waits for the runs that hold its rack, unless its guarantee demands a start. Members of a gang go on equal targets, work with high slack on slow ones, and small tasks into racks that are in use. A gauge shows the largest gangs that fit.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -9,25 +9,25 @@
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, is_suspect
 from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
-from comfreyshelf.fleet.placing import (
-    Assignment,
-    CandidateTarget,
-    PlacementLimits,
-    PlanningCapacity,
-    Victim,
-)
+from comfreyshelf.fleet.placement_by_end import EndAwareCapacity
+from comfreyshelf.fleet.placement_goal import make_goal
+from comfreyshelf.fleet.placing import Assignment, PlacementLimits, PlanningCapacity
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.report_handling import ReportHandling
-from comfreyshelf.fleet.scheduling import Scheduling
+from comfreyshelf.fleet.room_forecast import list_ends
+from comfreyshelf.fleet.scheduling import Feature, Scheduling
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 
 # Capacity is reserved for at most this many units that fit nowhere yet, in order of their ranks.
 MAX_RESERVED_UNITS = 3
+# Above the number of every priority.
+NO_PREEMPTION = 1000
 # Urgent work waits for a run to end only with this much slack, as the run may end later than
 # expected, and stopping another one then takes time too.
 MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
@@ -83,7 +83,7 @@
             now,
             unix_now,
             covered_ids,
-            PlanningCapacity(self._list_candidates(now, unix_now, covered_ids)),
+            self._make_capacity(self._list_candidates(now, unix_now, covered_ids)),
         )
         planning.unclaimed_accelerators = self._unclaimed_accelerators(planning.capacity, unix_now)
         for tracked in self.policies.ranking.sort(jobs, covered_ids, unix_now):
@@ -93,6 +93,11 @@
                 self._failed_jobs.add(tracked.job.id)
                 self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
 
+    def _make_capacity(self, candidates: dict[TargetId, CandidateTarget]) -> PlanningCapacity:
+        if self.scheduling.uses(Feature.TARGET_SPEED):
+            return EndAwareCapacity(candidates, self.bounds)
+        return PlanningCapacity(candidates)
+
     def _place_job(self, tracked: TrackedJob, planning: "_PlanningPass") -> None:
         """Place the units of a job that may start, in one planning pass."""
         unix_now = planning.unix_now
@@ -199,6 +204,8 @@
                     candidate.add_young_run(active.tracked.job.id, is_trial)
             candidate.list_victims = partial(_list_victims, view, covered_ids, now, unix_now)
             candidate.work_at_risk = partial(_work_at_risk, view, now)
+            candidate.speed = self.policies.speeds.speed(view.machine)
+            candidate.list_ends = partial(list_ends, view)
             candidates[view.id] = candidate
         return candidates
 
@@ -232,21 +239,31 @@
             wait_for_ends=tracked.priority == 0 and may_wait,
             trial_job=tracked.job.id if is_suspect(tracked, unit.tasks) else None,
         )
-        assignment = capacity.find_assignment(
-            unit,
-            tracked.avoided_targets,
-            self._task_counter(tracked, unit),
-            limits,
-        )
+        if self.scheduling.uses(Feature.TARGET_SPEED):
+            goal = make_goal(tracked, unit, is_covered, self.bounds, unix_now)
+            limits = msgspec.structs.replace(limits, goal=goal)
+        count_tasks = self._task_counter(tracked, unit)
+        assignment = capacity.find_assignment(unit, tracked.avoided_targets, count_tasks, limits)
         if assignment is None:
             return "no room"
         if not is_covered and not is_worth_preempting(tracked, unit, assignment, unix_now):
-            return "others would lose more"
+            if limits.goal is None:
+                return "others would lose more"
+            # Free room may end the unit later, but stops nothing.
+            limits = msgspec.structs.replace(limits, preempt_above=NO_PREEMPTION)
+            assignment = capacity.find_assignment(
+                unit, tracked.avoided_targets, count_tasks, limits
+            )
+            if assignment is None:
+                return "others would lose more"
         capacity.reserve(unit, assignment.targets)
         capacity.mark_started(assignment.targets, tracked.job.id, limits.trial_job is not None)
         if assignment.can_start_now:
             self._order_start(tracked, unit, assignment, now, unix_now)
             return ""
+        if not assignment.victims:
+            self.count("units_held")
+            self._log_wait(tracked, unit, "room is about to be free", unix_now)
         for victim in assignment.victims:
             capacity.mark_releasing(victim)
             cause = StopCause.RECLAIMED if is_covered else StopCause.PREEMPTED
@@ -325,6 +342,14 @@
             slowdown=round(active.slowdown, 2),
             version=self.config.version,
         )
+        self._count_placement(active, unix_now)
+
+    def _count_placement(self, active: ActiveRun, unix_now: float) -> None:
+        """Count a placement away from its data or its gang, or with a late expected end."""
+        if active.remote_factor > 1:
+            self.count("gangs_spread" if active.gang_size > 1 else "tasks_off_rack")
+        if active.slowdown > 1 and unix_now + active.expected_s() > active.tracked.deadline:
+            self.count("placements_late")
 
 
 def _work_at_risk(view: TargetView, now: float) -> float:
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -8,6 +8,7 @@
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.bounds import MEMBERSHIP_TIMEOUT_S, monotonic
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
+from comfreyshelf.fleet.fragmentation import largest_gangs
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
     JobTable,
@@ -148,6 +149,8 @@
             set_gauge('belief_age_seconds{of="targets"}', round(max(report_ages_s, default=0.0), 3))
             set_gauge("targets", len(report_ages_s))
             set_gauge("jobs_open", len(self._core.jobs))
+            for size, tasks in largest_gangs(self._core.targets.values(), now).items():
+                set_gauge(f'largest_gang_tasks{{accelerators="{size}"}}', tasks)
 
     def _unix_now(self) -> float:
         """Return Unix time in seconds, unaffected by steps of the system clock during a term."""
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -1,116 +1,18 @@
 """Choice of targets for a unit: best fit, in one rack if required, with preemption if allowed."""
 
-from collections.abc import Callable, Hashable, Iterable
+from collections.abc import Callable, Hashable, Sequence
 
 import msgspec
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.jobs import Announcement, Resources
+from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
+from comfreyshelf.fleet.jobs import Resources
+from comfreyshelf.fleet.placement_goal import PlacementGoal
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import JobId, RackId, TargetId
 
 # Added to the cost of a task that has to wait until resources are released.
 WAIT_COST_CORE_S = 1.0
-# Added to the cost of a task that may have crashed a runner beside a run that was just started, and
-# the other way round, so that the next crash shows which of them causes it.
-SHARED_TRIAL_COST_CORE_S = 100.0
-
-
-class Victim(msgspec.Struct, frozen=True):
-    """A run that may be preempted, with the cost of doing so in core-seconds.
-
-    `lost_work` is the work that is thrown away, `lateness_loss` what the job loses if the
-    preemption makes it miss its objective. A run that `ends_soon` is worth waiting for.
-    """
-
-    active: ActiveRun
-    lost_work: float
-    lateness_loss: float = 0.0
-    ends_soon: bool = False
-
-    @property
-    def total_loss(self) -> float:
-        """Cost of the preemption if no other run of the job or its gang is preempted."""
-        return self.lost_work + self.lateness_loss
-
-
-class CandidateTarget(msgspec.Struct):
-    """A target that may be given work, with its free resources and those that could be freed.
-
-    `free` excludes the resources in `releasing`, which runs hold that are being stopped. `victims`
-    are sorted by their total loss in ascending order; `ending` is what those hold that end soon.
-    Both are worked out by `list_victims` when they are first needed, as most tasks need none.
-    `young_jobs` has the job of each run that was just started there, `trial_jobs` those that may
-    crash the runner. A crash would cost `work_at_risk` core-seconds.
-    """
-
-    announcement: Announcement
-    free: Resources
-    releasing: Resources = Resources()
-    list_victims: Callable[[], list[Victim]] = list
-    young_jobs: list[JobId] = []
-    trial_jobs: set[JobId] = set()
-    work_at_risk: Callable[[], float] = lambda: 0.0
-    _victims: list[Victim] | None = None
-    _ending: Resources = Resources()
-
-    @property
-    def victims(self) -> list[Victim]:
-        """The runs that may be preempted, by their total loss in ascending order."""
-        if self._victims is None:
-            self._victims = self.list_victims()
-            for victim in self._victims:
-                if victim.ends_soon:
-                    self._ending += victim.active.demand
-        return self._victims
-
-    def add_young_run(self, job: JobId, is_trial: bool) -> None:
-        """Count a run that was just started here."""
-        self.young_jobs.append(job)
-        if is_trial:
-            self.trial_jobs.add(job)
-
-    def allows_trial(self, job: JobId | None) -> bool:
-        """Whether a crash here would still tell that this job, if it is a suspect, causes it."""
-        return job is None or self.trial_jobs <= {job}
-
-    def crash_risk(self, trial_job: JobId | None) -> float:
-        """Cost in core-seconds of placing a task here, where a crash may lose work."""
-        if trial_job is None:
-            return SHARED_TRIAL_COST_CORE_S * len(self.trial_jobs)
-        others = sum(job != trial_job for job in self.young_jobs)
-        return SHARED_TRIAL_COST_CORE_S * others + self.work_at_risk()
-
-    def release(self, active: ActiveRun) -> None:
-        """Count the resources of a preempted run as being released."""
-        self.releasing += active.demand
-        self._victims = [other for other in self.victims if other.active is not active]
-
-    def room_after_ends(self, free: Resources, limits: "PlacementLimits") -> Resources:
-        """The room once the runs have ended that are being stopped, or that end soon."""
-        room = free + self.releasing
-        if limits.wait_for_ends and self.victims:
-            room += self._ending
-        return room
-
-    def can_hold_with_preemption(self, demand: Resources, limits: "PlacementLimits") -> bool:
-        """Whether a task would fit if all runs that it may preempt were stopped."""
-        room = self.room_after_ends(self.free, limits)
-        for victim in self.victims:
-            if room.can_hold(demand):
-                return True
-            if limits.may_preempt(victim):
-                room += victim.active.demand
-        return room.can_hold(demand)
-
-    def can_run(self, unit: Unit) -> bool:
-        """Whether the target could run a task of the unit if it were empty."""
-        announcement, step = self.announcement, unit.step
-        return (
-            announcement.service == unit.service
-            and (not step.label or step.label in announcement.labels)
-            and announcement.room.can_hold(step.demand)
-        )
 
 
 class PlacementLimits(msgspec.Struct, frozen=True):
@@ -120,13 +22,14 @@
     `allow_rack_spread`, a unit that should run in one rack is spread over several if no rack has
     enough capacity now; without, only if no rack would have enough even if it were empty. With
     `wait_for_ends`, the unit rather waits for runs that end soon than preempts runs. `trial_job` is
-    the unit's job if the unit may have crashed a runner.
+    the unit's job if the unit may have crashed a runner. Without a `goal`, best fit alone decides.
     """
 
     preempt_above: int
     allow_rack_spread: bool = False
     wait_for_ends: bool = False
     trial_job: JobId | None = None
+    goal: PlacementGoal | None = None
 
     def may_preempt(self, victim: Victim) -> bool:
         """Whether a run may be stopped; one that is waited for may not."""
@@ -181,13 +84,13 @@
         self._cache[key] = assignment
         return assignment
 
-    def reserve(self, unit: Unit, targets: Iterable[TargetId]) -> None:
+    def reserve(self, unit: Unit, targets: Sequence[TargetId]) -> None:
         """Subtract the demand of one task on each of `targets`, so that no later unit gets it."""
         for target in targets:
             self.candidates[target].free -= unit.step.demand
         self._cache.clear()
 
-    def mark_started(self, targets: Iterable[TargetId], job: JobId, is_trial: bool) -> None:
+    def mark_started(self, targets: Sequence[TargetId], job: JobId, is_trial: bool) -> None:
         """Record that runs of a job are started on these targets."""
         for target in targets:
             self.candidates[target].add_young_run(job, is_trial)
@@ -249,27 +152,41 @@
         count_tasks: Callable[[TargetId], int],
         limits: PlacementLimits,
     ) -> Assignment | None:
-        """Find the cheapest assignment within one group, without preemption if that is possible."""
+        """Find the cheapest assignment within one group, without preemption if possible."""
         for needs_free_room in (True, False):
-            assignments = [
-                assignment
-                for group in groups
-                if (
-                    assignment := self._assign_greedily(
-                        unit, group, count_tasks, limits, needs_free_room
-                    )
-                )
-                is not None
-            ]
-            if assignments:
-                return min(assignments, key=lambda found: (not found.can_start_now, found.cost))
+            found = self.assign_to_one(unit, groups, count_tasks, limits, needs_free_room)
+            if found is not None:
+                return found
         return None
 
+    def assign_to_one(
+        self,
+        unit: Unit,
+        groups: list[list[CandidateTarget]],
+        count_tasks: Callable[[TargetId], int],
+        limits: PlacementLimits,
+        needs_free_room: bool,
+    ) -> Assignment | None:
+        """The cheapest assignment within one group, only to free room if that is needed."""
+        assignments = [
+            assignment
+            for group in groups
+            if (
+                assignment := self._assign_greedily(
+                    unit, group, count_tasks, limits, needs_free_room
+                )
+            )
+            is not None
+        ]
+        return min(
+            assignments, key=lambda found: (not found.can_start_now, found.cost), default=None
+        )
+
     @staticmethod
     def _max_tasks_when_empty(unit: Unit, group: list[CandidateTarget]) -> int:
         """How many tasks of the unit would fit on the targets of a group if these were empty."""
         demand = unit.step.demand
-        return sum(_max_tasks_that_fit(candidate.announcement.room, demand) for candidate in group)
+        return sum(max_tasks_that_fit(candidate.announcement.room, demand) for candidate in group)
 
     def _assign_greedily(
         self,
@@ -320,7 +237,7 @@
         return assignment
 
 
-def _max_tasks_that_fit(room: Resources, demand: Resources) -> int:
+def max_tasks_that_fit(room: Resources, demand: Resources) -> int:
     """How many tasks with this demand fit into the room together."""
     quotients = [
         available // demanded
@@ -332,7 +249,7 @@
         if demanded > 0
     ]
     # Without any demand, the number is not limited by the room.
-    return min(quotients, default=1000)
+    return max(0, min(quotients, default=1000))
 
 
 def _cost_one_task(
@@ -354,6 +271,7 @@
         # tasks.
         return (
             crash_risk
+            + candidate.rack_room_cost
             + (free - demand).accelerators * 0.01
             + (free - demand).cpu_millicores * 1e-7,
             [],
--- a/comfreyshelf/fleet/preemption_cost.py
+++ b/comfreyshelf/fleet/preemption_cost.py
@@ -1,7 +1,8 @@
 """The cost of preempting a run, and whether starting a unit is worth its preemptions."""
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.placing import Assignment, Victim
+from comfreyshelf.fleet.candidate_target import Victim
+from comfreyshelf.fleet.placing import Assignment
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 
 # Least time that a preempted run loses to being stopped, placed and started again.
--- a/features/speed_world.py
+++ b/features/speed_world.py
@@ -110,8 +110,10 @@
 
     def deliver(self, instant_stops: bool = True) -> None:
         before = {target.id: len(target.started) for target in self.targets}
+        ended = {target.id: len(target.ended) for target in self.targets}
         super().deliver(instant_stops)
         for target in self.targets:
+            target.is_changed = target.is_changed or len(target.ended) > ended[target.id]
             for task, run in target.started[before[target.id] :]:
                 target.is_changed = True
                 target.done_s[task] = 0.0
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -5,14 +5,10 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet.active_run import ActiveRun
+from comfreyshelf.fleet.candidate_target import CandidateTarget
 from comfreyshelf.fleet.guarantee import covered_jobs
 from comfreyshelf.fleet.jobs import EndKind, Resources, RunningRow, RunNumber, TaskName
-from comfreyshelf.fleet.placing import (
-    WAIT_COST_CORE_S,
-    CandidateTarget,
-    PlacementLimits,
-    PlanningCapacity,
-)
+from comfreyshelf.fleet.placing import WAIT_COST_CORE_S, PlacementLimits, PlanningCapacity
 from comfreyshelf.fleet.preemption_cost import make_victim
 from comfreyshelf.fleet.tracked_job import Outlook, Unit
 from comfreyshelf.ids import JobId, ServiceId
