Test that guarantees, gangs and costly stops bound the waiting

Adds scenarios for trials that no scenario had caught: waiting beyond the guarantee, the end of a gang taken from one member, and no placement at all where stops cost too much.

One trial is still caught by no scenario: without preemption in the search for an end in time, the search for the soonest end finds the same preemption.

--- a/features/fleet_placement_by_end.feature
+++ b/features/fleet_placement_by_end.feature
@@ -14,7 +14,7 @@
 
   Scenario: An urgent gang is spread if its guarantee demands a start now
     # Guards against a guarantee that is broken for the sake of an earlier end.
-    Given 2 racks of 5 targets, each with a run of a guarantee that ends in 12 seconds
+    Given 2 racks of 5 targets, each with a run of a guarantee that ends in 6 seconds
     When an urgent gang of 5 whole targets is submitted that asks for one rack
     Then it starts within 2.7 seconds of its acceptance, in 2 racks
 
@@ -54,6 +54,17 @@
     When a task of 20 seconds is submitted
     Then the task runs on a usual target
 
+  Scenario: Work that may not stop others goes on a slow target rather than wait for minutes
+    # Guards against a task that waits beside a free target because stopping others costs too much.
+    Given a rack whose usual targets hold the least urgent work for 200 seconds and one that is slow
+    When a task of 20 seconds is submitted
+    Then the task runs on the slow target, and nothing was stopped
+
+  Scenario: A gang is expected to release its targets as a whole
+    # Guards against work that waits for a member at 100 percent whose gang goes on for long.
+    Given a gang of 2 tasks, one of which has done its work while the other needs 30 seconds
+    Then both targets are expected to be busy for more than 20 seconds
+
   Scenario: Urgent work goes where it ends in time
     # Guards against urgent work on a target that best fit prefers and that is too slow for it.
     Given 10 targets in 2 racks, of which all but one are 5 times slower
--- a/features/steps/fleet_placement_by_end_steps.py
+++ b/features/steps/fleet_placement_by_end_steps.py
@@ -9,6 +9,7 @@
 
 from comfreyshelf.fleet.fragmentation import largest_gangs
 from comfreyshelf.fleet.jobs import FleetConfig, Organisation, Queue, QueueName, Resources
+from comfreyshelf.fleet.room_forecast import list_ends
 from comfreyshelf.ids import OrganisationId, Version
 from features.owner_world import SERVICE, step
 from features.speed_world import WITH_TARGET_SPEED, WITHOUT_FEATURES, SpeedWorld
@@ -61,13 +62,19 @@
     world.accept(name, (one,), queue="urgent" if urgent else queue, organisation=organisation)
 
 
-def occupy(world: SpeedWorld, numbers: list[int], seconds: float, urgent: bool = False) -> None:
+def occupy(
+    world: SpeedWorld,
+    numbers: list[int],
+    seconds: float,
+    urgent: bool = False,
+    queue: str = "usual",
+) -> None:
     """Fill some targets with a run each that ends after some seconds."""
     others = [target for target in world.targets if target.number not in numbers]
     world.silent.update(target.id for target in others)
     world.advance(2)
     for number in numbers:
-        submit(world, f"busy{number}", seconds + 2.0, urgent)
+        submit(world, f"busy{number}", seconds + 2.0, urgent, queue=queue)
         world.run_round()
     assert all(world.targets[number].running for number in numbers)
     world.silent.clear()
@@ -90,9 +97,9 @@
     occupy(world, [0, 5], 1.0, urgent=True)
 
 
-@given("2 racks of 5 targets, each with a run of a guarantee that ends in 12 seconds")
+@given("2 racks of 5 targets, each with a run of a guarantee that ends in 6 seconds")
 def create_long_urgent_runs(context: Context) -> None:
-    occupy(create_racks(context, 2), [0, 5], 12.0, urgent=True)
+    occupy(create_racks(context, 2), [0, 5], 6.0, urgent=True)
 
 
 @given("2 racks of 5 targets, each with a less urgent run that ends in {seconds:d} seconds")
@@ -113,6 +120,38 @@
     set_speeds(world, {4: 0.2})
 
 
+@given("a rack whose usual targets hold the least urgent work for 200 seconds and one that is slow")
+def create_rack_with_least_urgent_work(context: Context) -> None:
+    world = create_racks(context, 1)
+    occupy(world, [0, 1, 2, 3], 200.0, queue="least")
+    set_speeds(world, {4: 0.2})
+
+
+@given("a gang of 2 tasks, one of which has done its work while the other needs 30 seconds")
+def create_gang_with_idle_member(context: Context) -> None:
+    world = create_racks(context, 1)
+    submit(world, "gang", 30.0, count=2, gang=True)
+    world.work_s["gang.0.0.0"] = 2.0
+    world.advance(5)
+    assert any(row.percent == 100 for target in world.targets for row in target.running.values())
+
+
+@then("both targets are expected to be busy for more than 20 seconds")
+def check_gang_ends(context: Context) -> None:
+    world = context.world
+    views = [world.core.targets[target.id] for target in world.targets if target.running]
+    ends = [end.after_s for view in views for end in list_ends(view)]
+    assert len(ends) == 2 and min(ends) > 20, ends
+
+
+@then("the task runs on the slow target, and nothing was stopped")
+def check_slow_target(context: Context) -> None:
+    world = context.world
+    (target,) = world.targets_of("task")
+    assert target.speed == 0.2
+    assert not any(event == "run stopped" for event, _ in world.events)
+
+
 @given("10 targets in 2 racks, of which all but one are 5 times slower")
 def create_slow_fleet(context: Context) -> None:
     world = create_racks(context, 2)
