Describe target speed; count speeds within 1.25 as equal

Cause: on a fleet of equal targets, placement followed the noise of the estimates.

Change: EQUAL_FACTOR 1.25 instead of 1.1.

--- a/comfreyshelf/fleet/placement_by_end.py
+++ b/comfreyshelf/fleet/placement_by_end.py
@@ -20,8 +20,9 @@
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import RackId, TargetId
 
-# Targets whose slowdowns differ by less than this factor count as equal.
-EQUAL_FACTOR = 1.1
+# Targets whose slowdowns differ by less than this factor count as equal. With 1.1, the noise of the
+# estimates decided on a fleet of equal targets.
+EQUAL_FACTOR = 1.25
 # Room that is expected within this time is held for the unit that waits for it.
 MAX_HOLD_S = 2.0
 # Expected time for a stop to reach its target, and for the report of it to come back.
