--- a/comfreyshelf/fleet/placement_by_end.py
+++ b/comfreyshelf/fleet/placement_by_end.py
@@ -87,17 +87,25 @@
             count_tasks,
             msgspec.structs.replace(limits, goal=None, allow_rack_spread=True),
         )
-        if best_fit is None or self._meets(goal, unit, best_fit):
+        if best_fit is None or self._meets(goal, unit, best_fit, limits):
             return best_fit
         return super().find_assignment(unit, avoided, count_tasks, limits)
 
-    def _meets(self, goal: PlacementGoal, unit: Unit, assignment: Assignment) -> bool:
+    def _meets(
+        self, goal: PlacementGoal, unit: Unit, assignment: Assignment, limits: PlacementLimits
+    ) -> bool:
         """Whether no other assignment suits the goal better, as far as can be told at once."""
-        if self.slowdown(unit, assignment.targets) > goal.safe_slowdown:
+        slowdown = self.slowdown(unit, assignment.targets)
+        if slowdown > goal.safe_slowdown:
             return False
-        if self._is_uniform and (assignment.can_start_now or assignment.victims):
-            return True
-        return assignment.can_start_now and len(unit.tasks) == 1 and not goal.prefers_slow
+        if assignment.can_start_now:
+            return self._is_uniform or (len(unit.tasks) == 1 and not goal.prefers_slow)
+        may_wait = (
+            bool(assignment.victims)
+            or not limits.wait_for_ends
+            or goal.slack_s(slowdown) >= MIN_WAIT_SLACK_S
+        )
+        return self._is_uniform and may_wait
 
     def slowdown(self, unit: Unit, targets: Sequence[TargetId]) -> float:
         """The slowdown of a unit on these targets, that of its slowest task."""
@@ -166,10 +174,7 @@
         found = self._within(groups, goal.max_slowdown, needs_free_room=False)
         if found is None or found.victims or not self.limits.wait_for_ends:
             return found
-        slack_s = goal.duration_s * (
-            goal.max_slowdown - self.capacity.slowdown(self.unit, found.targets)
-        )
-        if slack_s >= MIN_WAIT_SLACK_S:
+        if goal.slack_s(self.capacity.slowdown(self.unit, found.targets)) >= MIN_WAIT_SLACK_S:
             return found
         # There is no time left to wait for runs that end soon.
         self.limits = msgspec.structs.replace(self.limits, wait_for_ends=False)
--- a/comfreyshelf/fleet/placement_goal.py
+++ b/comfreyshelf/fleet/placement_goal.py
@@ -46,6 +46,10 @@
         """The slowdown of targets that are worth waiting for."""
         return max(self.safe_slowdown, USUAL_SLOWDOWN)
 
+    def slack_s(self, slowdown: float) -> float:
+        """Seconds by which the unit may start later and still end in time at a slowdown."""
+        return self.duration_s * (self.max_slowdown - slowdown)
+
 
 def make_goal(
     tracked: TrackedJob, unit: Unit, is_covered: bool, bounds: Bounds, unix_now: float
