Search without preemption only where a target has room

Cause: work that may not stop others was searched for a second time in each pass, also on a full fleet.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -15,7 +15,7 @@
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.placement_by_end import EndAwareCapacity
 from comfreyshelf.fleet.placement_goal import make_goal
-from comfreyshelf.fleet.placing import Assignment, PlacementLimits, PlanningCapacity
+from comfreyshelf.fleet.placing import NO_PREEMPTION, Assignment, PlacementLimits, PlanningCapacity
 from comfreyshelf.fleet.preemption_cost import ENDING_SOON_S, is_worth_preempting, make_victim
 from comfreyshelf.fleet.report_handling import ReportHandling
 from comfreyshelf.fleet.room_forecast import list_ends
@@ -26,8 +26,6 @@
 
 # Capacity is reserved for at most this many units that fit nowhere yet, in order of their ranks.
 MAX_RESERVED_UNITS = 3
-# Above the number of every priority.
-NO_PREEMPTION = 1000
 # Urgent work waits for a run to end only with this much slack, as the run may end later than
 # expected, and stopping another one then takes time too.
 MIN_WAIT_SLACK_S = 2.0 * ENDING_SOON_S
--- a/comfreyshelf/fleet/placement_by_end.py
+++ b/comfreyshelf/fleet/placement_by_end.py
@@ -9,6 +9,7 @@
 from comfreyshelf.fleet.candidate_target import CandidateTarget
 from comfreyshelf.fleet.placement_goal import PlacementGoal
 from comfreyshelf.fleet.placing import (
+    NO_PREEMPTION,
     WAIT_COST_CORE_S,
     Assignment,
     PlacementLimits,
@@ -80,6 +81,10 @@
         goal = limits.goal
         if goal is None or unit.step.per_target:
             return super().find_assignment(unit, avoided, count_tasks, limits)
+        if limits.preempt_above == NO_PREEMPTION and not any(
+            candidate.free.can_hold(unit.step.demand) for candidate in self.candidates.values()
+        ):
+            return None
         # The search without a goal has one result for all units that wait for equal resources.
         best_fit = super().find_assignment(
             unit,
@@ -249,7 +254,7 @@
 
     def _within_group(self, group: Group, needs_free_room: bool) -> Assignment | None:
         for reduced in self._by_speed(group):
-            if needs_free_room and not self._has_room(reduced):
+            if needs_free_room and not has_room(reduced, self.unit):
                 continue
             found = self.capacity.assign_to_one(
                 self.unit, [reduced], self.count_tasks, self.limits, needs_free_room
@@ -274,13 +279,15 @@
             else:
                 yield [candidate for candidate in group if _level(candidate) <= bound]
 
-    def _has_room(self, group: Group) -> bool:
-        demand, missing = self.unit.step.demand, len(self.unit.tasks)
-        for candidate in group:
-            missing -= max_tasks_that_fit(candidate.free, demand)
-            if missing <= 0:
-                return True
-        return False
+
+def has_room(group: Group, unit: Unit) -> bool:
+    """Whether the free room of a group holds all tasks of a unit."""
+    missing = len(unit.tasks)
+    for candidate in group:
+        missing -= max_tasks_that_fit(candidate.free, unit.step.demand)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _up_to(group: Group, max_slowdown: float) -> Group:
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -14,6 +14,9 @@
 # Added to the cost of a task that has to wait until resources are released.
 WAIT_COST_CORE_S = 1.0
 
+# Above the number of every priority: runs of none may be preempted.
+NO_PREEMPTION = 1000
+
 
 class PlacementLimits(msgspec.Struct, frozen=True):
     """What may be done to place a unit.
