--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -19,7 +19,7 @@
 from comfreyshelf.fleet.moves.reservations import Reservations, UnitKey, unit_key
 from comfreyshelf.fleet.moves.stalls import is_stalled, stall_limit_s
 from comfreyshelf.fleet.moves.units_at_risk import Risk, UnitAtRisk, find_units_at_risk
-from comfreyshelf.fleet.placing import Assignment, PlacementLimits
+from comfreyshelf.fleet.placing import NO_PREEMPTION, Assignment, PlacementLimits
 from comfreyshelf.fleet.prediction.model import Quantile
 from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
@@ -46,8 +46,6 @@
 EXCLUDED_CHANCE = 0.5
 # A job with less slack no longer waits for a target that stays: it would be late for certain.
 MIN_WAIT_SLACK_S = 0.5
-# No run has a priority number above this one, so that nothing is preempted for a move.
-_PREEMPT_NOTHING = 1_000
 
 _STOP_CAUSES = {
     Risk.DEPARTURE: StopCause.DRAINED,
@@ -244,7 +242,7 @@
         excluded = self._leaving_too_soon(tracked, unit) | at_risk.targets_to_leave
         avoided = excluded | self._likely_to_leave(tracked, unit).targets | tracked.avoided_targets
         limits = PlacementLimits(
-            preempt_above=_PREEMPT_NOTHING,
+            preempt_above=NO_PREEMPTION,
             allow_rack_spread=is_covered,
             trial_job=tracked.job.id if is_suspect(tracked, unit.tasks) else None,
         )
