Give the keeper of learned records its own route to the store

Cause: the keeper shared the entry's relay and store client. While the store answers nothing for the topic of learned records, each of its calls marked the direct route of all calls as failed and doubled the time-out of the next append, whoever made it. While no other call succeeded, jobs were refused as if the store were away. Ruled out: treating its calls as long polls, as these do not count failures either but keep the shared time-out of appends. Change: the keeper gets a relay and a store client of its own. Two scenarios run it as a thread over the store's protocol: the next owner starts with what was learned, and a store that is silent for this topic only.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -69,7 +69,10 @@
             store, f"{settings.name}@{settings.pipe_address}", settings.cores, self._owner.send
         )
         self._election = election
-        keeper = LearnedKeeper(store, self.metrics, self._owner.send)
+        # Its calls have a route and time-outs of their own: where only the topic of learned records
+        # does not answer, other calls neither wait longer nor take the store for lost.
+        keeper_relay = Relay(settings.store_address, self._peers, self.metrics)
+        keeper = LearnedKeeper(make_store(keeper_relay), self.metrics, self._owner.send)
         self._owner.connect(self._job_sync, store, self._hub, election.end_term, keeper.send)
         self._owner.connect_operators(self._operator_topic, operator_reader.read_up_to)
         self.kernel = Kernel()
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -83,3 +83,20 @@
     When a job of 5 tasks is submitted at one entry
     And the entry that owns the schedule stops
     Then it is completed at the other entry, each task having started once
+
+  Scenario: The next owner starts with what the last one has learned
+    # Guards against a fault on the path of a learned record from the owner over the keeper's thread
+    # and the store's protocol to the next owner that tests without threads miss.
+    Given a store, two entries that predict run times, and three target processes with runners
+    And jobs of short tasks were estimated at 9 s, and the store holds what they took
+    When the entry that owns the schedule dies
+    Then the next owner expects less than 3 s for an estimate of 9 s
+
+  Scenario: A store that is silent for learned records only disturbs nothing else
+    # Guards against calls for learned records whose failures count for all calls to the store: other
+    # calls then take a detour, wait longer for their answers, and refuse jobs.
+    Given a store, two entries that predict run times, and three target processes with runners
+    And the store answers no call for learned records
+    When jobs are submitted one after another until 4 of these calls have failed
+    Then each is completed under one owner, and no entry takes the store for lost
+    And an append of the owner waits no longer for its answer than before
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -11,6 +11,8 @@
 
 _LENGTH = struct.Struct(">I")
 _PAGE_HEADER = struct.Struct(">QQ")
+# Longer than any caller waits for an answer about a topic that is silent.
+SILENCE_S = 2.5
 
 CONFIG = {
     "version": 3,
@@ -38,7 +40,8 @@
     The member of the group that joined first leads it and owns the partitions.
 
     With `fault_mode` "busy" it answers 503 and does nothing; with "lost" it carries out the next
-    append but answers only after 2 s. Methods are named after the last part of the URL path.
+    append but answers only after 2 s. Calls for `silent_topics` are not carried out, and answered
+    only after SILENCE_S. Methods are named after the last part of the URL path.
     """
 
     def __init__(self, address: str, threads: int = 16) -> None:
@@ -50,12 +53,16 @@
         self.members: dict[str, float] = {}
         self.generation = 1
         self.fault_mode = ""
+        self.silent_topics: set[str] = set()
         self.appends: list[tuple[str, bytes]] = []
         self.server = WebServer(address, threads, self.handle, lambda: 4 << 20)
 
     def handle(self, call: Call) -> Reply:
         query = {k: v[0] for k, v in parse_qs(call.headers.get("QUERY_STRING", "")).items()}
         name = call.path.rpartition("/")[2].replace("-", "_")
+        if query.get("topic") in self.silent_topics:
+            time.sleep(SILENCE_S)
+            return Reply(500, b"{}")
         with self.lock:
             if self.fault_mode == "busy":
                 return Reply(503, b"{}")
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -26,6 +26,7 @@
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.ownership import OwnerTask
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
+from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import (
     KeyedRecord,
@@ -364,12 +365,21 @@
     assert context.process._settings.peers == ("127.0.0.1:4",)
 
 
+_NO_FEATURES = Scheduling()
+
+
 class Deployment:
     """Entries and target processes on loopback, each with its own services."""
 
-    def __init__(self, context: Context, bounds: Bounds | None = None) -> None:
+    def __init__(
+        self,
+        context: Context,
+        bounds: Bounds | None = None,
+        scheduling: Scheduling = _NO_FEATURES,
+    ) -> None:
         self.store = start_store(context)
         self.bounds = bounds or Bounds()
+        self.scheduling = scheduling
         self.stack = context.stack
         self.entries = [self._entry(number) for number in range(2)]
         self.runners = [self._target(number) for number in range(3)]
@@ -387,6 +397,7 @@
             pipe_port,
             (),
             bounds=self.bounds,
+            scheduling=self.scheduling,
             **more,  # type: ignore[arg-type]
         )
 
@@ -421,12 +432,14 @@
 
 
 @given("a store, two entries, and three target processes with runners")
-def start_deployment(context: Context, bounds: Bounds | None = None) -> None:
+def start_deployment(
+    context: Context, bounds: Bounds | None = None, scheduling: Scheduling = _NO_FEATURES
+) -> None:
     context.stack.callback(
         setattr, entry_module, "SHUTDOWN_NOTICE_S", entry_module.SHUTDOWN_NOTICE_S
     )
     entry_module.SHUTDOWN_NOTICE_S = 0.1
-    context.fleet = Deployment(context, bounds)
+    context.fleet = Deployment(context, bounds, scheduling)
 
 
 @given("a deployment of two entries and three target processes, whose zones may be evacuated")
