Mend three faults in what is learned and how ends are expected

Adopted runs: a run that a new owner first saw under way, and that ended before its pace was measured, counted with the time since then as its whole run time, so that expectations shrank after each takeover. What was done before the first listing is now added; if it was more than half, the run says nothing. Ruled out: a lower bound, as it would count as longer runs. Before: 5 s learned of a run of 10 s seen from 50 percent.

Gangs: a member at 100 percent counted as ending soon, so that urgent work waited for room which is held until the slowest member ends. Victims are now judged by the end of the whole gang.

Keeper: the records of an append whose answer cannot be decoded were dropped, and the next append reused their sequence number, so that the store took it for a repeat. It is now repeated unchanged, like one without answer.

--- a/comfreyshelf/fleet/active_run.py
+++ b/comfreyshelf/fleet/active_run.py
@@ -25,6 +25,9 @@
 # The progress in a report may be up to 1 s out of date, which distorts shorter samples.
 MIN_SAMPLE_PERCENT = 30
 MIN_SAMPLE_S = 1.0
+# Least share of a task for which its run was watched, from which the whole run time is projected at
+# its end. The progress at the first listing may be out of date, which distorts smaller shares.
+MIN_SEEN_SHARE = 0.5
 # Most of the time between two listings of a run that counts as time without progress. Over a longer
 # gap nobody watched the run.
 MAX_LISTING_GAP_S = 2.0
@@ -147,12 +150,15 @@
         """Learn from the end of a run, unless its duration was projected already.
 
         A run that does not do the `whole` task shows that the task takes at least as long as the
-        run made progress: a run on a target that hangs says nothing of its task.
+        run made progress: a run on a target that hangs says nothing of its task. What was done
+        before the first listing is added, and too much of it says nothing of the whole.
         """
         if self.is_duration_recorded:
             return
         if is_whole:
-            self.record_duration(now - self.started_at)
+            seen_share = 1.0 if self.has_regressed else 1 - self.first_percent / 100
+            if seen_share >= MIN_SEEN_SHARE:
+                self.record_duration((now - self.started_at) / seen_share)
         elif self.is_confirmed and self.percent_reported_at > self.first_reported_at:
             worked_s = self.percent_reported_at - self.first_reported_at
             self.record_duration(worked_s, is_at_least=True)
@@ -162,6 +168,15 @@
         prior_work_s = self.first_percent / 100 * self.expected_s()
         return prior_work_s + now - self.started_at
 
+    def unit_remaining_s(self, now: float, quantile: Quantile = Quantile.MEDIAN) -> float:
+        """Expected seconds until the run's room is free: a gang ends with its slowest member."""
+        if self.gang_size == 1:
+            return self.remaining_s(now, quantile)
+        runs = self.tracked.active_runs
+        members = self.tracked.gang_members(self.task)
+        active = [self, *(runs[name] for name in members if name in runs)]
+        return max(member.remaining_s(now, quantile) for member in active)
+
     def remaining_s(self, now: float, quantile: Quantile = Quantile.MEDIAN) -> float:
         """Expected seconds until the run ends.
 
--- a/comfreyshelf/fleet/learned/keeper.py
+++ b/comfreyshelf/fleet/learned/keeper.py
@@ -116,7 +116,8 @@
             self._store.append(
                 LEARNED_TOPIC, records, Writer(WRITER_NAME, self._epoch, self._next_sequence)
             )
-        except StoreSilentError:
+        except (StoreSilentError, msgspec.DecodeError):
+            # The store may have carried it out, also if its answer cannot be read.
             self._unanswered = records
             raise
         except StoreBusyError:
--- a/comfreyshelf/fleet/moves/preemption_cost.py
+++ b/comfreyshelf/fleet/moves/preemption_cost.py
@@ -39,7 +39,7 @@
     tracked = active.tracked
     step = active.step
     # The median, as a high quantile would make nearly every victim late, and thus too dear.
-    worked_s, remaining_s = active.worked_s(now), active.remaining_s(now, Quantile.MEDIAN)
+    worked_s, remaining_s = active.worked_s(now), active.unit_remaining_s(now, Quantile.MEDIAN)
     if step.checkpoints:
         # The run saves a checkpoint when it is stopped, so that no work is lost.
         worked_s = 0.0
@@ -63,7 +63,7 @@
         # The high quantile, as urgent work that waits for the run has no time for a second wait.
         active.is_confirmed
         and remaining_s <= ENDING_SOON_S
-        and active.remaining_s(now, Quantile.HIGH) <= ENDING_SOON_S,
+        and active.unit_remaining_s(now, Quantile.HIGH) <= ENDING_SOON_S,
     )
 
 
--- a/features/fleet_prediction.feature
+++ b/features/fleet_prediction.feature
@@ -172,6 +172,26 @@
     When a run is 0.9 seconds from its expected end, by progress that may be out of date
     Then it does not count as ending soon
 
+  Scenario Outline: A run whose beginning the owner did not see is not taken for a short one
+    # Guards against expectations that shrink after each takeover, because only the rest of a run that
+    # was under way is counted.
+    Given an owner that predicts run times
+    When a run is at <percent> percent when the owner first sees it, and ends <seconds> s later
+    Then <count> run time of <learned> seconds was learned
+
+    Examples:
+      | percent | seconds | count | learned |
+      | 50      | 5       | 1     | 10.0    |
+      | 80      | 2       | 0     | 10.0    |
+
+  Scenario: A gang member that waits for the others does not end soon
+    # Guards against urgent work that waits for a run with 100 percent done, which holds its room
+    # until the slowest member of its gang ends.
+    Given an owner that predicts run times
+    And a gang of 2 tasks estimated at 20 seconds
+    When one member has done all of its work after 10 seconds, and the other half
+    Then neither member counts as ending soon
+
   Scenario: The next owner goes on with what was learned
     # Guards against callers' estimates that count again after each change of the owner.
     Given an owner task that predicts run times and keeps them in a store
@@ -216,6 +236,13 @@
     When the answer to a write is lost, the store is busy, and more is learned meanwhile
     Then both records are in the store in order
 
+  Scenario: A write with an unreadable answer is repeated as it was
+    # Guards against the loss of a record, and of the next one under the same sequence number, as the
+    # store has carried out an append whose answer is damaged.
+    Given an owner task that predicts run times and keeps them in a store
+    When the answer to a write is damaged, the store is busy, and more is learned meanwhile
+    Then both records are in the store in order
+
   Scenario: What did not change is not written, and what did is written every 5 seconds at most
     # Guards against traffic and store calls without need.
     Given an owner task that predicts run times and keeps them in a store
--- a/features/steps/fleet_learned_steps.py
+++ b/features/steps/fleet_learned_steps.py
@@ -34,6 +34,13 @@
 ESTIMATE_S = 5.0
 
 
+class DamagedAnswerError(msgspec.DecodeError):
+    """An answer that cannot be decoded; takes the arguments of the store's errors."""
+
+    def __init__(self, message: str, remedy: str) -> None:
+        super().__init__(message)
+
+
 class TopicStore(FakeStore):
     """Several topics in memory, with fenced writers whose repeated appends are carried out once.
 
@@ -267,10 +274,10 @@
 
 
 @when("the answer to a write is lost, the store is busy, and more is learned meanwhile")
-def lose_answer(context: Context) -> None:
+def lose_answer(context: Context, fault: type[Exception] = StoreSilentError) -> None:
     entry = context.entry
     entry.wait(0.5)
-    context.store.fault = StoreSilentError
+    context.store.fault = fault
     entry.run_tasks(10, 2.0)
     entry.wait(1.0)
     context.store.fault = StoreBusyError
@@ -280,6 +287,11 @@
     entry.wait(2.0)
 
 
+@when("the answer to a write is damaged, the store is busy, and more is learned meanwhile")
+def damage_answer(context: Context) -> None:
+    lose_answer(context, DamagedAnswerError)
+
+
 @then("both records are in the store in order")
 def check_both_records(context: Context) -> None:
     sent = [m.values["durations"] for m in context.entry.sent if isinstance(m, LearnedChanged)]
--- a/features/steps/fleet_prediction_steps.py
+++ b/features/steps/fleet_prediction_steps.py
@@ -412,3 +412,39 @@
         world.now += 1.0
     (stopped,) = [fields for fields in world.events if fields["event"] == "run stopped"]
     assert stopped["why"] == "no progress", stopped
+
+
+@when("a run is at {percent:d} percent when the owner first sees it, and ends {seconds:d} s later")
+def end_adopted_run(context: Context, percent: int, seconds: int) -> None:
+    start_run(context)
+    context.world.report_percent(percent)
+    for _ in range(seconds - 1):
+        context.world.report_percent(min(99, percent + 25))
+    end_run(context, EndKind.DONE)
+
+
+@given("a gang of 2 tasks estimated at 20 seconds")
+def start_gang(context: Context) -> None:
+    work = Step(2, step(2).demand, 20_000, gang=True)
+    context.world.accept("job", (work,))
+    context.world.settle()
+
+
+@when("one member has done all of its work after 10 seconds, and the other half")
+def advance_members(context: Context) -> None:
+    world = context.world
+    for second in range(1, 11):
+        world.now += 1.0
+        for target in world.targets:
+            for task, row in target.running.items():
+                percent = second * (10 if task.endswith("0.0.0") else 5)
+                target.running[task] = RunningRow(task, row.run, "", percent)
+        world.run_round()
+
+
+@then("neither member counts as ending soon")
+def check_gang_not_ending(context: Context) -> None:
+    world = context.world
+    runs = list(world.core.jobs[JobId("job")].active_runs.values())
+    assert sorted(active.percent for active in runs) == [50, 100], runs
+    assert not any(make_victim(active, world.now, world.unix_now).ends_soon for active in runs)
