Judge a move off a slow target by what its runs have shown

Cause: how long a unit takes where it is came from its own pace, how long it takes elsewhere from the expectation of its step. A long task on a target with a speed of 0.8 thus seemed to be three times as fast on any other, and urgent work was stopped and started again for nothing. Change: without checkpoints, too, the time elsewhere follows from the runs' own pace and slowdown.

--- a/comfreyshelf/fleet/moves/move_value.py
+++ b/comfreyshelf/fleet/moves/move_value.py
@@ -64,10 +64,16 @@
 def _seconds_elsewhere(at_risk: UnitAtRisk, targets: list[TargetId], moves: MovePass) -> float:
     """Seconds until the unit would end if it were stopped now and started on `targets`."""
     slowdown = _expected_slowdown(at_risk, targets, moves)
+    now = moves.now
     if not at_risk.unit.step.checkpoints:
-        duration_s = at_risk.tracked.task_duration_s(at_risk.unit.step_number)
+        # What the runs have shown counts elsewhere as well as here, or a long task on a target of
+        # usual speed would seem to be short on any other one.
+        duration_s = max(
+            (active.worked_s(now) + active.remaining_s(now)) / active.slowdown
+            for active in at_risk.runs
+        )
         return RESTART_LOSS_S + duration_s * slowdown
-    remaining_s = max(active.remaining_s(moves.now) / active.slowdown for active in at_risk.runs)
+    remaining_s = max(active.remaining_s(now) / active.slowdown for active in at_risk.runs)
     return RESTART_LOSS_S + moves.fleet.bounds.restore_s + remaining_s * slowdown
 
 
--- a/features/fleet_moves.feature
+++ b/features/fleet_moves.feature
@@ -261,6 +261,13 @@
     Then no run of the job was stopped
     And the counter moves_declined{reason="not_worth"} is 1
 
+  Scenario: A run of a long task on a target of usual speed stays there
+    # Guards against throwing away urgent work whose task is longer than expected: its pace tells how
+    # long it takes here, and the old expectation would tell how long it takes elsewhere.
+    Given an urgent job expected to take 10 seconds that takes 30, on a target 1.25 times as slow
+    When the fleet runs on for 6 s
+    Then no run of the job was stopped
+
   Scenario: A stalled unit moves if there is room
     # Guards against a task that hangs with its target for ever.
     Given a hanging job of 10 seconds that has run for 6 seconds
--- a/features/steps/fleet_moves_steps.py
+++ b/features/steps/fleet_moves_steps.py
@@ -116,6 +116,18 @@
     slow_down(context, slowdown)
 
 
+@given(
+    "an urgent job expected to take {expected:g} seconds that takes {work:g}, on a target "
+    "{slowdown:g} times as slow"
+)
+def start_long_on_slow_target(
+    context: Context, expected: float, work: float, slowdown: float
+) -> None:
+    start(context, one_target(), expected, 0.0, queue="urgent")
+    context.world.work_s[JOB] = work * slowdown
+    slow_down(context, slowdown)
+
+
 def slow_down(context: Context, slowdown: float) -> None:
     """Let the job's run count as slowed down, as the owner's model of target speeds does."""
     context.slowdown = slowdown
