Keep room that stops have freed from units that fit nowhere yet

Cause: a unit that may stop no runs and fits nowhere reserves a part of the targets with most free accelerators in each pass. These are the ones where runs were just stopped for another unit. That unit then no longer fitted there and stopped runs elsewhere in the next pass, while the stopped runs started again in the rest of the room, to be stopped again when they were 0 to 0.4 s old.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -8,8 +8,9 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, is_suspect
-from comfreyshelf.fleet.bounds import Bounds
+from comfreyshelf.fleet.bounds import RECLAIM_MARGIN_S, Bounds
 from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
+from comfreyshelf.fleet.freed_room import FreedRoom
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
@@ -79,6 +80,7 @@
         self._failed_jobs: set[JobId] = set()
         # Whether nothing is placed because the operators' topic was not read lately.
         self._is_placement_held = False
+        self._freed_room = FreedRoom()
 
     def plan(self, now: float, unix_now: float) -> None:
         """Run one planning pass.
@@ -187,7 +189,7 @@
                 and tracked.priority <= 1
                 and is_in_time
             ):
-                planning.reserved_units += self._reserve_for_blocked(planning.capacity, unit)
+                planning.reserved_units += self._reserve_for_blocked(tracked, unit, planning)
 
     def _fleet_access(self) -> FleetAccess:
         return FleetAccess(
@@ -330,6 +332,11 @@
             capacity.mark_releasing(victim)
             cause = StopCause.RECLAIMED if is_covered else StopCause.PREEMPTED
             self._stop_run(victim, now, cause, tracked.job.id)
+        self._freed_room.keep(
+            {victim.target for victim in assignment.victims},
+            (tracked.job.id, unit.tasks[0]),
+            now + self.bounds.stop_grace_s + RECLAIM_MARGIN_S,
+        )
         return ""
 
     def _find_room(
@@ -390,13 +397,20 @@
                 counts[task.target] += 1
         return lambda target: counts[target]
 
-    def _reserve_for_blocked(self, capacity: PlanningCapacity, unit: Unit) -> int:
+    def _reserve_for_blocked(
+        self, tracked: TrackedJob, unit: Unit, planning: "_PlanningPass"
+    ) -> int:
         """Reserve the targets with most free accelerators for a unit that fits nowhere yet.
 
-        Returns the number of units that had capacity reserved: 1, or 0 if no target can run it.
+        Targets on which runs were just stopped for another unit are left out. Returns the number of
+        units that had capacity reserved: 1, or 0 if no target can run it.
         """
+        capacity = planning.capacity
+        kept = self._freed_room.kept_for_others((tracked.job.id, unit.tasks[0]), planning.now)
         eligible = [
-            candidate for candidate in capacity.candidates.values() if candidate.can_run(unit)
+            candidate
+            for target, candidate in capacity.candidates.items()
+            if target not in kept and candidate.can_run(unit)
         ]
         eligible.sort(key=lambda candidate: -candidate.free.accelerators)
         capacity.reserve(
@@ -422,6 +436,7 @@
             tracked.active_runs[name] = active
             self._unstored_runs.append(active)
             view.orders_changed = True
+        self._freed_room.release((tracked.job.id, unit.tasks[0]))
         self._update_slowdown(active)
         tracked.set_phase(JobPhase.RUNNING, 0.0)
         self._dirty_jobs.add(tracked.job.id)
--- a/features/fleet_planning.feature
+++ b/features/fleet_planning.feature
@@ -105,3 +105,11 @@
     Given less urgent work on all targets
     When a less urgent job of 1 task of 8 accelerators is submitted and waits for 3 seconds
     Then one line says that it waits for room
+
+  Scenario: Room for which runs were stopped is not reserved for a gang that fits nowhere yet
+    # Guards against runs that are stopped and started in turn: a gang that waits takes a part of the
+    # room that was freed for another unit, which then stops runs elsewhere, while the stopped ones
+    # start again in the rest.
+    Given 8 targets, and 64 tasks of the lowest priority that hold all of their 64 accelerators
+    When a unit of 8 accelerators has waited until it may stop runs, beside a gang that may not
+    Then it starts once the 8 runs that were stopped for it have ended, and no others are stopped
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -1,5 +1,7 @@
 """Steps for the owner's run time estimates, guarantees and preemption costs."""
 
+from collections import Counter
+
 import msgspec
 from behave import given, then, when
 from behave.runner import Context
@@ -349,3 +351,36 @@
     )
     assert choice is not None and len(choice.victims) == 2
     assert abs(choice.cost - WAIT_COST_CORE_S - victims[0].total_loss) < 1e-6, choice.cost
+
+
+@given("8 targets, and 64 tasks of the lowest priority that hold all of their 64 accelerators")
+def fill_with_least(context: Context) -> None:
+    context.world = World(targets=8)
+    demand = Resources(1000, 1000, 1)
+    context.world.accept("least", (step(64, demand=demand, checkpoints=True),), queue="least")
+    context.world.settle()
+    assert all(len(target.running) == 8 for target in context.world.targets)
+
+
+@when("a unit of 8 accelerators has waited until it may stop runs, beside a gang that may not")
+def wait_beside_gang(context: Context) -> None:
+    world = context.world
+    context.stopped = []
+    world.core.log_event = lambda event, **fields: (
+        context.stopped.append(fields) if event == "run stopped" else None
+    )
+    # It has 25 s of slack at first, and may stop runs with less than 6 s.
+    world.accept("tall", (msgspec.structs.replace(step(1), estimate_ms=12_000),))
+    world.wait(16.5)
+    # The gang is wider than one target, and in time for 5 s.
+    small = step(5, demand=Resources(1000, 1000, 2), gang=True, same_rack=True)
+    world.accept("wide", (msgspec.structs.replace(small, estimate_ms=2000),))
+    world.wait(4.0)
+
+
+@then("it starts once the 8 runs that were stopped for it have ended, and no others are stopped")
+def check_freed_room(context: Context) -> None:
+    stopped = Counter((fields["target"], fields["why"]) for fields in context.stopped)
+    assert list(stopped.values()) == [8], stopped
+    target, _ = context.world.run_of("tall")
+    assert stopped == {(target.id, "preempted by more urgent work, for tall"): 8}, stopped
