Learn a gang's run time from the members of one run

Cause: members that had shown something before their gang was stopped were counted together with members of its next run. The whole run time of that run then counted as a lower bound, and the samples of all later runs were mixed in the same way. Change: a sample carries the run number, and a new run starts a new sample.

--- a/comfreyshelf/fleet/active_run.py
+++ b/comfreyshelf/fleet/active_run.py
@@ -139,7 +139,7 @@
     def record_duration(self, seconds: float, is_at_least: bool = False) -> None:
         """Learn how long the whole task takes where this run is."""
         self.is_duration_recorded = True
-        sample = RunSample(seconds / self.slowdown, is_at_least)
+        sample = RunSample(seconds / self.slowdown, is_at_least, self.run)
         self.tracked.record_duration(self.step_number, sample)
 
     def expected_s(self, quantile: Quantile = Quantile.MEDIAN) -> float:
--- a/comfreyshelf/fleet/prediction/model.py
+++ b/comfreyshelf/fleet/prediction/model.py
@@ -19,11 +19,13 @@
     """What one run tells about the run time of its task.
 
     `seconds` is the time of the whole task on a target of speed 1 near its data. A run that ended
-    before its task was done shows only that the task takes `is_at_least` that long.
+    before its task was done shows only that the task takes `is_at_least` that long. All members of
+    a gang that run together have the same `run` number.
     """
 
     seconds: float
     is_at_least: bool = False
+    run: int = 0
 
 
 class JobDurations(ABC):
--- a/comfreyshelf/fleet/prediction/quantile_model.py
+++ b/comfreyshelf/fleet/prediction/quantile_model.py
@@ -180,8 +180,9 @@
 
 
 class _GangSample(msgspec.Struct):
-    """What the members of a gang have shown so far; the gang takes as long as its slowest."""
+    """What the members of a gang's run have shown; the gang takes as long as its slowest."""
 
+    run: int = 0
     members: int = 0
     seconds: float = 0.0
     is_at_least: bool = False
@@ -260,7 +261,10 @@
             self._learn(step_number, sample.seconds, sample.is_at_least)
             return
         # Members that are ahead wait for the others, so a gang counts once, with its slowest.
-        gang = self._gangs.setdefault(step_number, _GangSample())
+        gang = self._gangs.get(step_number)
+        if gang is None or gang.run != sample.run:
+            # An earlier run ended before all of its members had shown something.
+            gang = self._gangs[step_number] = _GangSample(sample.run)
         gang.members += 1
         gang.seconds = max(gang.seconds, sample.seconds)
         gang.is_at_least = gang.is_at_least or sample.is_at_least
--- a/features/fleet_prediction.feature
+++ b/features/fleet_prediction.feature
@@ -78,6 +78,13 @@
     When 100 runs are stopped after 1 second
     Then a task without an estimate is expected to take 24 to 31 seconds
 
+  Scenario: A gang that was stopped at its start does not disturb the sample of its next run
+    # Guards against samples that mix the members of two runs, so that no later run of the gang counts
+    # with its whole run time.
+    Given an owner that predicts run times
+    When 2 of the 4 members of a gang show that they take at least 1 s, and its next run takes 16 s
+    Then 1 run time of 16 seconds was learned
+
   Scenario: A gang takes as long as its slowest member
     # Guards against gangs that seem short because their fast members show their own pace, and that
     # count once for each member.
--- a/features/steps/fleet_prediction_steps.py
+++ b/features/steps/fleet_prediction_steps.py
@@ -448,3 +448,13 @@
     runs = list(world.core.jobs[JobId("job")].active_runs.values())
     assert sorted(active.percent for active in runs) == [50, 100], runs
     assert not any(make_victim(active, world.now, world.unix_now).ends_soon for active in runs)
+
+
+@when("2 of the 4 members of a gang show that they take at least 1 s, and its next run takes 16 s")
+def run_gang_twice(context: Context) -> None:
+    context.model = QuantileModel()
+    durations = job_durations(context, 10.0, 4, gang=True)
+    for _ in range(2):
+        durations.observe(0, RunSample(1.0, is_at_least=True, run=1))
+    for seconds in (10.0, 10.0, 16.0, 10.0):
+        durations.observe(0, RunSample(seconds, run=2))
