Stop departing work in time while nothing may be placed

Cause: where zones may be evacuated, a planning pass ended before any move was decided while the operators' topic had not been read lately. Work with checkpoints on a leaving target was then not stopped, and lost what it had done since its last checkpoint. (The policy without moves decides before.) Change: such a pass still decides the moves, with no room to start anywhere.

--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -96,6 +96,7 @@
         if not self._knows_evacuations(now):
             # Work is placed as soon as the topic has been read, without waiting for a tick.
             self.needs_plan = True
+            self._move_without_room(fleet, now, unix_now)
             return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
@@ -110,8 +111,24 @@
                 self.policies.moves.move_units(tracked, moves)
                 self._place_job(tracked, planning)
             except Exception as exc:  # One bad job must not keep all others from being planned.
-                self._failed_jobs.add(tracked.job.id)
-                self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
+                self._record_failed_job(tracked, exc)
+
+    def _move_without_room(self, fleet: FleetAccess, now: float, unix_now: float) -> None:
+        """Stop what has to leave its target while nothing may start anywhere."""
+        capacity = self._make_capacity({})
+        moves = MovePass(now, unix_now, fleet, capacity, set(), bool(self._unstored_runs))
+        self.policies.moves.begin_pass(moves)
+        for tracked in self.jobs.values():
+            if tracked.job.id in self._failed_jobs:
+                continue
+            try:
+                self.policies.moves.move_units(tracked, moves)
+            except Exception as exc:
+                self._record_failed_job(tracked, exc)
+
+    def _record_failed_job(self, tracked: TrackedJob, exc: Exception) -> None:
+        self._failed_jobs.add(tracked.job.id)
+        self.log_event("job cannot be planned", job=tracked.job.id, why=repr(exc))
 
     def _knows_evacuations(self, now: float) -> bool:
         """Whether work may be placed, as far as evacuations are known; logs what is unusual."""
--- a/features/fleet_moves.feature
+++ b/features/fleet_moves.feature
@@ -47,6 +47,19 @@
     Then no work was thrown away
     And the counter stops_without_room{reason="departure"} is 1
 
+  Scenario: Work with checkpoints is stopped in time while nothing may be placed
+    # Guards against losing the work since the last checkpoint because the operators' topic was not
+    # read lately: that forbids starts, but its target leaves all the same.
+    Given a job with checkpoints of 30 seconds that has run for 8 seconds
+    When the operators' topic has not been read lately
+    And its target leaves in 4 seconds
+    And the fleet runs on for 5 s
+    Then no work was thrown away
+    And the job was started once
+    When the operators' topic is read again
+    And the fleet runs on for 1 s
+    Then the job runs on a target that stays
+
   Scenario: Work without checkpoints moves at once if there is room
     # Guards against doing more work on a leaving target that will be thrown away.
     Given a job of 30 seconds that has run for 8 seconds
--- a/features/steps/fleet_moves_steps.py
+++ b/features/steps/fleet_moves_steps.py
@@ -1,5 +1,7 @@
 """Steps for moving whole units off targets that leave, are slow or hang."""
 
+from unittest import mock
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -142,6 +144,18 @@
     slow_down(context, context.slowdown)
 
 
+@when("the operators' topic has not been read lately")
+def hold_placement(context: Context) -> None:
+    gate = context.world.core.zone_gate
+    context.gate = mock.patch.object(gate, "is_current", lambda now: False)
+    context.gate.start()
+
+
+@when("the operators' topic is read again")
+def release_placement(context: Context) -> None:
+    context.gate.stop()
+
+
 @given("other work on all other targets")
 def fill_all(context: Context) -> None:
     fill(context)
