Learn the health of machines, racks and zones

Cause: a target is quarantined for a fixed 8 s after failures of two jobs without a success in between. A runner that fails 45% of what it starts has successes in between, a machine that flaps comes back under another id, and a hanging one fails again after each pause.

Ruled out: a failure rate over a window, as the successes before a fault delay its detection; a score by target id, as the VM outlives it; keeping targets that are not trusted out of the candidates, as guaranteed work would then have no last resort.

Change: LearnedHealth scores machines, racks and zones by a decayed log likelihood ratio (CUSUM) of the ends of runs, divides blame between job and place, and steps machines between trusted, probation and avoided. At most a third of a service's targets is avoided, and half is restricted. Work that a guarantee covers tries trusted targets, then those on probation, then avoided ones. The owner reports restarts, silence and runners that go down as signals, which lead to probation at most. HealthRecord keeps scores and steps for the next owner. Feature target_health.

--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -11,7 +11,7 @@
 from comfreyshelf.fleet.evacuation.evacuations import OperatorTopicState
 from comfreyshelf.fleet.evacuation.zone_gate import ZoneGate
 from comfreyshelf.fleet.guarantee import ClaimForecast
-from comfreyshelf.fleet.health.target_health import HealthEvent
+from comfreyshelf.fleet.health.target_health import HealthEvent, Signal
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     EndKind,
@@ -59,6 +59,9 @@
     ) -> None:
         self.scheduling = scheduling or Scheduling()
         self.policies: Policies = make_policies(self.scheduling)
+        # Records of earlier owners, which may be read before the first planning pass, are relative
+        # to this time.
+        self.policies.health.begin_pass((), now)
         self.config = config
         self.bounds = bounds
         self.token = token
@@ -207,7 +210,8 @@
             for member in tracked.gang_members(active.task):
                 tracked.task_progress(member).checkpoint = checkpoint
         lasting = active.step.lasting
-        self._record_health(view, tracked.job.id, kind, now)
+        is_expected = active.stopping_since is not None or not self.zone_gate.may_start_on(view)
+        self._record_health(view, tracked.job.id, kind, now, is_expected)
         active.record_end(kind is EndKind.DONE and not task.resumed_from, now)
         if kind is EndKind.DONE:
             if not lasting:
@@ -234,10 +238,19 @@
             "ratio": round(accuracy.ratio, 2),
         }
 
-    def _record_health(self, view: TargetView, job: JobId, kind: EndKind, now: float) -> None:
-        event = HealthEvent(view.announcement, view.machine, job, kind)
+    def _record_health(
+        self, view: TargetView, job: JobId, kind: EndKind, now: float, is_expected: bool = False
+    ) -> None:
+        is_expected = is_expected or bool(view.drain_until)
+        event = HealthEvent(view.announcement, view.machine, job, kind, is_expected)
         self.policies.health.record_end(event, now)
 
+    def _record_signal(self, view: TargetView, signal: Signal, now: float) -> None:
+        """Record an event of a target that has not announced that it leaves."""
+        if not view.drain_until:
+            self.count(f'target_signals{{signal="{signal.value}"}}')
+            self.policies.health.record_signal(view.announcement, view.machine, signal, now)
+
     def _break_gang(self, active: ActiveRun) -> None:
         """Stop the other members of a gang after one of its runs ended without success."""
         for name in active.tracked.gang_members(active.task):
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -10,6 +10,8 @@
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, is_suspect
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
+from comfreyshelf.fleet.health.probes import is_probe, standings_in_order
+from comfreyshelf.fleet.health.target_health import Signal, Standing
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.placing import (
@@ -89,6 +91,7 @@
             return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
+        self._update_health(now)
         planning = _PlanningPass(
             now,
             unix_now,
@@ -129,7 +132,7 @@
             self.config,
             planning.covered_ids,
             self.targets.values(),
-            planning.capacity.candidates.values(),
+            planning.capacity.trusted(),
             self.log_event,
             self.count,
         )
@@ -183,7 +186,7 @@
 
     def _unclaimed_accelerators(self, capacity: PlanningCapacity, unix_now: float) -> int:
         """Number of free accelerators beyond those that guarantees are expected to claim."""
-        free = sum(candidate.free.accelerators for candidate in capacity.candidates.values())
+        free = sum(candidate.free.accelerators for candidate in capacity.trusted())
         used: Counter[OrganisationId] = Counter()
         for view in self.targets.values():
             for active in view.active_runs.values():
@@ -194,6 +197,7 @@
     def _drop_silent_targets(self, now: float, unix_now: float) -> None:
         for view in list(self.targets.values()):
             if now - view.seen_at > self.bounds.runs_lapsed_after_s:
+                self._record_signal(view, Signal.SILENT, now)
                 self._drop_runs(view, unix_now, f"no report for {now - view.seen_at:.1f} s")
                 del self.targets[view.id]
         if now - self._term_started_at > self.bounds.unreported_runs_lapsed_after_s:
@@ -248,6 +252,9 @@
             if not self._may_start_on(view, now):
                 continue
             candidate = CandidateTarget(view.announcement, view.announcement.room)
+            candidate.standing = self.policies.health.standing(view.machine)
+            candidate.failure_risk = self.policies.health.risk(view.machine)
+            candidate.is_occupied = bool(view.active_runs)
             for active in view.active_runs.values():
                 candidate.free -= active.demand
                 if active.stopping_since is not None:
@@ -294,12 +301,7 @@
             wait_for_ends=tracked.priority == 0 and may_wait,
             trial_job=tracked.job.id if is_suspect(tracked, unit.tasks) else None,
         )
-        assignment = capacity.find_assignment(
-            unit,
-            tracked.avoided_targets,
-            self._task_counter(tracked, unit),
-            limits,
-        )
+        assignment = self._find_assignment(tracked, unit, is_covered, capacity, limits)
         if assignment is None:
             return "no room"
         if not is_covered and not is_worth_preempting(tracked, unit, assignment, unix_now):
@@ -315,6 +317,36 @@
             self._stop_run(victim, now, cause, tracked.job.id)
         return ""
 
+    def _find_assignment(
+        self,
+        tracked: TrackedJob,
+        unit: Unit,
+        is_covered: bool,
+        capacity: PlanningCapacity,
+        limits: PlacementLimits,
+    ) -> Assignment | None:
+        """Find an assignment on trusted targets, or on others if the unit has to start there."""
+        count_tasks = self._task_counter(tracked, unit)
+        if not self.policies.health.has_restricted:
+            return capacity.find_assignment(unit, tracked.avoided_targets, count_tasks, limits)
+        has_to_start = is_covered or not capacity.trusted_could_hold(unit)
+        for reach in standings_in_order(has_to_start):
+            limits = msgspec.structs.replace(limits, reach=reach, is_probe=is_probe(tracked, unit))
+            assignment = capacity.find_assignment(
+                unit, tracked.avoided_targets, count_tasks, limits
+            )
+            if assignment is not None:
+                if reach is not Standing.TRUSTED:
+                    self.count(f'units_on_untrusted_targets{{standing="{reach.value}"}}')
+                return assignment
+        return None
+
+    def _update_health(self, now: float) -> None:
+        for change in self.policies.health.begin_pass(self.targets.values(), now):
+            labels = f'standing="{change.standing.value}",reason="{change.reason}"'
+            self.count(f"target_standing_changes{{{labels}}}")
+            self.log_event("target standing changed", **msgspec.to_builtins(change))
+
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
         """Log why a unit waits, if the reason differs from the last one logged for its job."""
         if why and why != tracked.wait_reason:
@@ -348,9 +380,7 @@
 
         Returns the number of units that had capacity reserved: 1, or 0 if no target can run it.
         """
-        eligible = [
-            candidate for candidate in capacity.candidates.values() if candidate.can_run(unit)
-        ]
+        eligible = [candidate for candidate in capacity.trusted() if candidate.can_run(unit)]
         eligible.sort(key=lambda candidate: -candidate.free.accelerators)
         capacity.reserve(
             unit, [candidate.announcement.id for candidate in eligible[: len(unit.tasks)]]
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -1,6 +1,7 @@
 """Task of an entry that plans jobs and sends orders while the entry leads the owner group."""
 
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -10,6 +11,7 @@
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.evacuation.evacuations import Evacuations
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
+from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
     JobTable,
@@ -190,6 +192,12 @@
             report_ages_s = [now - view.seen_at for view in self._core.targets.values()]
             set_gauge('belief_age_seconds{of="targets"}', round(max(report_ages_s, default=0.0), 3))
             set_gauge("targets", len(report_ages_s))
+            health = self._core.policies.health
+            standings = Counter(health.standing(v.machine) for v in self._core.targets.values())
+            for standing in Standing:
+                name = f'targets_by_standing{{standing="{standing.value}"}}'
+                set_gauge(name, standings[standing])
+            set_gauge("targets_spared", health.spared)
             set_gauge("jobs_open", len(self._core.jobs))
             for organisation, share in self._core.policies.ranking.shares().items():
                 # The strings of JSON are escaped as those of the metrics' text format.
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from comfreyshelf.fleet.active_run import ActiveRun
+from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.jobs import Announcement, Resources
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import JobId, RackId, TargetId
@@ -41,7 +42,8 @@
     are sorted by their total loss in ascending order; `ending` is what those hold that end soon.
     Both are worked out by `list_victims` when they are first needed, as most tasks need none.
     `young_jobs` has the job of each run that was just started there, `trial_jobs` those that may
-    crash the runner. A crash would cost `work_at_risk` core-seconds.
+    crash the runner. A crash would cost `work_at_risk` core-seconds. A task placed there costs
+    `failure_risk` core-seconds, as it may fail; `is_occupied` is whether any run is there.
     """
 
     announcement: Announcement
@@ -51,6 +53,9 @@
     young_jobs: list[JobId] = []
     trial_jobs: set[JobId] = set()
     work_at_risk: Callable[[], float] = lambda: 0.0
+    standing: Standing = Standing.TRUSTED
+    failure_risk: float = 0.0
+    is_occupied: bool = False
     _victims: list[Victim] | None = None
     _ending: Resources = Resources()
 
@@ -66,6 +71,7 @@
 
     def add_young_run(self, job: JobId, is_trial: bool) -> None:
         """Count a run that was just started here."""
+        self.is_occupied = True
         self.young_jobs.append(job)
         if is_trial:
             self.trial_jobs.add(job)
@@ -74,6 +80,15 @@
         """Whether a crash here would still tell that this job, if it is a suspect, causes it."""
         return job is None or self.trial_jobs <= {job}
 
+    def admits(self, limits: "PlacementLimits") -> bool:
+        """Whether the target's standing allows a unit with these limits."""
+        if self.standing is Standing.TRUSTED or limits.reach is Standing.AVOIDED:
+            return True
+        if self.standing is Standing.AVOIDED:
+            return False
+        is_free_for_probe = limits.is_probe and not self.is_occupied
+        return limits.reach is Standing.PROBATION or is_free_for_probe
+
     def crash_risk(self, trial_job: JobId | None) -> float:
         """Cost in core-seconds of placing a task here, where a crash may lose work."""
         if trial_job is None:
@@ -120,13 +135,16 @@
     `allow_rack_spread`, a unit that should run in one rack is spread over several if no rack has
     enough capacity now; without, only if no rack would have enough even if it were empty. With
     `wait_for_ends`, the unit rather waits for runs that end soon than preempts runs. `trial_job` is
-    the unit's job if the unit may have crashed a runner.
+    the unit's job if the unit may have crashed a runner. Targets with a standing as bad as `reach`
+    may be used. A probe may also use a target on probation that is not occupied.
     """
 
     preempt_above: int
     allow_rack_spread: bool = False
     wait_for_ends: bool = False
     trial_job: JobId | None = None
+    reach: Standing = Standing.TRUSTED
+    is_probe: bool = False
 
     def may_preempt(self, victim: Victim) -> bool:
         """Whether a run may be stopped; one that is waited for may not."""
@@ -173,14 +191,23 @@
         key = (unit.service, step, len(unit.tasks), frozenset(avoided), limits)
         if not step.per_target and key in self._cache:
             return self._cache[key]
-        eligible = self._eligible(unit, avoided, count_tasks, limits.trial_job)
+        eligible = self._eligible(unit, avoided, count_tasks, limits)
         assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         if assignment is None and avoided:
-            eligible = self._eligible(unit, set(), count_tasks, limits.trial_job)
+            eligible = self._eligible(unit, set(), count_tasks, limits)
             assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         self._cache[key] = assignment
         return assignment
 
+    def trusted(self) -> list[CandidateTarget]:
+        """The candidates on which any work may be placed."""
+        return [c for c in self.candidates.values() if c.standing is Standing.TRUSTED]
+
+    def trusted_could_hold(self, unit: Unit) -> bool:
+        """Whether the trusted targets together could hold a unit if they were empty."""
+        eligible = [candidate for candidate in self.trusted() if candidate.can_run(unit)]
+        return self._max_tasks_when_empty(unit, eligible) >= len(unit.tasks)
+
     def reserve(self, unit: Unit, targets: Iterable[TargetId]) -> None:
         """Subtract the demand of one task on each of `targets`, so that no later unit gets it."""
         for target in targets:
@@ -203,7 +230,7 @@
         unit: Unit,
         avoided: set[TargetId],
         count_tasks: Callable[[TargetId], int],
-        trial_job: JobId | None,
+        limits: PlacementLimits,
     ) -> list[CandidateTarget]:
         step = unit.step
         return [
@@ -211,7 +238,8 @@
             for candidate in self.candidates.values()
             if candidate.announcement.id not in avoided
             and candidate.can_run(unit)
-            and candidate.allows_trial(trial_job)
+            and candidate.admits(limits)
+            and candidate.allows_trial(limits.trial_job)
             and (not step.per_target or count_tasks(candidate.announcement.id) < step.per_target)
         ]
 
@@ -348,7 +376,7 @@
     have left on the candidate, `preempted` holds the victims chosen for them. The cost is in
     core-seconds.
     """
-    crash_risk = candidate.crash_risk(limits.trial_job)
+    crash_risk = candidate.crash_risk(limits.trial_job) + candidate.failure_risk
     if free.can_hold(demand):
         # Best fit: the least free accelerators, then CPU, remain, which keeps large gaps for large
         # tasks.
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from comfreyshelf.fleet.health.learned_health import LearnedHealth
 from comfreyshelf.fleet.health.quarantine import Quarantine
+from comfreyshelf.fleet.health.record import HealthRecord
 from comfreyshelf.fleet.health.target_health import TargetHealth
 from comfreyshelf.fleet.learned.state import LearnedState
 from comfreyshelf.fleet.prediction.model import DurationModel
@@ -31,6 +33,7 @@
     """The policies for the features that are in use; raises SettingsError for invalid settings."""
     durations: DurationModel = QueueMeanModel()
     ranking: Ranking = DeadlineRanking()
+    health: TargetHealth = Quarantine()
     learned: list[LearnedState] = []
     if scheduling.uses(Feature.PREDICTION):
         durations = quantiles = QuantileModel()
@@ -40,4 +43,7 @@
         usage = OrganisationUsage(shares.half_life_s)
         ranking = FairShareRanking(shares, usage)
         learned.append(usage)
-    return Policies(durations, UniformSpeeds(), Quarantine(), ranking, tuple(learned))
+    if scheduling.uses(Feature.TARGET_HEALTH):
+        health = learned_health = LearnedHealth()
+        learned.append(HealthRecord(learned_health))
+    return Policies(durations, UniformSpeeds(), health, ranking, tuple(learned))
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -2,7 +2,9 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
+from comfreyshelf.fleet.bounds import SUSPECT_AFTER_S
 from comfreyshelf.fleet.fleet_state import FleetState
+from comfreyshelf.fleet.health.target_health import Signal
 from comfreyshelf.fleet.jobs import (
     EndKind,
     RunNumber,
@@ -23,7 +25,7 @@
         """Process the report of a target process."""
         target = report.announcement.id
         self._count_crashes(report, unix_now)
-        self._drop_replaced_target(report, unix_now)
+        self._drop_replaced_target(report, now, unix_now)
         view = self.targets.get(target)
         if view is not None and report.incarnation < view.incarnation:
             return
@@ -33,6 +35,7 @@
             self.targets[target] = view
             self.needs_plan = True
             if old is not None:
+                self._record_signal(old, Signal.RESTARTED, now)
                 self._drop_runs(old, unix_now, "its target started again")
             for active in self._unreported_runs.pop(target, []):
                 view.active_runs[active.full_name] = active
@@ -40,6 +43,7 @@
                 if active.incarnation != report.incarnation:
                     self._end_run(view, active, EndKind.LOST, "", now, unix_now)
             self.log_event("target joined", target=target, incarnation=report.incarnation)
+        self._record_report_signals(view, report, now)
         if report.announcement.draining and not view.drain_until:
             view.drain_until = now + report.announcement.drain_left_ms / 1000
             view.orders_changed = self.needs_plan = True
@@ -67,6 +71,13 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
+    def _record_report_signals(self, view: TargetView, report: Report, now: float) -> None:
+        """Record that a target was silent before a report, or that its runner went down."""
+        if now - view.seen_at > SUSPECT_AFTER_S:
+            self._record_signal(view, Signal.SILENT, now)
+        if view.lists_known and not report.runner_up:
+            self._record_signal(view, Signal.RUNNER_DOWN, now)
+
     def _update_cold(self, view: TargetView, now: float) -> None:
         """Record for how long a target will be slow after an evacuation of its zone."""
         cold_left_s = view.announcement.cold_left_ms / 1000
@@ -108,7 +119,7 @@
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event("task cleared", task=active.full_name, run=active.run)
 
-    def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
+    def _drop_replaced_target(self, report: Report, now: float, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
         target = report.announcement.id
         previous = self._target_by_machine.get(report.machine, target)
@@ -117,6 +128,7 @@
             if view is not None and view.incarnation > report.incarnation:
                 return
             if view is not None:
+                self._record_signal(view, Signal.RESTARTED, now)
                 self._drop_runs(view, unix_now, "its machine runs another target")
                 del self.targets[previous]
         self._target_by_machine[report.machine] = target
