--- a/comfreyshelf/fleet/health/learned_health.py
+++ b/comfreyshelf/fleet/health/learned_health.py
@@ -24,6 +24,8 @@
 ONE_CRASH_S = 0.5
 # While a machine, rack or zone is not trusted, all are judged this often also without events.
 UPDATE_INTERVAL_S = 1.0
+# Otherwise they are this often, to forget what no longer counts.
+FORGET_INTERVAL_S = 60.0
 # Machines that are remembered, also those that have left.
 MAX_MACHINES = 1024
 # Cost in core-seconds of placing a task on a target, above that of any unused room. On trusted
@@ -117,6 +119,8 @@
         self._next_update_at = min(
             (machine.next_change_at for machine in self.machines.values()), default=float("inf")
         )
+        if self.machines:
+            self._next_update_at = min(self._next_update_at, now + FORGET_INTERVAL_S)
         if self._standings or is_any_failing:
             self._next_update_at = min(self._next_update_at, now + UPDATE_INTERVAL_S)
         return changes
--- a/comfreyshelf/fleet/health/record.py
+++ b/comfreyshelf/fleet/health/record.py
@@ -8,7 +8,13 @@
 from comfreyshelf.fleet.health.blame import Level, Place
 from comfreyshelf.fleet.health.learned_health import LearnedHealth
 from comfreyshelf.fleet.health.score import HALF_LIFE_S, MAX_SCORE, MIN_SCORE, Score
-from comfreyshelf.fleet.health.steps import MAX_PAUSE_S, MAX_STRIKES, STRIKE_LIFE_S, Machine
+from comfreyshelf.fleet.health.steps import (
+    MAX_PAUSE_S,
+    MAX_PROBATION_S,
+    MAX_STRIKES,
+    STRIKE_LIFE_S,
+    Machine,
+)
 from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.learned.state import LearnedState
 
@@ -129,7 +135,11 @@
                 known.strikes, known.struck_at = row.strikes, max(struck_at, known.struck_at)
             return
         has_strikes = row.strikes and row.struck_s + age_s < STRIKE_LIFE_S * row.strikes
-        if score < MIN_SCORE and not has_strikes and _STEPS[row.step] is Standing.TRUSTED:
+        standing = _STEPS[row.step]
+        if age_s > row.pause_s + MAX_PROBATION_S:
+            # Both the pause and the probation after it would be over.
+            standing = Standing.TRUSTED
+        if score < MIN_SCORE and not has_strikes and standing is Standing.TRUSTED:
             return
         places = (
             Place(Level.MACHINE, row.name),
@@ -139,7 +149,7 @@
         self._health.machines[row.name] = Machine(
             places,
             Score(score, now),
-            _STEPS[row.step],
+            standing,
             reason="an earlier owner's record",
             evidence=row.evidence,
             strikes=row.strikes,
--- a/comfreyshelf/fleet/health/restriction.py
+++ b/comfreyshelf/fleet/health/restriction.py
@@ -11,6 +11,8 @@
 # fifth that flaps, a tenth that hangs and half a zone that fails fit into the second.
 MAX_AVOIDED_SHARE = 1 / 3
 MAX_RESTRICTED_SHARE = 1 / 2
+# Above the error of a product with such a share.
+ROUNDING = 1e-6
 
 
 def restrict(
@@ -32,8 +34,8 @@
     spared = 0
     for service, restricted in by_service.items():
         restricted.sort(key=lambda item: _badness(item[1], item[1].score, now), reverse=True)
-        max_avoided = int(sizes[service] * MAX_AVOIDED_SHARE)
-        max_restricted = int(sizes[service] * MAX_RESTRICTED_SHARE)
+        max_avoided = int(sizes[service] * MAX_AVOIDED_SHARE + ROUNDING)
+        max_restricted = int(sizes[service] * MAX_RESTRICTED_SHARE + ROUNDING)
         for rank, (name, machine) in enumerate(restricted):
             if rank >= max_restricted:
                 spared += 1
--- a/features/health_world.py
+++ b/features/health_world.py
@@ -141,9 +141,9 @@
                 percent = max(1, int(100 * elapsed_s / TASK_S))
                 target.running[task] = RunningRow(task, row.run, "", percent)
 
-    def submit_load(self, number: int) -> None:
+    def submit_load(self, number: int, jobs: int = JOBS_PER_STEP) -> None:
         """Jobs of 8 tasks that use about four fifths of a fleet of 60 targets."""
-        for index in range(JOBS_PER_STEP):
+        for index in range(jobs):
             name = f"load{number}x{index}"
             self.accept(name, (step(8, demand=SMALL),), queue="usual")
 
