--- a/features/health_world.py
+++ b/features/health_world.py
@@ -103,7 +103,7 @@
         known = {target.id: set(target.running) for target in self.targets}
         super().deliver(instant_stops)
         for target in self.targets:
-            for task in set(target.running) - known[target.id]:
+            for task in sorted(set(target.running) - known[target.id]):
                 self.start_times.append((target.machine, self.now))
                 fails = self.random.random() < getattr(target, "failing", 0.0)
                 run = target.running[task].run
