--- a/comfreyshelf/fleet/candidate_target.py
+++ b/comfreyshelf/fleet/candidate_target.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from comfreyshelf.fleet.active_run import ActiveRun
+from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.jobs import Announcement, Resources
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import JobId
@@ -51,7 +52,9 @@
     Both are worked out by `list_victims` when they are first needed, as most tasks need none.
     `young_jobs` has the job of each run that was just started there, `trial_jobs` those that may
     crash the runner. A crash would cost `work_at_risk` core-seconds. `speed` is that of its
-    machine, `rack_room_cost` is added to the cost of a task for the free room in its rack.
+    machine, `rack_room_cost` is added to the cost of a task for the free room in its rack. A task
+    placed there costs `failure_risk` core-seconds, as it may fail; `is_occupied` is whether any run
+    is there.
     """
 
     announcement: Announcement
@@ -63,6 +66,9 @@
     work_at_risk: Callable[[], float] = lambda: 0.0
     speed: float = 1.0
     rack_room_cost: float = 0.0
+    standing: Standing = Standing.TRUSTED
+    failure_risk: float = 0.0
+    is_occupied: bool = False
     list_ends: Callable[[], list[RunEnd]] = list
     _ends: list[RunEnd] | None = None
     _victims: list[Victim] | None = None
@@ -87,6 +93,7 @@
 
     def add_young_run(self, job: JobId, is_trial: bool) -> None:
         """Count a run that was just started here."""
+        self.is_occupied = True
         self.young_jobs.append(job)
         if is_trial:
             self.trial_jobs.add(job)
@@ -95,6 +102,15 @@
         """Whether a crash here would still tell that this job, if it is a suspect, causes it."""
         return job is None or self.trial_jobs <= {job}
 
+    def admits(self, limits: "PlacementLimits") -> bool:
+        """Whether the target's standing allows a unit with these limits."""
+        if self.standing is Standing.TRUSTED or limits.reach is Standing.AVOIDED:
+            return True
+        if self.standing is Standing.AVOIDED:
+            return False
+        is_free_for_probe = limits.is_probe and not self.is_occupied
+        return limits.reach is Standing.PROBATION or is_free_for_probe
+
     def crash_risk(self, trial_job: JobId | None) -> float:
         """Cost in core-seconds of placing a task here, where a crash may lose work."""
         if trial_job is None:
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -12,6 +12,8 @@
 from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
 from comfreyshelf.fleet.freed_room import FreedRoom
 from comfreyshelf.fleet.guarantee import covered_jobs, may_borrow
+from comfreyshelf.fleet.health.probes import is_probe
+from comfreyshelf.fleet.health.target_health import Signal, Standing
 from comfreyshelf.fleet.jobs import EndKind, FleetConfig, JobPhase, RunNumber, Token
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.moves.move_policy import FleetAccess, MovePass
@@ -98,6 +100,7 @@
             return
         jobs = [t for t in self.jobs.values() if t.job.id not in self._failed_jobs]
         covered_ids = covered_jobs(jobs, self.config, unix_now)
+        self._update_health(now)
         capacity = self._make_capacity(self._list_candidates(now, unix_now, covered_ids))
         moves = MovePass(now, unix_now, fleet, capacity, covered_ids, bool(self._unstored_runs))
         self.policies.moves.begin_pass(moves)
@@ -153,7 +156,7 @@
             self.config,
             planning.covered_ids,
             self.targets.values(),
-            planning.capacity.candidates.values(),
+            planning.capacity.trusted(),
             self.log_event,
             self.count,
         )
@@ -230,7 +233,7 @@
 
     def _unclaimed_accelerators(self, capacity: PlanningCapacity, unix_now: float) -> int:
         """Number of free accelerators beyond those that guarantees are expected to claim."""
-        free = sum(candidate.free.accelerators for candidate in capacity.candidates.values())
+        free = sum(candidate.free.accelerators for candidate in capacity.trusted())
         used: Counter[OrganisationId] = Counter()
         for view in self.targets.values():
             for active in view.active_runs.values():
@@ -241,6 +244,7 @@
     def _drop_silent_targets(self, now: float, unix_now: float) -> None:
         for view in list(self.targets.values()):
             if now - view.seen_at > self.bounds.runs_lapsed_after_s:
+                self._record_signal(view, Signal.SILENT, now)
                 self._drop_runs(view, unix_now, f"no report for {now - view.seen_at:.1f} s")
                 del self.targets[view.id]
         if now - self._term_started_at > self.bounds.unreported_runs_lapsed_after_s:
@@ -273,6 +277,9 @@
             if not self._may_start_on(view, now):
                 continue
             candidate = CandidateTarget(view.announcement, view.announcement.room)
+            candidate.standing = self.policies.health.standing(view.machine)
+            candidate.failure_risk = self.policies.health.risk(view.machine)
+            candidate.is_occupied = bool(view.active_runs)
             for active in view.active_runs.values():
                 candidate.free -= active.demand
                 if active.stopping_since is not None:
@@ -358,18 +365,14 @@
         self, tracked: TrackedJob, unit: Unit, limits: PlacementLimits, planning: "_PlanningPass"
     ) -> tuple[Assignment | None, str]:
         """The assignment of a unit, or None and the reason; reserved room is used first."""
-        policy, moves, capacity = self.policies.moves, planning.moves, planning.capacity
+        policy, moves = self.policies.moves, planning.moves
         reserved = policy.take_reserved(tracked, unit, moves)
         if reserved is not None:
             return Assignment(reserved, [], True, 0.0), ""
         to_avoid = policy.targets_to_avoid(tracked, unit, moves)
-        count_tasks = self._task_counter(tracked, unit)
 
         def find(avoided: frozenset[TargetId]) -> Assignment | None:
-            known = tracked.avoided_targets
-            return capacity.find_assignment(
-                unit, known | avoided if avoided else known, count_tasks, limits
-            )
+            return self._find_by_standing(tracked, unit, avoided, limits, planning)
 
         assignment = find(to_avoid.avoided)
         if to_avoid.avoided != to_avoid.excluded:
@@ -384,6 +387,39 @@
             return None, ROOM_IS_LEAVING
         return assignment, ""
 
+    def _find_by_standing(
+        self,
+        tracked: TrackedJob,
+        unit: Unit,
+        avoided: frozenset[TargetId],
+        limits: PlacementLimits,
+        planning: "_PlanningPass",
+    ) -> Assignment | None:
+        """Find an assignment on trusted targets, or on others if the unit has to start there."""
+        capacity, count_tasks = planning.capacity, self._task_counter(tracked, unit)
+        all_avoided = tracked.avoided_targets | avoided if avoided else tracked.avoided_targets
+        if not self.policies.health.has_restricted:
+            return capacity.find_assignment(unit, all_avoided, count_tasks, limits)
+        is_covered = tracked.job.id in planning.covered_ids
+        may_probe = is_probe(tracked, unit)
+        for reach in Standing:
+            has_to_start = is_covered or reach is Standing.TRUSTED
+            if not has_to_start and capacity.trusted_could_hold(unit):
+                break
+            limits = msgspec.structs.replace(limits, reach=reach, is_probe=may_probe)
+            assignment = capacity.find_assignment(unit, all_avoided, count_tasks, limits)
+            if assignment is not None:
+                if reach is not Standing.TRUSTED:
+                    self.count(f'units_on_untrusted_targets{{standing="{reach.value}"}}')
+                return assignment
+        return None
+
+    def _update_health(self, now: float) -> None:
+        for change in self.policies.health.begin_pass(self.targets.values(), now):
+            labels = f'standing="{change.standing.value}",reason="{change.reason}"'
+            self.count(f"target_standing_changes{{{labels}}}")
+            self.log_event("target standing changed", **msgspec.to_builtins(change))
+
     def _log_wait(self, tracked: TrackedJob, unit: Unit, why: str, unix_now: float) -> None:
         """Log why a unit waits, if the reason differs from the last one logged for its job."""
         if why and why != tracked.wait_reason:
@@ -424,8 +460,8 @@
         kept = self._freed_room.kept_for_others((tracked.job.id, unit.tasks[0]), planning.now)
         eligible = [
             candidate
-            for target, candidate in capacity.candidates.items()
-            if target not in kept and candidate.can_run(unit)
+            for candidate in planning.capacity.trusted()
+            if candidate.announcement.id not in kept and candidate.can_run(unit)
         ]
         eligible.sort(key=lambda candidate: -candidate.free.accelerators)
         capacity.reserve(
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placing.py
@@ -6,6 +6,7 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
+from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.jobs import Resources
 from comfreyshelf.fleet.placement_goal import PlacementGoal
 from comfreyshelf.fleet.tracked_job import Unit
@@ -25,13 +26,17 @@
     `allow_rack_spread`, a unit that should run in one rack is spread over several if no rack has
     enough capacity now; without, only if no rack would have enough even if it were empty. With
     `wait_for_ends`, the unit rather waits for runs that end soon than preempts runs. `trial_job` is
-    the unit's job if the unit may have crashed a runner. Without a `goal`, best fit alone decides.
+    the unit's job if the unit may have crashed a runner. Targets with a standing as bad as `reach`
+    may be used. A probe may also use a target on probation that is not occupied. Without a `goal`,
+    best fit alone decides.
     """
 
     preempt_above: int
     allow_rack_spread: bool = False
     wait_for_ends: bool = False
     trial_job: JobId | None = None
+    reach: Standing = Standing.TRUSTED
+    is_probe: bool = False
     goal: PlacementGoal | None = None
 
     def may_preempt(self, victim: Victim) -> bool:
@@ -62,6 +67,8 @@
         # Results of find_assignment, valid until the capacity changes. Many jobs wait for equal
         # resources, so the same question is asked often.
         self._cache: dict[Hashable, Assignment | None] = {}
+        # Results of trusted_could_hold, valid for the whole pass.
+        self._could_hold: dict[Hashable, bool] = {}
 
     def find_assignment(
         self,
@@ -79,14 +86,31 @@
         key = (unit.service, step, len(unit.tasks), frozenset(avoided), limits)
         if not step.per_target and key in self._cache:
             return self._cache[key]
-        eligible = self._eligible(unit, avoided, count_tasks, limits.trial_job)
+        eligible = self._eligible(unit, avoided, count_tasks, limits)
         assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         if assignment is None and avoided:
-            eligible = self._eligible(unit, set(), count_tasks, limits.trial_job)
+            eligible = self._eligible(unit, set(), count_tasks, limits)
             assignment = self._find_cheapest(unit, eligible, count_tasks, limits)
         self._cache[key] = assignment
         return assignment
 
+    def trusted(self) -> list[CandidateTarget]:
+        """The candidates on which any work may be placed."""
+        return [c for c in self.candidates.values() if c.standing is Standing.TRUSTED]
+
+    def trusted_could_hold(self, unit: Unit) -> bool:
+        """Whether the trusted targets together could hold a unit if they were empty."""
+        key = (unit.service, unit.step, len(unit.tasks))
+        if key not in self._could_hold:
+            tasks = 0
+            for candidate in self.candidates.values():
+                if tasks >= len(unit.tasks):
+                    break
+                if candidate.standing is Standing.TRUSTED and candidate.can_run(unit):
+                    tasks += max_tasks_that_fit(candidate.announcement.room, unit.step.demand)
+            self._could_hold[key] = tasks >= len(unit.tasks)
+        return self._could_hold[key]
+
     def reserve(self, unit: Unit, targets: Sequence[TargetId]) -> None:
         """Subtract the demand of one task on each of `targets`, so that no later unit gets it."""
         for target in targets:
@@ -115,7 +139,7 @@
         unit: Unit,
         avoided: set[TargetId],
         count_tasks: Callable[[TargetId], int],
-        trial_job: JobId | None,
+        limits: PlacementLimits,
     ) -> list[CandidateTarget]:
         step = unit.step
         return [
@@ -123,7 +147,8 @@
             for candidate in self.candidates.values()
             if candidate.announcement.id not in avoided
             and candidate.can_run(unit)
-            and candidate.allows_trial(trial_job)
+            and candidate.admits(limits)
+            and candidate.allows_trial(limits.trial_job)
             and (not step.per_target or count_tasks(candidate.announcement.id) < step.per_target)
         ]
 
@@ -274,7 +299,7 @@
     have left on the candidate, `preempted` holds the victims chosen for them. The cost is in
     core-seconds.
     """
-    crash_risk = candidate.crash_risk(limits.trial_job)
+    crash_risk = candidate.crash_risk(limits.trial_job) + candidate.failure_risk
     if free.can_hold(demand):
         # Best fit: the least free accelerators, then CPU, remain, which keeps large gaps for large
         # tasks.
--- a/comfreyshelf/fleet/policies.py
+++ b/comfreyshelf/fleet/policies.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from comfreyshelf.fleet.health.learned_health import LearnedHealth
 from comfreyshelf.fleet.health.quarantine import Quarantine
+from comfreyshelf.fleet.health.record import HealthRecord
 from comfreyshelf.fleet.health.target_health import TargetHealth
 from comfreyshelf.fleet.learned.state import LearnedState
 from comfreyshelf.fleet.moves.immediate_stops import ImmediateStops
@@ -36,6 +38,7 @@
     """The policies for the features that are in use; raises SettingsError for invalid settings."""
     durations: DurationModel = QueueMeanModel()
     ranking: Ranking = DeadlineRanking()
+    health: TargetHealth = Quarantine()
     learned: list[LearnedState] = []
     if scheduling.uses(Feature.PREDICTION):
         durations = quantiles = QuantileModel()
@@ -45,9 +48,12 @@
         usage = OrganisationUsage(shares.half_life_s)
         ranking = FairShareRanking(shares, usage)
         learned.append(usage)
+    if scheduling.uses(Feature.TARGET_HEALTH):
+        health = learned_health = LearnedHealth()
+        learned.append(HealthRecord(learned_health))
     speeds: TargetSpeeds = UniformSpeeds()
     if scheduling.uses(Feature.TARGET_SPEED):
         speeds = learned_speeds = LearnedSpeeds(scheduling)
         learned.append(learned_speeds)
     moves = UnitMoves(scheduling) if scheduling.uses(Feature.MOVES) else ImmediateStops()
-    return Policies(durations, speeds, Quarantine(), ranking, moves, tuple(learned))
+    return Policies(durations, speeds, health, ranking, moves, tuple(learned))
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -2,7 +2,9 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
+from comfreyshelf.fleet.bounds import SUSPECT_AFTER_S
 from comfreyshelf.fleet.fleet_state import FleetState
+from comfreyshelf.fleet.health.target_health import Signal
 from comfreyshelf.fleet.jobs import (
     Announcement,
     EndKind,
@@ -28,12 +30,13 @@
         """Process the report of a target process."""
         target = report.announcement.id
         self._count_crashes(report, unix_now)
-        self._drop_replaced_target(report, unix_now)
+        self._drop_replaced_target(report, now, unix_now)
         view = self.targets.get(target)
         if view is not None and report.incarnation < view.incarnation:
             return
         if view is None or view.incarnation != report.incarnation:
             view = self._join_target(report, view, now, unix_now)
+        self._record_report_signals(view, report, now)
         self._apply_announcement(view, report.announcement, now)
         view.seen_at = now
         view.report_sent_at = report.sent_at
@@ -53,6 +56,13 @@
             view.lists_known = True
             self._process_run_lists(view, report, now, unix_now)
 
+    def _record_report_signals(self, view: TargetView, report: Report, now: float) -> None:
+        """Record that a target was silent before a report, or that its runner went down."""
+        if now - view.seen_at > SUSPECT_AFTER_S:
+            self._record_signal(view, Signal.SILENT, now)
+        if view.lists_known and not report.runner_up:
+            self._record_signal(view, Signal.RUNNER_DOWN, now)
+
     def _join_target(
         self, report: Report, old: TargetView | None, now: float, unix_now: float
     ) -> TargetView:
@@ -62,6 +72,7 @@
         self.targets[target] = view
         self.needs_plan = True
         if old is not None:
+            self._record_signal(old, Signal.RESTARTED, now)
             self._drop_runs(old, unix_now, "its target started again")
         for active in self._unreported_runs.pop(target, []):
             view.active_runs[active.full_name] = active
@@ -125,7 +136,7 @@
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event("task cleared", task=active.full_name, run=active.run)
 
-    def _drop_replaced_target(self, report: Report, unix_now: float) -> None:
+    def _drop_replaced_target(self, report: Report, now: float, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
         target = report.announcement.id
         previous = self._target_by_machine.get(report.machine, target)
@@ -134,6 +145,7 @@
             if view is not None and view.incarnation > report.incarnation:
                 return
             if view is not None:
+                self._record_signal(view, Signal.RESTARTED, now)
                 self._drop_runs(view, unix_now, "its machine runs another target")
                 del self.targets[previous]
         self._target_by_machine[report.machine] = target
