Count tasks on their way to reserved room against the limit of their step

Tasks of one step that left a target were moved one by one, and each counted only the tasks that had started, so that several got reserved room on the same target. Ruled out: a second search at the start, as the stopped run would then have lost its room. Change: the count of a step's tasks on a target includes the room reserved for its other units.

--- a/comfreyshelf/fleet/moves/move_policy.py
+++ b/comfreyshelf/fleet/moves/move_policy.py
@@ -92,6 +92,10 @@
         """
         return None
 
+    def reserved_targets(self, tracked: TrackedJob, unit: Unit) -> list[TargetId]:
+        """The target of each task of the unit's step that is reserved for another unit."""
+        return []
+
     def targets_to_avoid(self, tracked: TrackedJob, unit: Unit, moves: MovePass) -> TargetsToAvoid:
         """Targets on which a waiting unit should not start, as they are likely to leave."""
         return NOTHING_TO_AVOID
--- a/comfreyshelf/fleet/moves/reservations.py
+++ b/comfreyshelf/fleet/moves/reservations.py
@@ -53,6 +53,18 @@
     def __iter__(self) -> Iterator[Reservation]:
         return iter(list(self._by_unit.values()))
 
+    def targets_of_step(self, tracked: TrackedJob, unit: Unit) -> list[TargetId]:
+        """The targets reserved for the other units of a unit's step, in one occurrence."""
+        step = (unit.occurrence, unit.step_number)
+        return [
+            target
+            for key, reservation in self._by_unit.items()
+            if key[0] == tracked.job.id
+            and key != unit_key(tracked, unit)
+            and (reservation.unit.occurrence, reservation.unit.step_number) == step
+            for target in reservation.targets
+        ]
+
     def add(
         self, tracked: TrackedJob, unit: Unit, targets: list[TargetId], moves: MovePass
     ) -> None:
--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -145,6 +145,9 @@
             return None
         return self._reservations.take(unit_key(tracked, unit), moves)
 
+    def reserved_targets(self, tracked: TrackedJob, unit: Unit) -> list[TargetId]:
+        return self._reservations.targets_of_step(tracked, unit)
+
     def lend_reserved(self, moves: MovePass) -> bool:
         return self._reservations.lend(moves)
 
--- a/comfreyshelf/fleet/owner.py
+++ b/comfreyshelf/fleet/owner.py
@@ -441,7 +441,8 @@
     def _task_counter(self, tracked: TrackedJob, unit: Unit) -> Callable[[TargetId], int]:
         if not unit.step.per_target:
             return lambda target: 0
-        counts: Counter[TargetId] = Counter()
+        # Tasks on their way to reserved room count, too, before they have started there.
+        counts = Counter(self.policies.moves.reserved_targets(tracked, unit))
         for name in tracked.step_tasks(unit.occurrence, unit.step_number):
             task = tracked.progress.tasks.get(name)
             if task is not None and task.target:
--- a/features/fleet_moves.feature
+++ b/features/fleet_moves.feature
@@ -99,6 +99,15 @@
     And the fleet runs on for 4 s
     Then no run of the job was stopped
 
+  Scenario: Tasks that move keep to the limit of their step on one target
+    # Guards against more tasks of a step on one target than it allows, because tasks that leave
+    # another target at the same time are not counted while they are on their way.
+    Given a job of 5 tasks of 30 seconds, at most 2 on one of 3 targets, that has run for 8 seconds
+    When a target with 2 of its tasks leaves in 14 seconds
+    And the fleet runs on for 3 s
+    Then no target has run more than 2 of its tasks at once
+    And 1 unit was moved for the reason departure
+
   Scenario: Work without checkpoints that cannot end in time any more is stopped without room
     # Guards against work on a leaving target for seconds that are thrown away with it.
     Given a job of 30 seconds that has run for 8 seconds
--- a/features/steps/fleet_moves_steps.py
+++ b/features/steps/fleet_moves_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet.job_table import StoredJob
-from comfreyshelf.fleet.jobs import JobPhase, Step
+from comfreyshelf.fleet.jobs import JobPhase, Resources, Step
 from comfreyshelf.ids import JobId
 from features.moving_world import (
     TICK_S,
@@ -84,6 +84,40 @@
     start(context, one_target(), work, ran)
 
 
+@given(
+    "a job of 5 tasks of {work:g} seconds, at most 2 on one of 3 targets, that has run for "
+    "{ran:g} seconds"
+)
+def start_limited(context: Context, work: float, ran: float) -> None:
+    context.world = MovingWorld(targets=3)
+    step = Step(5, Resources(1000, 1000, 1), per_target=2)
+    start(context, step, work, ran)
+
+
+def tasks_by_target(world: MovingWorld) -> list[int]:
+    """The number of the job's tasks on each target."""
+    return [sum(task.startswith(JOB) for task in target.running) for target in world.targets]
+
+
+@when("a target with 2 of its tasks leaves in {seconds:g} seconds")
+def leave_full(context: Context, seconds: float) -> None:
+    world = context.world
+    context.most_tasks = []
+    deliver = world.deliver
+
+    def deliver_and_count(instant_stops: bool = True) -> None:
+        deliver(instant_stops)
+        context.most_tasks.append(max(tasks_by_target(world)))
+
+    world.deliver = deliver_and_count
+    world.leave(tasks_by_target(world).index(2), seconds)
+
+
+@then("no target has run more than 2 of its tasks at once")
+def check_limit_kept(context: Context) -> None:
+    assert context.most_tasks and max(context.most_tasks) <= 2, context.most_tasks
+
+
 @given("a second job of {work:g} seconds that has run for {ran:g} seconds")
 def start_second(context: Context, work: float, ran: float) -> None:
     context.world.submit("second", one_target(), work)
