Tell where a job would go by a planning pass on a copy

Cause: nobody can tell before submitting a job where it would go, what it would wait for, and what it would stop; the log tells it only afterwards. Ruled out: a second implementation of the placement that only reads, which would differ from the owner's decisions with each change of them; copy.deepcopy, which also copies jobs, announcements and learned distributions. Change: `dry_run` loads the job into a copy of the owner's core, runs one planning pass there and records what it decides. The owner's task answers a DryRunQuestion through a future, within a tenth of its time. Entries answer POST /where at their control address, one question at a time; another entry names the owner, whose control address the name of its group member now states.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -18,6 +18,8 @@
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import Membership, Store
 from comfreyshelf.fleet.web import Call, Reply, WebServer, metrics_server
+from comfreyshelf.fleet.where_api import WhereApi
+from comfreyshelf.fleet.where_protocol import WHERE_PATH
 from comfreyshelf.kernel import Kernel
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
@@ -66,9 +68,21 @@
             settings.front_address, FRONT_THREADS, caller_api.handle, caller_api.max_body
         )
         election = LeaderElection(
-            store, f"{settings.name}@{settings.pipe_address}", settings.cores, self._owner.send
+            store,
+            f"{settings.name}@{settings.pipe_address}",
+            settings.cores,
+            self._owner.send,
+            settings.control_address,
         )
         self._election = election
+        self._where_api = WhereApi(
+            codec,
+            lambda: self._operator_topic.config,
+            self._owner.send,
+            lambda: election.leader,
+            settings.control_address,
+            self.metrics,
+        )
         keeper = LearnedKeeper(store, self.metrics, self._owner.send)
         self._owner.connect(self._job_sync, store, self._hub, election.end_term, keeper.send)
         self._owner.connect_operators(self._operator_topic, operator_reader.read_up_to)
@@ -116,6 +130,8 @@
             }
             status, body = relay_for_peer(self._relay, headers, call.body)
             return Reply(status, body, content_type="application/octet-stream")
+        if call.path == WHERE_PATH:
+            return self._where_api.handle(call)
         return Reply(404, b"{}")
 
     def reload(self, settings: FleetSettings) -> None:
--- a/comfreyshelf/fleet/leader_election.py
+++ b/comfreyshelf/fleet/leader_election.py
@@ -36,6 +36,13 @@
 # A stopping entry gives other entries this long to take the lead before it joins.
 STOPPING_WAIT_S = 1.0
 OWNER_TOPIC = "owner"
+# What was read of the leader says nothing about the present one after this long.
+LEADER_VALID_S = 3.0
+
+
+def control_address(member: str) -> str:
+    """The control address in a member's name; empty if its version does not state it."""
+    return member.partition("@")[2].partition("/")[2].partition("/")[2]
 
 
 class LeaderElection(Poller):
@@ -44,7 +51,8 @@
     A joining member takes leadership from the current leader, so an entry joins only if there is
     none. Each term uses a new member name, so that no two terms share the group's generation, which
     is the epoch of the owner's writes. `on_membership` receives the membership after each renewal,
-    and a membership without leadership whenever the store reports another leader.
+    and a membership without leadership whenever the store reports another leader. Members are named
+    NAME@PIPE_ADDRESS/START_TIME/CONTROL_ADDRESS.
     """
 
     def __init__(
@@ -53,10 +61,14 @@
         name_prefix: str,
         cores: float,
         on_membership: Callable[[Membership], None],
+        control_address: str = "",
     ) -> None:
         super().__init__("member")
         self._store = store
         self._name_prefix = name_prefix
+        self._control_address = control_address
+        # The member that led when the store was last asked, and when that was.
+        self._known_leader = ("", float("-inf"))
         self._max_delay_s = MAX_CANDIDATE_DELAY_S * min(1.0, REFERENCE_CORES / cores)
         self._rng = random.Random(name_prefix)
         self._is_candidate = False
@@ -74,6 +86,19 @@
         """Leave the group; rejoin under a new member name once it has no leader."""
         self._term_ended.set()
 
+    @property
+    def leader(self) -> str:
+        """The name of the member that leads; empty if there is none or none is known."""
+        if self._is_leader:
+            return self._member_name
+        name, read_at = self._known_leader
+        return name if monotonic() - read_at <= LEADER_VALID_S else ""
+
+    def _find_leader(self) -> str:
+        leader = self._store.find_leader(OWNER_GROUP)
+        self._known_leader = (leader, monotonic())
+        return leader
+
     def poll(self) -> None:
         try:
             if self._term_ended.is_set():
@@ -86,7 +111,7 @@
     def _watch_leader(self) -> float:
         """Prepare to join if there is no leader; returns the seconds until the next poll."""
         now = monotonic()
-        if self._store.find_leader(OWNER_GROUP):
+        if self._find_leader():
             self._leader_seen_at = now
             self._is_candidate = False
             self._on_membership(Membership(self._generation, False))
@@ -97,7 +122,8 @@
             self._is_candidate = True
             return self._rng.uniform(0.0, self._max_delay_s)
         self._is_candidate = False
-        self._member_name = f"{self._name_prefix}/{time.time_ns() // 1_000_000}"
+        started_ms = time.time_ns() // 1_000_000
+        self._member_name = f"{self._name_prefix}/{started_ms}/{self._control_address}"
         self._leader_seen_at = self._renewed_at = monotonic()
         return 0.0
 
@@ -133,7 +159,7 @@
         Staying in it, or renewing a membership that has lapsed in a pause, could move the lead away
         from that member.
         """
-        leader = self._store.find_leader(OWNER_GROUP)
+        leader = self._find_leader()
         if not leader or leader == self._member_name:
             return False
         self._leave()
--- a/comfreyshelf/fleet/owner_link.py
+++ b/comfreyshelf/fleet/owner_link.py
@@ -61,7 +61,7 @@
         except (StoreBusyError, StoreSilentError, msgspec.DecodeError) as exc:
             log_event("owner lookup failed", why=str(exc))
             return
-        # Members are named NAME@ADDRESS/START_TIME.
+        # Members are named NAME@ADDRESS/START_TIME/CONTROL_ADDRESS.
         address = member.partition("@")[2].partition("/")[0]
         is_responding = now - self._message_received_at < OWNER_TIMEOUT_S
         if not address or (address == self._address and is_responding):
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -7,6 +7,7 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.bounds import MEMBERSHIP_TIMEOUT_S, monotonic
+from comfreyshelf.fleet.dry_run_question import DryRunQuestion, QuestionDesk
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.evacuation.evacuations import Evacuations
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
@@ -68,7 +69,8 @@
     job: JobId
 
 
-OwnerMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations | LearnedRead
+StateMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations | LearnedRead
+OwnerMessage = StateMessage | DryRunQuestion
 
 
 class OwnerTask(Task[OwnerMessage]):
@@ -105,6 +107,7 @@
         self._last_removal_at = 0.0
         # Whether the last orders had no starts, as the operators' topic had not been read lately.
         self._starts_left_out = False
+        self._question_desk = QuestionDesk()
         self._learned = LearnedExchange(metrics, settings.max_record_bytes - RECORD_MARGIN_BYTES)
 
     def connect(
@@ -153,6 +156,8 @@
                 if self._core is not None:
                     self._learned.merge(message, self._unix_now())
                     self._core.needs_plan = True
+            case DryRunQuestion():
+                self._question_desk.answer(message, self._core, self._unix_now())
         if self._inbox.empty():
             self._plan_and_send(is_tick=False)
 
--- a/comfreyshelf/fleet/web.py
+++ b/comfreyshelf/fleet/web.py
@@ -17,6 +17,8 @@
     405: "Method Not Allowed",
     410: "Gone",
     413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
     500: "Internal Server Error",
     503: "Service Unavailable",
     504: "Gateway Timeout",
