Part the placing of units from planning passes, and give placement a folder

Ruled out: free functions with a dozen arguments for what needs the owner's state. No decision changes.

--- a/comfreyshelf/fleet/dry_run.py
+++ b/comfreyshelf/fleet/dry_run.py
@@ -6,7 +6,6 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.candidate_target import CandidateTarget
 from comfreyshelf.fleet.dry_run_answer import (
     DryRunAnswer,
     EndingRun,
@@ -20,13 +19,15 @@
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import MAX_TASKS_DUE, Job, JobTooLargeError
 from comfreyshelf.fleet.lost_work import StopCause
-from comfreyshelf.fleet.owner import OwnerCore, _PlanningPass
-from comfreyshelf.fleet.placement_by_end import MAX_HOLD_S
-from comfreyshelf.fleet.placing import Assignment, PlacementLimits, max_tasks_that_fit
+from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.placement.by_end import MAX_HOLD_S
+from comfreyshelf.fleet.placement.candidate_target import CandidateTarget
+from comfreyshelf.fleet.placement.placing import Assignment, PlacementLimits, max_tasks_that_fit
+from comfreyshelf.fleet.placement.room_forecast import MIN_END_S, ExpectedRoom, forecast_room
 from comfreyshelf.fleet.prediction.model import Quantile
-from comfreyshelf.fleet.room_forecast import MIN_END_S, ExpectedRoom, forecast_room
 from comfreyshelf.fleet.state_copy import copy_attributes
 from comfreyshelf.fleet.tracked_job import TrackedJob, Unit
+from comfreyshelf.fleet.unit_placing import PlanningPass
 from comfreyshelf.ids import JobId, OrganisationId, RackId, TargetId
 
 # Most runs that are listed for one wait; the answer has the number of all.
@@ -102,7 +103,7 @@
     def _drop_silent_targets(self, now: float, unix_now: float) -> None:
         """Drop nothing, as that would teach the shared models; the last real pass has done it."""
 
-    def _place_job(self, tracked: TrackedJob, planning: _PlanningPass) -> None:
+    def _place_job(self, tracked: TrackedJob, planning: PlanningPass) -> None:
         if self._is_planned:
             # Jobs that come later do not change what the asked one gets.
             return
@@ -116,7 +117,7 @@
         super()._place_job(tracked, planning)
 
     def _place_unit(
-        self, tracked: TrackedJob, unit: Unit, is_covered: bool, planning: _PlanningPass
+        self, tracked: TrackedJob, unit: Unit, is_covered: bool, planning: PlanningPass
     ) -> str:
         if tracked.job.id != self._asked:
             return super()._place_unit(tracked, unit, is_covered, planning)
@@ -130,7 +131,7 @@
         return why
 
     def _find_room(
-        self, tracked: TrackedJob, unit: Unit, limits: PlacementLimits, planning: _PlanningPass
+        self, tracked: TrackedJob, unit: Unit, limits: PlacementLimits, planning: PlanningPass
     ) -> tuple[Assignment | None, str]:
         found = super()._find_room(tracked, unit, limits, planning)
         self._assignment = found[0]
@@ -171,7 +172,7 @@
         if kind is PlacementKind.AFTER_ENDS:
             placement.ends = self._ends_on(placement.targets, MAX_HOLD_S)[:MAX_LISTED_RUNS]
 
-    def _expected_room(self, unit: Unit, planning: _PlanningPass) -> WaitForRoom | None:
+    def _expected_room(self, unit: Unit, planning: PlanningPass) -> WaitForRoom | None:
         """When a unit that got nothing would have room, if no other job took it."""
         eligible = [one for one in planning.capacity.candidates.values() if one.can_run(unit)]
         rooms = [forecast_room(unit, group) for group in _preferred_groups(unit, eligible)]
--- a/comfreyshelf/fleet/evacuation/zone_gate.py
+++ b/comfreyshelf/fleet/evacuation/zone_gate.py
@@ -10,7 +10,7 @@
     max_read_age_s,
 )
 from comfreyshelf.fleet.jobs import Announcement
-from comfreyshelf.fleet.placing import CandidateTarget, max_tasks_that_fit
+from comfreyshelf.fleet.placement.placing import CandidateTarget, max_tasks_that_fit
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import ZoneId
--- a/comfreyshelf/fleet/moves/move_policy.py
+++ b/comfreyshelf/fleet/moves/move_policy.py
@@ -8,7 +8,7 @@
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.lost_work import StopCause
-from comfreyshelf.fleet.placing import PlanningCapacity
+from comfreyshelf.fleet.placement.placing import PlanningCapacity
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import TrackedJob, Unit
--- a/comfreyshelf/fleet/moves/preemption_cost.py
+++ b/comfreyshelf/fleet/moves/preemption_cost.py
@@ -1,8 +1,8 @@
 """The cost of preempting a run, and whether starting a unit is worth its preemptions."""
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.candidate_target import Victim
-from comfreyshelf.fleet.placing import Assignment
+from comfreyshelf.fleet.placement.candidate_target import Victim
+from comfreyshelf.fleet.placement.placing import Assignment
 from comfreyshelf.fleet.prediction.model import Quantile
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 
--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -19,7 +19,7 @@
 from comfreyshelf.fleet.moves.reservations import Reservations, UnitKey, unit_key
 from comfreyshelf.fleet.moves.stalls import is_stalled, stall_limit_s
 from comfreyshelf.fleet.moves.units_at_risk import Risk, UnitAtRisk, find_units_at_risk
-from comfreyshelf.fleet.placing import NO_PREEMPTION, Assignment, PlacementLimits
+from comfreyshelf.fleet.placement.placing import NO_PREEMPTION, Assignment, PlacementLimits
 from comfreyshelf.fleet.prediction.model import Quantile
 from comfreyshelf.fleet.scheduling import Scheduling
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -12,7 +12,6 @@
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.evacuation.evacuations import Evacuations
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
-from comfreyshelf.fleet.fragmentation import largest_gangs
 from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
@@ -27,6 +26,7 @@
 from comfreyshelf.fleet.learned.messages import KeeperMessage, LearnedRead
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.placement.fragmentation import largest_gangs
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import (
     ExpiredError,
--- /dev/null
+++ b/comfreyshelf/fleet/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where units start: candidate targets, what fits, and which choice ends the work in time."""
--- a/comfreyshelf/fleet/placement_by_end.py
+++ b/comfreyshelf/fleet/placement/by_end.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.candidate_target import CandidateTarget
-from comfreyshelf.fleet.placement_goal import PlacementGoal
-from comfreyshelf.fleet.placing import (
+from comfreyshelf.fleet.placement.candidate_target import CandidateTarget
+from comfreyshelf.fleet.placement.goal import PlacementGoal
+from comfreyshelf.fleet.placement.placing import (
     NO_PREEMPTION,
     WAIT_COST_CORE_S,
     Assignment,
@@ -16,7 +16,7 @@
     PlanningCapacity,
     max_tasks_that_fit,
 )
-from comfreyshelf.fleet.room_forecast import MIN_END_S, ExpectedRoom, forecast_room
+from comfreyshelf.fleet.placement.room_forecast import MIN_END_S, ExpectedRoom, forecast_room
 from comfreyshelf.fleet.speed.slowdown import remote_factors
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import RackId, TargetId
--- a/comfreyshelf/fleet/candidate_target.py
+++ b/comfreyshelf/fleet/placement/candidate_target.py
@@ -12,7 +12,7 @@
 from comfreyshelf.ids import JobId
 
 if TYPE_CHECKING:
-    from comfreyshelf.fleet.placing import PlacementLimits
+    from comfreyshelf.fleet.placement.placing import PlacementLimits
 
 # Added to the cost of a task that may have crashed a runner beside a run that was just started, and
 # the other way round, so that the next crash shows which of them causes it.
--- a/comfreyshelf/fleet/placing.py
+++ b/comfreyshelf/fleet/placement/placing.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.candidate_target import CandidateTarget, Victim
 from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.jobs import Resources
-from comfreyshelf.fleet.placement_goal import PlacementGoal
+from comfreyshelf.fleet.placement.candidate_target import CandidateTarget, Victim
+from comfreyshelf.fleet.placement.goal import PlacementGoal
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import JobId, RackId, TargetId
 
--- a/comfreyshelf/fleet/room_forecast.py
+++ b/comfreyshelf/fleet/placement/room_forecast.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from comfreyshelf.fleet.candidate_target import CandidateTarget, RunEnd
-from comfreyshelf.fleet.placing import max_tasks_that_fit
+from comfreyshelf.fleet.placement.candidate_target import CandidateTarget, RunEnd
+from comfreyshelf.fleet.placement.placing import max_tasks_that_fit
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import Unit
 from comfreyshelf.ids import TargetId
--- a/comfreyshelf/fleet/ranking.py
+++ b/comfreyshelf/fleet/ranking.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from comfreyshelf.fleet.jobs import FleetConfig
-from comfreyshelf.fleet.placing import CandidateTarget
+from comfreyshelf.fleet.placement.placing import CandidateTarget
 from comfreyshelf.fleet.targets import TargetView
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob
 from comfreyshelf.ids import JobId, OrganisationId
--- a/features/steps/fleet_placement_by_end_steps.py
+++ b/features/steps/fleet_placement_by_end_steps.py
@@ -7,9 +7,9 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet.fragmentation import largest_gangs
 from comfreyshelf.fleet.jobs import FleetConfig, Organisation, Queue, QueueName, Resources
-from comfreyshelf.fleet.room_forecast import list_ends
+from comfreyshelf.fleet.placement.fragmentation import largest_gangs
+from comfreyshelf.fleet.placement.room_forecast import list_ends
 from comfreyshelf.ids import OrganisationId, Version
 from features.owner_world import SERVICE, step
 from features.speed_world import WITH_TARGET_SPEED, WITHOUT_FEATURES, SpeedWorld
--- a/features/steps/fleet_planning_steps.py
+++ b/features/steps/fleet_planning_steps.py
@@ -7,11 +7,11 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.candidate_target import CandidateTarget
 from comfreyshelf.fleet.guarantee import covered_jobs
 from comfreyshelf.fleet.jobs import EndKind, Resources, RunningRow, RunNumber, TaskName
 from comfreyshelf.fleet.moves.preemption_cost import make_victim
-from comfreyshelf.fleet.placing import WAIT_COST_CORE_S, PlacementLimits, PlanningCapacity
+from comfreyshelf.fleet.placement.candidate_target import CandidateTarget
+from comfreyshelf.fleet.placement.placing import WAIT_COST_CORE_S, PlacementLimits, PlanningCapacity
 from comfreyshelf.fleet.tracked_job import Outlook, Unit
 from comfreyshelf.ids import JobId, ServiceId
 from features.owner_world import CONFIG, SERVICE, World, step
