Refuse periodic jobs that are overdue beyond what can be planned, and part the owner's gauges

Ruled out: counting all occurrences of a series, as long ones that lie ahead are fine. Change: occurrences that are overdue at acceptance count; owner_gauges.py has the fleet's gauges; the freed room is part of the state, so UnitPlacing needs no constructor. Figures: the new scenario of overdue occurrences fails without the change (200 instead of 400).

--- a/comfreyshelf/fleet/dry_run.py
+++ b/comfreyshelf/fleet/dry_run.py
@@ -64,7 +64,7 @@
 def _check_due_tasks(tracked: TrackedJob, unix_now: float, early_start_s: float) -> None:
     """Raise JobTooLargeError if a periodic job has more tasks due than one pass should plan.
 
-    `check_size` does not count occurrences with time between them, which may all be in the past.
+    `check_size` counts the overdue occurrences, and a pass also plans those that start early.
     """
     occurrences = len(tracked.due_occurrences(unix_now, early_start_s))
     tasks = occurrences * sum(step.count for step in tracked.job.steps)
--- a/comfreyshelf/fleet/fleet_state.py
+++ b/comfreyshelf/fleet/fleet_state.py
@@ -26,6 +26,7 @@
 )
 from comfreyshelf.fleet.lost_work import STOP_CAUSE_BY_PHASE, StopCause, lost_core_s
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.placement.freed_room import FreedRoom
 from comfreyshelf.fleet.policies import Policies, make_policies
 from comfreyshelf.fleet.prediction.accuracy import ratio_counters, run_accuracy
 from comfreyshelf.fleet.scheduling import Feature, Scheduling
@@ -84,6 +85,7 @@
         # Whether something happened since the last planning pass that may change its result.
         self.needs_plan = True
         self._claim_forecast = ClaimForecast()
+        self._freed_room = FreedRoom()
         self.zone_gate = ZoneGate(bounds, now)
 
     # Jobs
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -139,10 +139,10 @@
 def check_size(job: Job) -> None:
     """Raise JobTooLargeError if more tasks of a job may be due together than can be tracked.
 
-    The occurrences of a periodic job are due together if there is no time between them.
+    The occurrences of a periodic job are due together if there is no time between them, and those
+    whose time had passed when it was accepted are due at once.
     """
-    occurrences = max(1, job.times) if job.every_ms <= 0 else 1
-    tasks = occurrences * sum(step.count for step in job.steps)
+    tasks = _occurrences_due(job) * sum(step.count for step in job.steps)
     if tasks > MAX_TASKS_DUE:
         raise JobTooLargeError(
             f"{tasks} tasks of the job are due together, more than {MAX_TASKS_DUE}",
@@ -150,6 +150,15 @@
         )
 
 
+def _occurrences_due(job: Job) -> int:
+    """Occurrences of a job that are due at its acceptance or at one time later."""
+    occurrences = max(1, job.times)
+    if job.every_ms <= 0:
+        return occurrences
+    overdue_ms = job.accepted_at * 1000 - job.first_ms
+    return max(1, min(occurrences, int(overdue_ms // job.every_ms) + 1))
+
+
 class TaskProgress(msgspec.Struct, array_like=True):
     """Stored progress of one task; `target` is empty while no run of the task is ordered.
 
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -1,7 +1,6 @@
 """Task of an entry that plans jobs and sends orders while the entry leads the owner group."""
 
 import time
-from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -12,7 +11,6 @@
 from comfreyshelf.fleet.entry_sync import JOBS_TOPIC, RETRY_S, JobSync
 from comfreyshelf.fleet.evacuation.evacuations import Evacuations
 from comfreyshelf.fleet.evacuation.operator_topic import OperatorTopic
-from comfreyshelf.fleet.health.target_health import Standing
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import (
     JobTable,
@@ -26,7 +24,7 @@
 from comfreyshelf.fleet.learned.messages import KeeperMessage, LearnedRead
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.owner import OwnerCore
-from comfreyshelf.fleet.placement.fragmentation import largest_gangs
+from comfreyshelf.fleet.owner_gauges import set_fleet_gauges
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import (
     ExpiredError,
@@ -195,22 +193,7 @@
             set_gauge('belief_age_seconds{of="operators"}', round(now - topic.current_at, 3))
             set_gauge("evacuated_zones", len(topic.evacuations.zones))
         if self._core is not None:
-            report_ages_s = [now - view.seen_at for view in self._core.targets.values()]
-            set_gauge('belief_age_seconds{of="targets"}', round(max(report_ages_s, default=0.0), 3))
-            set_gauge("targets", len(report_ages_s))
-            health = self._core.policies.health
-            standings = Counter(health.standing(v.machine) for v in self._core.targets.values())
-            for standing in Standing:
-                name = f'targets_by_standing{{standing="{standing.value}"}}'
-                set_gauge(name, standings[standing])
-            set_gauge("targets_spared", health.spared)
-            set_gauge("jobs_open", len(self._core.jobs))
-            for organisation, share in self._core.policies.ranking.shares().items():
-                # The strings of JSON are escaped as those of the metrics' text format.
-                label = msgspec.json.encode(organisation).decode()
-                set_gauge(f"organisation_share{{organisation={label}}}", round(share, 4))
-            for size, tasks in largest_gangs(self._core.targets.values(), now).items():
-                set_gauge(f'largest_gang_tasks{{accelerators="{size}"}}', tasks)
+            set_fleet_gauges(self._core, now, set_gauge)
 
     def _unix_now(self) -> float:
         """Return Unix time in seconds, unaffected by steps of the system clock during a term."""
--- a/comfreyshelf/fleet/unit_placing.py
+++ b/comfreyshelf/fleet/unit_placing.py
@@ -7,18 +7,17 @@
 
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import is_suspect
-from comfreyshelf.fleet.bounds import RECLAIM_MARGIN_S, Bounds
+from comfreyshelf.fleet.bounds import RECLAIM_MARGIN_S
 from comfreyshelf.fleet.guarantee import may_borrow
 from comfreyshelf.fleet.health.probes import is_probe
 from comfreyshelf.fleet.health.target_health import Standing
-from comfreyshelf.fleet.jobs import FleetConfig, JobPhase, RunNumber, Token
+from comfreyshelf.fleet.jobs import JobPhase, RunNumber
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.moves.move_policy import MovePass
 from comfreyshelf.fleet.moves.preemption_cost import (
     ENDING_SOON_S,
     is_worth_preempting,
 )
-from comfreyshelf.fleet.placement.freed_room import FreedRoom
 from comfreyshelf.fleet.placement.goal import make_goal
 from comfreyshelf.fleet.placement.placing import (
     NO_PREEMPTION,
@@ -27,7 +26,7 @@
     PlanningCapacity,
 )
 from comfreyshelf.fleet.report_handling import ReportHandling
-from comfreyshelf.fleet.scheduling import Feature, Scheduling
+from comfreyshelf.fleet.scheduling import Feature
 from comfreyshelf.fleet.tracked_job import Outlook, TrackedJob, Unit
 from comfreyshelf.ids import JobId, TargetId
 
@@ -64,17 +63,6 @@
 class UnitPlacing(ReportHandling):
     """Decides for each unit where it starts, which runs stop for it, or why it waits."""
 
-    def __init__(
-        self,
-        config: FleetConfig,
-        bounds: Bounds,
-        token: Token,
-        now: float,
-        scheduling: Scheduling | None = None,
-    ) -> None:
-        super().__init__(config, bounds, token, now, scheduling)
-        self._freed_room = FreedRoom()
-
     def _place_job(self, tracked: TrackedJob, planning: PlanningPass) -> None:
         """Place the units of a job that may start, in one planning pass."""
         unix_now = planning.unix_now
--- a/features/fleet_large_jobs.feature
+++ b/features/fleet_large_jobs.feature
@@ -13,6 +13,18 @@
     When a job of 2000 tasks is submitted
     Then it is accepted
 
+  Scenario: A periodic job whose occurrences are all overdue is refused at once
+    # Guards against one submission that makes each planning pass go through a million occurrences.
+    Given an entry that accepts jobs
+    When a job of 1 task is submitted, to run 1000000 times, each millisecond since 1970
+    Then it is refused as malformed, and nothing is stored
+
+  Scenario: A periodic job whose occurrences lie ahead is accepted
+    # Guards against refusing a long series because all of its occurrences are counted as due.
+    Given an entry that accepts jobs
+    When a job of 1 task is submitted, to run 1000000 times, each second from tomorrow
+    Then it is accepted
+
   Scenario: The progress of the largest job that is accepted fits into one record
     # Guards against a limit that lets a job in whose progress the store refuses.
     Given the progress of a job of 2000 tasks, each failed and crashed 4 times
--- a/features/steps/fleet_large_jobs_steps.py
+++ b/features/steps/fleet_large_jobs_steps.py
@@ -1,6 +1,7 @@
 """Steps for jobs that are too large to be accepted, or to be kept in the store."""
 
 import json
+import time
 
 from behave import given, then, when
 from behave.runner import Context
@@ -47,6 +48,17 @@
     submit(context, 1, **{"repeat-count": times, "first-run-ms": 1, "interval-ms": 0})
 
 
+@when("a job of 1 task is submitted, to run {times:d} times, each millisecond since 1970")
+def submit_overdue_job(context: Context, times: int) -> None:
+    submit(context, 1, **{"repeat-count": times, "first-run-ms": 1, "interval-ms": 1})
+
+
+@when("a job of 1 task is submitted, to run {times:d} times, each second from tomorrow")
+def submit_later_job(context: Context, times: int) -> None:
+    tomorrow_ms = int((time.time() + 86_400) * 1000)
+    submit(context, 1, **{"repeat-count": times, "first-run-ms": tomorrow_ms, "interval-ms": 1000})
+
+
 @then("it is refused as malformed, and nothing is stored")
 def check_refused(context: Context) -> None:
     assert context.reply.status == 400, context.reply
