Expect the refusal of an overdue job from the size check

Ruled out: a change of what is refused; the type of the error and the limit are the same. Change: the scenario expects the text of the size check.

--- a/features/fleet_where.feature
+++ b/features/fleet_where.feature
@@ -79,7 +79,7 @@
       | what                    | message                 |
       | of an unknown queue     | there is no queue       |
       | of 2001 tasks           | more than 2000          |
-      | due since long ago      | are due already         |
+      | due since long ago      | are due together         |
       | that exists already     | exists already          |
 
   Scenario Outline: The job goes where the answer said: <load>
