Part the ends of runs and the loading of jobs from the fleet's state

Ruled out: functions that take the state as an argument, as they change a dozen of its fields. No decision changes.

--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -3,8 +3,8 @@
 from comfreyshelf.fleet.active_run import ActiveRun
 from comfreyshelf.fleet.attempts import YOUNG_RUN_S, blames, record_crash, record_failure
 from comfreyshelf.fleet.bounds import SUSPECT_AFTER_S
-from comfreyshelf.fleet.fleet_state import FleetState
 from comfreyshelf.fleet.health.target_health import Signal
+from comfreyshelf.fleet.job_loading import JobLoading
 from comfreyshelf.fleet.jobs import (
     Announcement,
     EndKind,
@@ -24,7 +24,7 @@
 MIN_SPEED_CHANGE = 0.05
 
 
-class ReportHandling(FleetState):
+class ReportHandling(JobLoading):
     """Applies reports to the state: targets, running and ended runs, refusals and crashes."""
 
     def handle_report(self, report: Report, now: float, unix_now: float) -> None:
