Drop a check and a feature name that nothing needs

Cause: since the size check refuses jobs with too many overdue occurrences, so the command where checked the same again; `admission` was a feature name without a feature. Ruled out: keeping the name for later, as a setting that does nothing misleads operators. Change: both are gone. The scenario of an overdue job goes on to hold, by the size check.

--- a/comfreyshelf/fleet/dry_run.py
+++ b/comfreyshelf/fleet/dry_run.py
@@ -17,7 +17,7 @@
     WaitForRoom,
 )
 from comfreyshelf.fleet.job_table import StoredJob
-from comfreyshelf.fleet.jobs import MAX_TASKS_DUE, Job, JobTooLargeError
+from comfreyshelf.fleet.jobs import Job
 from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.placement.by_end import MAX_HOLD_S
@@ -51,7 +51,6 @@
         raise DryRunError(f"a job {job.id} exists already", "use an id that no job has")
     rehearsal = _Rehearsal(core, job.id)
     rehearsal.load_job(StoredJob(job), now, unix_now)
-    _check_due_tasks(rehearsal.jobs[job.id], unix_now, core.bounds.early_start_s)
     rehearsal.plan(now, unix_now)
     if job.id in rehearsal._failed_jobs:
         raise DryRunError(
@@ -61,20 +60,6 @@
     return rehearsal.answer(now)
 
 
-def _check_due_tasks(tracked: TrackedJob, unix_now: float, early_start_s: float) -> None:
-    """Raise JobTooLargeError if a periodic job has more tasks due than one pass should plan.
-
-    `check_size` counts the overdue occurrences, and a pass also plans those that start early.
-    """
-    occurrences = len(tracked.due_occurrences(unix_now, early_start_s))
-    tasks = occurrences * sum(step.count for step in tracked.job.steps)
-    if tasks > MAX_TASKS_DUE:
-        raise JobTooLargeError(
-            f"{tasks} tasks of the job are due already, more than {MAX_TASKS_DUE}",
-            "ask with a later first run, or with fewer occurrences",
-        )
-
-
 class _StepRecord(msgspec.Struct):
     """What the pass decided for the units of one step."""
 
--- a/comfreyshelf/fleet/scheduling.py
+++ b/comfreyshelf/fleet/scheduling.py
@@ -28,7 +28,6 @@
     TARGET_SPEED = "target_speed"
     MOVES = "moves"
     FAIR_SHARES = "fair_shares"
-    ADMISSION = "admission"
     TARGET_HEALTH = "target_health"
 
 
