--- a/review/lab/fleet.py
+++ b/review/lab/fleet.py
@@ -17,7 +17,6 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from lab.proxy import Proxy
 from lab.record import Record
 from lab.runner import Runner, SeenRun
 from lab.store import Store
@@ -26,7 +25,6 @@
 # The whole case, with the end of all processes.
 TIME_LIMIT_S = 112.0
 HOLD_MAX_S = 6.0
-CANCEL_S = 3.0
 FINISH_S = 14.0
 BOUNDS = {
     "seed-lag-s": 3, "addr-reuse-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4,
@@ -38,7 +36,7 @@
     "migrate-s": 1.5, "maintenance-s": 2, "fencing-enabled": True, "lease-ms": 3000,
     "thaw-slack-ms": 300, "pace-ms": 100, "harm-ms": 4000, "reclaim-ms": 2700,
 }  # fmt: skip
-_PORT_NAMES = ("front", "ready", "control", "app", "pipe", "app-link", "control-link")
+_PORT_NAMES = ("front", "ready", "control", "app", "pipe")
 CONTRACTS = ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform"]
 
 
@@ -104,7 +102,6 @@
         entries: int,
         targets: int,
         targets_per_rack: int = 3,
-        has_links: bool = False,
     ) -> None:
         self.record = record
         self.config = config
@@ -116,26 +113,14 @@
         stack.callback(self.store.close)
         self.publish()
         self.runners: list[Runner] = []
-        # With `has_links`, the links between a runner and the process beside it, by its name.
-        self.links: dict[str, list[Proxy]] = {}
         self.entries = [self._process(stack, "entry", n, 10 + n) for n in range(entries)]
         self.targets = [self._process(stack, "target", n, 100 + n) for n in range(targets)]
-        self._app_port = "app-link" if has_links else "app"
         seeds = [self.address(entry.ip, "control") for entry in self.entries[:3]]
         for process in self.entries + self.targets:
             self._write_settings(process, seeds)
         service = config["services"][0]["name"]
         for number, target in enumerate(self.targets):
             app, control = self.address(target.ip, "app"), self.address(target.ip, "control")
-            if has_links:
-                links = [
-                    Proxy(self.address(target.ip, "app-link"), app),
-                    Proxy(self.address(target.ip, "control-link"), control),
-                ]
-                self.links[target.name] = links
-                for link in links:
-                    stack.callback(link.close)
-                control = self.address(target.ip, "control-link")
             rack = f"r1-{number // targets_per_rack + 1}"
             runner = Runner(target.name, app, control, service, rack, record, self.seen, HOLD_MAX_S)
             self.runners.append(runner)
@@ -184,7 +169,7 @@
             "contracts": CONTRACTS,
             "bounds": BOUNDS,
             "orders": "rpc",
-            "app": "" if is_entry else self.address(process.ip, self._app_port),
+            "app": "" if is_entry else self.address(process.ip, "app"),
             "platform": {
                 "address": self.store.address, "form": "log", "writes-per-s": 800,
                 "reads-per-s": 2000, "parts": 8, "append-ms": 4.0, "record-bytes": 262144,
@@ -240,7 +225,11 @@
 
     def wait_until_serving(self) -> None:
         """Wait until an owner has sent a lease to each runner; raises CannotRunError."""
-        wait_for(lambda: all(r._fence for r in self.runners), 25.0, "all runners to be served")
+        wait_for(
+            lambda: all(runner.is_served for runner in self.runners),
+            25.0,
+            "all runners to be served",
+        )
         time.sleep(1.0)
 
 
--- a/review/lab/runner.py
+++ b/review/lab/runner.py
@@ -1,6 +1,7 @@
 """A stand-in of a runner, which runs tasks under a lease and sends heartbeats.
 
-A task's specification is a JSON object; `work_s` is how long the task works.
+A task's specification is a JSON object: `work_s` is how long the task works, and the runs up to
+number `fails`, if given, end failed then.
 """
 
 import http.client
@@ -19,9 +20,10 @@
 class SeenRun:
     """A run as a runner has seen it; `how` is empty while it runs."""
 
-    def __init__(self, task: str, run: int, runner: str, work_s: float, at: float) -> None:
+    def __init__(self, task: str, run: int, runner: str, spec: dict, at: float) -> None:
         self.task, self.run, self.runner = task, run, runner
-        self.work_s = work_s
+        self.work_s: float = spec["work_s"]
+        self.will_fail = run <= spec.get("fails", 0)
         self.began_at = at
         self.ended_at = float("inf")
         self.how = ""
@@ -60,6 +62,7 @@
         self._life = 0
         self.id = ""
         self.is_up = False
+        self.last_beat_at = 0.0
         # Status with which starts are answered while the runner is unhealthy; 0 if it is healthy.
         self.start_status = 0
         self._begin_life(f"i-{name}-1", 0.0)
@@ -85,6 +88,11 @@
         threading.Thread(target=self._work, args=(life,), daemon=True).start()
         threading.Thread(target=self._beat, args=(life, first_beat_s), daemon=True).start()
 
+    @property
+    def is_served(self) -> bool:
+        """Whether an owner's orders have reached this life of the runner."""
+        return self._fence > 0
+
     def crash(self) -> None:
         """End the life at once; nothing of it is left."""
         with self._changed:
@@ -118,24 +126,28 @@
     def _beat(self, life: int, first_beat_s: float) -> None:
         time.sleep(first_beat_s)
         while self.is_up and life == self._life:
-            with self._changed:
-                self._sequence += 1
-                body = {
-                    "service": self.service,
-                    "address": self.address,
-                    "zone": "paysandu",
-                    "version": "v1",
-                    "slots": 8,
-                    "state": "ready",
-                    "capacity": {"cpu": 64000, "mem-mb": 262144, "gpu": self.gpu},
-                    "labels": ["a", self.rack],
-                    "clock-ms": self._clock_ms(),
-                    "sequence": self._sequence,
-                    "born": self.born,
-                }
-            send_heartbeat(self.control, self.id, body)
+            self.last_beat_at = time.monotonic()
+            send_heartbeat(self.control, self.id, self.heartbeat())
             time.sleep(HEARTBEAT_S)
 
+    def heartbeat(self) -> dict:
+        """The body of the next heartbeat."""
+        with self._changed:
+            self._sequence += 1
+            return {
+                "service": self.service,
+                "address": self.address,
+                "zone": "paysandu",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "capacity": {"cpu": 64000, "mem-mb": 262144, "gpu": self.gpu},
+                "labels": ["a", self.rack],
+                "clock-ms": self._clock_ms(),
+                "sequence": self._sequence,
+                "born": self.born,
+            }
+
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._clock_from) * 1000)
 
@@ -152,7 +164,7 @@
         has_lapsed = self._clock_ms() > self._lease_until
         for key, run in list(self._active.items()):
             if now - run.began_at >= run.work_s:
-                self._end(key, "done")
+                self._end(key, "failed" if run.will_fail else "done")
             elif self._stopping.get(key, float("inf")) <= now:
                 self._end(key, "stopped")
             elif has_lapsed:
@@ -228,8 +240,8 @@
             return self._answer(200, {})
         if number <= self._highest.get(task, 0):
             return self._answer(409, {"reason": "old"})
-        work_s = json.loads(fields["task-spec"])["work_s"]
-        run = SeenRun(task, number, self.id, work_s, self._record.now())
+        spec = json.loads(fields["task-spec"])
+        run = SeenRun(task, number, self.id, spec, self._record.now())
         self._active[task, number] = run
         self._seen.append(run)
         self._record.note(f"{run} starts, token {fields['fence-token']}")
