Let only the runner itself say which life of a target its VM runs

Cause: a target process took any decodable heartbeat with a later start for the next life of its target, forgot what the present one runs and told the owner, which gave up all runs of the VM at once.

Ruled out: the unknown service, which the case guesses at.

Change: a heartbeat of another life is a claim. The target process asks the runner for it by a call that names its id, renews no lease and acknowledges nothing; an answer under that id with that start begins the life, a refusal or another start ends the claim. A refused call for the present id proves its end. A restarted process, whose calls the runner refuses for its token, asks the owner for that and names no target; the answer counts as no contact.

Tests of the life of a target now let the runner answer after a heartbeat. "A late heartbeat does not replace a newer one" asked what the heartbeat was answered; it asks now which life is in force after the runner was asked.

--- a/comfreyshelf/fleet/entry.py
+++ b/comfreyshelf/fleet/entry.py
@@ -12,7 +12,7 @@
 from comfreyshelf.fleet.job_table import JobTable
 from comfreyshelf.fleet.leader_election import LeaderElection
 from comfreyshelf.fleet.learned.keeper import LearnedKeeper
-from comfreyshelf.fleet.messages import Report
+from comfreyshelf.fleet.messages import Report, TargetMessage
 from comfreyshelf.fleet.ownership import JobChanged, OwnerTask, ReportReceived
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.settings import FleetSettings
@@ -50,7 +50,7 @@
         store = make_store(self._relay)
         job_table = JobTable()
         self._owner = OwnerTask(settings, job_table, self.metrics)
-        self._hub = Hub(settings.pipe_address, self._receive_report)
+        self._hub = Hub(settings.pipe_address, self._receive_message)
         self._job_sync = JobSync(store, job_table, lambda job: self._owner.send(JobChanged(job)))
         self._operator_topic = OperatorTopic(store, codec, self.metrics, self._owner.send)
         operator_reader = OperatorTopicReader(self._operator_topic)
@@ -117,8 +117,11 @@
     def _peers(self) -> list[str]:
         return [peer for peer in self._settings.peers if peer != self._settings.control_address]
 
-    def _receive_report(self, report: Report) -> None:
-        self._owner.send(ReportReceived(report, monotonic()))
+    def _receive_message(self, message: TargetMessage) -> None:
+        if isinstance(message, Report):
+            self._owner.send(ReportReceived(message, monotonic()))
+        else:
+            self._owner.send(message)
 
     def _handle_ready(self, call: Call) -> Reply:
         is_fresh = monotonic() - self._job_sync.last_read_at < STALE_AFTER_S
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -15,6 +15,8 @@
 Token = NewType("Token", int)
 
 
+# Not the incarnation of any target.
+NO_INCARNATION = Incarnation(-1)
 # Tasks of a job that may be due together; the progress of so many fits into one stored record.
 MAX_TASKS_DUE = 2000
 # Weight of an accelerator where work is measured in cores.
--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -61,6 +61,16 @@
     operator_offset: Offset = OFFSET_UNSUPPORTED
 
 
+class TokenRequest(msgspec.Struct, frozen=True, tag="token request"):
+    """Asks the owner for orders without starts and stops, for the sake of their token.
+
+    A runner refuses the calls of a target process that has restarted, until that has the token of
+    the present owner. `machine` names the VM: which target lives there is not known yet.
+    """
+
+    machine: str
+
+
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order to start a run; it may be sent repeatedly."""
 
@@ -95,6 +105,9 @@
     operator_offset: Offset = OFFSET_UNSUPPORTED
 
 
-decode_report = msgspec.msgpack.Decoder(Report).decode
+# What a target process sends.
+TargetMessage = Report | TokenRequest
+
+decode_target_message = msgspec.msgpack.Decoder(TargetMessage).decode
 decode_orders = msgspec.msgpack.Decoder(Orders).decode
 encode = msgspec.msgpack.encode
--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -6,11 +6,12 @@
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, monotonic
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED
+from comfreyshelf.fleet.heartbeat_claims import TargetLife
 from comfreyshelf.fleet.jobs import Token
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
-from comfreyshelf.fleet.target_state import TargetLife, TargetState
+from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
--- a/comfreyshelf/fleet/owner_link.py
+++ b/comfreyshelf/fleet/owner_link.py
@@ -44,10 +44,10 @@
             return
         self._state.report_due.wait(REPORT_INTERVAL_S)
         self._state.report_due.clear()
-        report = self._state.report()
-        if report is not None:
+        message = self._state.message_to_owner()
+        if message is not None:
             try:
-                self._socket.send(messages.encode(report))
+                self._socket.send(messages.encode(message))
             except pynng.exceptions.NNGException as exc:
                 log_event("report not sent", owner=self._address, why=str(exc))
                 self._find_owner(monotonic())
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -19,10 +19,10 @@
     removal_records,
     split_records,
 )
-from comfreyshelf.fleet.jobs import FleetConfig, Token
+from comfreyshelf.fleet.jobs import NO_INCARNATION, FleetConfig, Token
 from comfreyshelf.fleet.learned.exchange import LearnedExchange
 from comfreyshelf.fleet.learned.messages import KeeperMessage, LearnedRead
-from comfreyshelf.fleet.messages import Orders, Report
+from comfreyshelf.fleet.messages import Orders, Report, TokenRequest
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.owner_gauges import set_fleet_gauges
 from comfreyshelf.fleet.settings import FleetSettings
@@ -53,7 +53,7 @@
 # How often the records of ended jobs are removed from the store.
 REMOVAL_INTERVAL_S = 10.0
 # Token 0 tells a target process that this entry does not own the schedule.
-NOT_OWNER_ORDERS = Orders(Token(0), 0, 0.0, 0, (), ())
+NO_TOKEN = Token(0)
 
 
 class ReportReceived(msgspec.Struct, frozen=True):
@@ -70,7 +70,7 @@
 
 
 StateMessage = ReportReceived | JobChanged | Membership | FleetConfig | Evacuations | LearnedRead
-OwnerMessage = StateMessage | DryRunQuestion
+OwnerMessage = StateMessage | DryRunQuestion | TokenRequest
 
 
 class OwnerTask(Task[OwnerMessage]):
@@ -156,6 +156,8 @@
                 if self._core is not None:
                     self._learned.merge(message, self._unix_now())
                     self._core.needs_plan = True
+            case TokenRequest(machine):
+                self._send_token(machine)
             case DryRunQuestion():
                 self._question_desk.answer(message, self._core, self._unix_now())
         if self._inbox.empty():
@@ -163,7 +165,7 @@
 
     def _handle_report(self, report: Report, received_at: float) -> None:
         if self._core is None:
-            self._send_not_owner(report.announcement.id)
+            self._send_token(report.announcement.id)
             return
         self._core.handle_report(report, received_at, self._unix_now())
         self._read_operators_up_to(report.operator_offset)
@@ -274,12 +276,16 @@
             # Regaining leadership in the same generation would reuse its epoch.
             self._end_term()
         for target in core.targets if core is not None else ():
-            self._send_not_owner(target)
+            self._send_token(target)
 
-    def _send_not_owner(self, target: TargetId) -> None:
-        """Tell a target process that this entry does not own the schedule."""
+    def _send_token(self, recipient: TargetId | str) -> None:
+        """Tell a target process the token of this owner, or that this entry is not the owner.
+
+        The message is no contact with an owner that would keep a lease alive.
+        """
         if self._hub is not None:
-            self._hub.send(target, NOT_OWNER_ORDERS)
+            token = self._core.token if self._core is not None else NO_TOKEN
+            self._hub.send(recipient, Orders(token, NO_INCARNATION, 0.0, 0, (), ()))
 
     def _plan_and_send(self, is_tick: bool) -> None:
         """Plan, at a tick or if something happened that may change the plan, and send orders."""
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -4,9 +4,16 @@
 
 from comfreyshelf.fleet.bounds import monotonic
 from comfreyshelf.fleet.store import NotListeningError, StoreBusyError, StoreSilentError
-from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.fleet.target_runner import (
+    FencedRunnerError,
+    OtherTargetError,
+    RefusedError,
+    Runner,
+)
 from comfreyshelf.fleet.target_state import TargetState
+from comfreyshelf.ids import TargetId
 from comfreyshelf.logs import log_event
+from comfreyshelf.metrics import Metrics
 from comfreyshelf.tasks import Poller
 
 # How long the runner may hold a listing call until a run ends.
@@ -15,41 +22,71 @@
 STOPPING_LISTING_WAIT_MS = 150
 # Pause between calls while ended runs are not yet acknowledged.
 LISTING_PAUSE_S = 0.15
+# Pause after a call that failed.
+RETRY_S = 0.2
+# Pause while no heartbeat has come.
+IDLE_S = 0.05
 
 
 class RunnerPoller(Poller):
     """Renews the runner's lease and applies its listing of runs to the state."""
 
-    def __init__(self, state: TargetState, runner: Runner) -> None:
+    def __init__(self, state: TargetState, runner: Runner, metrics: Metrics) -> None:
         super().__init__("looker")
         self._state = state
+        self._metrics = metrics
         self._runner = runner
         self._is_runner_up = True
 
     def poll(self) -> None:
         state = self._state
+        for target in state.claimed_ids():
+            self._ask(target)
         if not state.target:
-            self.wait(0.05)
+            self.wait(RETRY_S if state.claimed_ids() else IDLE_S)
             return
         requested_at = monotonic()
         state.new_acknowledgement.clear()
         request = state.listing_request()
         try:
             listing = self._runner.renew_lease(*request, self._wait_ms(request.deadline_ms))
+        except OtherTargetError:
+            state.record_other_target(request.target, requested_at)
+            self.wait(RETRY_S)
+            return
         except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
             state.record_connection(isinstance(exc, NotListeningError))
             if self._is_runner_up:
                 log_event("runner lost", target=state.target, why=str(exc))
             self._is_runner_up = False
-            self.wait(0.2)
+            self.wait(RETRY_S)
             return
         if not self._is_runner_up:
             log_event("runner regained", target=state.target)
         self._is_runner_up = True
-        state.apply_listing(listing, requested_at)
+        state.apply_listing(request.target, listing, requested_at)
         if listing.ended or request.deadline_ms is None:
             state.new_acknowledgement.wait(LISTING_PAUSE_S)
 
+    def _ask(self, target: TargetId) -> None:
+        """Ask the runner whether it is a target that a heartbeat claims.
+
+        The call renews no lease and acknowledges no end. Without an answer the claim stays open.
+        """
+        asked_at, token = monotonic(), self._state.token
+        try:
+            listing = self._runner.renew_lease(token, target, 0, None, 0)
+        except OtherTargetError:
+            log_event("claimed life refuted", target=target)
+            self._metrics.count("lives_refuted")
+            self._state.record_other_target(target, asked_at)
+        except FencedRunnerError:
+            self._state.record_fenced()
+        except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
+            log_event("claimed life not settled", target=target, why=str(exc))
+        else:
+            self._state.apply_listing(target, listing, asked_at)
+
     def _wait_ms(self, deadline_ms: int | None) -> int:
         """Return how long the runner may hold the call, in milliseconds.
 
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -45,7 +45,7 @@
             self.kernel.register(
                 "metrics-server", metrics_server(settings.metrics_address, self.metrics)
             )
-        self.kernel.register("looker", RunnerPoller(self._state, self._runner))
+        self.kernel.register("looker", RunnerPoller(self._state, self._runner, self.metrics))
         self.kernel.register(
             "link", OwnerLink(self._state, make_store(relay), self._order_executor)
         )
--- a/comfreyshelf/fleet/target_runner.py
+++ b/comfreyshelf/fleet/target_runner.py
@@ -16,11 +16,20 @@
         self.reason = reason
 
 
+class OtherTargetError(RefusedError):
+    """The runner on this VM is another target than the one that the call named."""
+
+
+class FencedRunnerError(RefusedError):
+    """The runner has seen a newer token than that of the call."""
+
+
 class Runner(ABC):
     """The runner on this VM; calls raise StoreBusyError, StoreSilentError or RefusedError.
 
     Each call names the target that it is meant for, as another one may follow on the same VM while
-    it is on its way; that one refuses it.
+    it is on its way; that one refuses it with OtherTargetError. Calls with an outdated token raise
+    FencedRunnerError.
     """
 
     @abstractmethod
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -8,8 +8,17 @@
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
 from comfreyshelf.fleet.crash_log import CrashLog
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
+from comfreyshelf.fleet.heartbeat_claims import HeartbeatClaims, TargetLife
 from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
-from comfreyshelf.fleet.messages import Orders, Rejection, Report, StartOrder, StopOrder
+from comfreyshelf.fleet.messages import (
+    Orders,
+    Rejection,
+    Report,
+    StartOrder,
+    StopOrder,
+    TargetMessage,
+    TokenRequest,
+)
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
@@ -19,13 +28,6 @@
 REFUSED_AFTER_S = 0.3
 
 
-class TargetLife(NamedTuple):
-    """One life of a target; another one may follow on the same VM, also under the same id."""
-
-    id: TargetId
-    incarnation: Incarnation
-
-
 class PendingOrders(NamedTuple):
     """Orders to carry out now on one life of a target, under `token`.
 
@@ -50,14 +52,24 @@
 
 
 class TargetState:
-    """State shared by the threads of a target process; public methods take the lock."""
+    """State shared by the threads of a target process; public methods take the lock.
+
+    The present life of the target is the one that answered the last call. A heartbeat of another
+    life is a claim, which the runner's next answer settles.
+    """
 
     def __init__(self, bounds: Bounds, machine: str, metrics: Metrics) -> None:
         self._bounds = bounds
         self._metrics = metrics
         self._machine = machine
         self._lock = threading.Lock()
+        # The last heartbeat of the present life.
         self._announcement: Announcement | None = None
+        self._claims = HeartbeatClaims()
+        # Whether another target has answered in place of the present one.
+        self._is_replaced = False
+        # Whether the runner has answered that it knows a newer token than this process does.
+        self._needs_token = False
         self._gone = False
         self._crash_log = CrashLog()
         # When the first of the listings failed that have failed since the last answer.
@@ -87,7 +99,7 @@
 
     @property
     def target(self) -> TargetId:
-        """The target's id, empty until its first heartbeat."""
+        """The target's id, empty until a runner has confirmed its first heartbeat."""
         return self.life.id
 
     @property
@@ -103,28 +115,25 @@
         """Whether a confirmed stop has not shown in a listing yet."""
         return bool(self._unsettled_stops)
 
+    def claimed_ids(self) -> list[TargetId]:
+        """The ids that heartbeats claim and the runner has not been asked for since."""
+        with self._lock:
+            return self._claims.ids()
+
     def announce(self, announcement: Announcement) -> bool:
-        """Apply a heartbeat; returns False if it is not newer than the known one."""
+        """Apply a heartbeat; returns False if it is not newer than the known one.
+
+        One of another life counts only once the runner has answered as that life.
+        """
         with self._lock:
             old = self._announcement
-            if old is not None and (old.incarnation, old.sequence) >= (
-                announcement.incarnation,
-                announcement.sequence,
-            ):
+            if old is None or self.life != (announcement.id, announcement.incarnation):
+                return self._claims.add(announcement, monotonic())
+            if old.sequence >= announcement.sequence:
                 return False
-            is_new_target = old is None or (old.id, old.incarnation) != (
-                announcement.id,
-                announcement.incarnation,
-            )
-            if is_new_target:
-                self._reset()
             self._announcement = announcement
             self._gone = False
-            if (
-                old is None
-                or is_new_target
-                or (old.draining, old.room) != (announcement.draining, announcement.room)
-            ):
+            if (old.draining, old.room) != (announcement.draining, announcement.room):
                 self.report_due.set()
             return True
 
@@ -135,13 +144,17 @@
                 self._gone = True
                 self.report_due.set()
 
-    def _reset(self) -> None:
+    def _begin_life(self, announcement: Announcement) -> None:
+        """Replace the present life by one that has answered."""
         self._record_crash()
+        self._announcement = announcement
+        self._gone = self._is_replaced = self._is_down_reported = False
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
         self._rejected.clear()
         self.acknowledged = 0
+        self.report_due.set()
 
     def _record_crash(self) -> None:
         """Record the runs of a runner that has ended, unless it had announced its end."""
@@ -154,17 +167,20 @@
             self._metrics.count("runner_crashes")
             log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
 
-    def apply_listing(self, listing: RunListing, requested_at: float) -> None:
-        """Apply the runner's listing of its runs; `requested_at` is when it was requested.
+    def apply_listing(self, target: TargetId, listing: RunListing, requested_at: float) -> None:
+        """Apply the runner's listing of its runs, its answer to a call that named `target`.
 
-        A listing of an earlier incarnation of the target is ignored.
+        `requested_at` is when the call was sent. A life that answers before any heartbeat of it has
+        come is ignored.
         """
         with self._lock:
-            announcement = self._announcement
-            if announcement is not None and listing.incarnation < announcement.incarnation:
-                return
-            if self._listing is not None and self._listing.incarnation != listing.incarnation:
-                self._reset()
+            self._needs_token = False
+            announcement = self._claims.settle(target, listing.incarnation, requested_at)
+            if self.life != (target, listing.incarnation):
+                if announcement is None:
+                    return
+                self._begin_life(announcement)
+            self._is_replaced = False
             previous = self._listing
             if self._is_down_reported:
                 self._is_down_reported = False
@@ -204,6 +220,24 @@
         listed = self._listing.running if self._listing else ()
         return (*listed, *self._unlisted_starts.values())
 
+    def record_other_target(self, target: TargetId, asked_at: float) -> None:
+        """Record the runner's answer that it is another target than the one that a call named."""
+        with self._lock:
+            self._claims.settle(target, None, asked_at)
+            if target != self.target or self._is_replaced:
+                return
+            self._is_replaced = True
+            log_event("target replaced", target=target)
+            self._record_crash()
+            self._unlisted_starts.clear()
+            self.report_due.set()
+
+    def record_fenced(self) -> None:
+        """Record that the runner has refused the token of this process as outdated."""
+        with self._lock:
+            self._needs_token = True
+            self.report_due.set()
+
     def listing_request(self) -> ListingRequest:
         """What to tell the present life of the target when its runs are listed."""
         with self._lock:
@@ -248,19 +282,25 @@
 
     def _is_runner_down(self) -> bool:
         """Whether the runner runs nothing: its process has ended, or all leases have lapsed."""
+        if self._is_replaced:
+            return True
         now, refused_since = monotonic(), self._refused_since
         is_refused = refused_since is not None and now - refused_since >= REFUSED_AFTER_S
         return is_refused or (now - self._runner_answered_at > self._bounds.runs_lapsed_after_s)
 
+    def message_to_owner(self) -> TargetMessage | None:
+        """Return what to send to the owner now; None if there is nothing to tell or ask."""
+        report = self.report()
+        if report is None and self._needs_token:
+            return TokenRequest(self._machine)
+        return report
+
     def report(self) -> Report | None:
-        """Return the report to send now; None before the first heartbeat."""
+        """Return the report to send now; None until a runner has confirmed its first heartbeat."""
         with self._lock:
             if self._announcement is None:
                 return None
-            is_listing_current = (
-                self._listing is not None
-                and self._listing.incarnation == self._announcement.incarnation
-            )
+            is_listing_current = self._listing is not None
             return Report(
                 monotonic(),
                 self._announcement,
@@ -291,6 +331,7 @@
                 return PendingOrders(orders.token, self.life, [], [], [])
             if orders.token > self.token:
                 log_event("owner changed", token=orders.token, before=self.token)
+                self._needs_token = False
             self.token = orders.token
             self.last_contact_at = max(self.last_contact_at, orders.report_sent_at)
             if announcement is None or orders.incarnation != announcement.incarnation:
--- a/comfreyshelf/platform/runner.py
+++ b/comfreyshelf/platform/runner.py
@@ -5,13 +5,22 @@
 from comfreyshelf.fleet.http import JSON_HEADERS, HttpClient
 from comfreyshelf.fleet.jobs import EndedRow, EndKind, Incarnation, RunListing, RunningRow, Token
 from comfreyshelf.fleet.messages import StartOrder, StopOrder
-from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.fleet.target_runner import (
+    FencedRunnerError,
+    OtherTargetError,
+    RefusedError,
+    Runner,
+)
 from comfreyshelf.ids import TargetId
 
 CALL_TIMEOUT_S = 0.8
 # Added to the timeout of a listing call, as the runner answers a little after the requested wait.
 LISTING_SLACK_S = 0.6
 _CONNECTIONS = 6
+# Status with which a runner refuses calls that name another id.
+_OTHER_INSTANCE = 421
+# Reason with which a runner refuses calls with an outdated token.
+_FENCED = "fence"
 
 _END_KINDS = {
     "done": EndKind.DONE,
@@ -58,9 +67,7 @@
             fields["deadline-ms"] = deadline_ms
         status, body = self._post("hold", target, fields, LISTING_SLACK_S + wait_ms / 1000)
         if status != 200:
-            raise RefusedError(
-                f"the runner answered {status} to a lease renewal", _decode_reason(body)
-            )
+            raise _refusal("a lease renewal", status, body)
         answer = msgspec.json.decode(body, type=_HoldAnswer)
         return RunListing(
             answer.clock_ms,
@@ -84,15 +91,13 @@
             fields["checkpoint"] = order.checkpoint
         status, body = self._post("run-start", target, fields, CALL_TIMEOUT_S)
         if status != 200:
-            raise RefusedError(
-                f"the runner answered {status} to a start", _decode_reason(body) or str(status)
-            )
+            raise _refusal("a start", status, body)
 
     def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
         fields = {"task": order.task, "run-id": order.run, "fence-token": token}
         status, body = self._post("run-stop", target, fields, CALL_TIMEOUT_S)
         if status != 200:
-            raise RefusedError(f"the runner answered {status} to a stop", _decode_reason(body))
+            raise _refusal("a stop", status, body)
 
     def _post(
         self, call: str, target: TargetId, fields: dict, timeout_s: float
@@ -107,6 +112,17 @@
         self._client.close()
 
 
+def _refusal(call: str, status: int, body: bytes) -> RefusedError:
+    """The error for an answer that is not 200."""
+    reason = _decode_reason(body) or str(status)
+    error = RefusedError
+    if status == _OTHER_INSTANCE:
+        error = OtherTargetError
+    elif reason == _FENCED:
+        error = FencedRunnerError
+    return error(f"the runner answered {status} to {call}", reason)
+
+
 def _decode_reason(body: bytes) -> str:
     try:
         return msgspec.json.decode(body, type=_RefusalBody).reason
--- /dev/null
+++ b/features/fleet_lives.feature
@@ -0,0 +1,81 @@
+Feature: Only the runner itself says which life of a target its VM runs
+
+  Scenario Outline: A heartbeat of another writer, <oddity>, replaces no sound runner
+    # Guards against runs that are given up and started again elsewhere while they go on: a
+    # heartbeat was taken as proof that the life that it names had begun and the present one ended.
+    Given a target process whose runner has listed one run
+    When a heartbeat arrives that has <oddity>
+    And the target process asks its runner
+    Then it still reports the runner's life with its run
+    And the start of another task is carried out on the runner
+
+    Examples:
+      | oddity                                  |
+      | another id and an unknown service       |
+      | another id and a later start            |
+      | another id and the same start           |
+      | another id and an earlier start         |
+      | its id and a later start                |
+      | its id and an earlier start             |
+      | its id and no start                     |
+
+  Scenario: The next runner of a VM takes its place as soon as it has answered
+    # Guards against a machine that stays without work, as the heartbeats of its next runner are not
+    # believed.
+    Given a target process whose runner has listed one run
+    When another runner follows on the VM and sends a heartbeat
+    And the target process asks its runner
+    Then it reports the next runner, without runs
+
+  Scenario: A runner that answers as another target has ended, also before its heartbeat
+    # Guards against work that waits for a heartbeat, though the answer of the next runner shows that
+    # nothing is left of the one before.
+    Given a target process whose runner has listed one run
+    When another runner follows on the VM
+    And the target process asks its runner
+    Then it reports its target as down
+    When that runner sends a heartbeat
+    And the target process asks its runner
+    Then it reports the next runner, without runs
+
+  Scenario: A late heartbeat of a former runner is nothing to a target process that has restarted
+    # Guards against a new owner that starts running tasks again: the restarted process took the
+    # former runner for the present one and told the owner so.
+    Given a target process that has restarted beside a runner with one run
+    When a late heartbeat of the runner before arrives
+    And the target process asks its runner
+    Then it reports nothing to the owner
+    When its runner sends a heartbeat
+    And the target process asks its runner
+    Then it still reports the runner's life with its run
+
+  Scenario: A target process that has restarted learns the owner's token before its runner
+    # Guards against a process that never learns which life its runner is: a runner refuses calls
+    # with a token older than the owner's, and orders came for reported targets only.
+    Given a target process that has restarted beside a runner that has seen the owner's token
+    When its runner sends a heartbeat
+    And the target process asks its runner
+    Then it asks the owner for its token, and names no target
+    When the owner answers
+    And the target process asks its runner
+    Then it still reports the runner's life with its run
+    And the answer was no contact that keeps the runner's lease alive
+
+  Scenario: A request for a token changes nothing that the owner knows
+    # Guards against an owner that gives up the runs of a target whose process has restarted.
+    Given an entry is elected as owner in generation 7
+    When a target process asks for its token
+    Then that process gets token 7 without starts and stops, and no target has joined
+
+  Scenario: An entry that does not own the schedule says so when it is asked for a token
+    # Guards against a target process that waits at a former owner.
+    Given stored jobs of one task each
+    When a target process asks an entry for its token that was never elected
+    Then that process is told that the entry does not own the schedule
+
+  Scenario: More foreign heartbeats than are kept do not keep the real one out
+    # Guards against a runner that never serves because other heartbeats fill what is remembered.
+    Given a target process that has restarted beside a runner with one run
+    When 50 heartbeats of other ids arrive, and then one of its runner
+    And the target process asks its runner
+    Then it still reports the runner's life with its run
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -18,7 +18,7 @@
 from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import FakeTarget, World, step
-from features.target_world import announcement, simulated_target_process
+from features.target_world import announcement, confirm_life, simulated_target_process
 
 DOWN_S = 3.0
 ONE_ACCELERATOR = Resources(1000, 1000, 1)
@@ -52,7 +52,8 @@
 
 
 def list_runs(context: Context, *running: RunningRow) -> None:
-    context.state.apply_listing(RunListing(0, Incarnation(1), running, ()), context.clock)
+    listing = RunListing(0, Incarnation(1), running, ())
+    context.state.apply_listing(TargetId("t"), listing, context.clock)
 
 
 def order_starts(context: Context, *tasks: str) -> None:
@@ -89,7 +90,7 @@
 @when("the runner is back as another target")
 def return_as_other_target(context: Context) -> None:
     context.clock += 3.0
-    context.state.announce(announcement("t2", 2))
+    confirm_life(context.state, announcement("t2", 2), context.clock)
 
 
 @when('the runner refuses the start of "{refused}", and leaves the start of "{lost}" unanswered')
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -35,7 +35,7 @@
     StartOrder,
     StopOrder,
     decode_orders,
-    decode_report,
+    decode_target_message,
     encode,
 )
 from comfreyshelf.fleet.order_executor import OrderExecutor
@@ -824,9 +824,11 @@
     list_runs(context)
 
 
-def list_runs(context: Context, *running: RunningRow, incarnation: int = 1) -> None:
+def list_runs(
+    context: Context, *running: RunningRow, target: str = "t", incarnation: int = 1
+) -> None:
     listing = RunListing(0, Incarnation(incarnation), running, ())
-    context.state.apply_listing(listing, context.clock)
+    context.state.apply_listing(TargetId(target), listing, context.clock)
 
 
 def send_orders(
@@ -955,7 +957,7 @@
 @when("another target follows on its VM, and is ordered a start by an owner that is behind")
 def follow_target(context: Context) -> None:
     context.state.announce(announcement("u", 2))
-    list_runs(context, incarnation=2)
+    list_runs(context, target="u", incarnation=2)
     context.runner.answers.set()
     send_orders(context, "", 4, starts=(START,), incarnation=2)
     drain_executor(context)
@@ -984,7 +986,7 @@
     assert (orders.evacuated_zones, orders.operator_offset) == ((), OFFSET_UNSUPPORTED)
     fields = msgspec.to_builtins(FakeTarget(0).report(1.0))
     del fields["operator_offset"], fields["announcement"]["cold_left_ms"]
-    report = decode_report(encode(fields))
+    report = decode_target_message(encode(fields))
     assert report.operator_offset == OFFSET_UNSUPPORTED
     assert report.announcement.cold_left_ms == 0
 
--- /dev/null
+++ b/features/steps/fleet_lives_steps.py
@@ -0,0 +1,242 @@
+"""Steps for the lives of a target: what heartbeats claim, and what the runner on the VM answers."""
+
+import msgspec
+from behave import given, then, when
+from behave.runner import Context
+
+from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
+from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder, TokenRequest
+from comfreyshelf.fleet.order_executor import OrderExecutor
+from comfreyshelf.fleet.runner_poller import RunnerPoller
+from comfreyshelf.fleet.target_runner import FencedRunnerError, OtherTargetError, Runner
+from comfreyshelf.ids import ServiceId, TargetId
+from comfreyshelf.metrics import Metrics
+from features.owner_task_world import OwnerTaskWorld
+from features.target_world import announcement, confirm_life, simulated_target_process
+
+BORN = 1000
+RUN = RunningRow("job.0.0.0", 1, "", 50)
+OWNER_TOKEN = Token(5)
+ODDITIES = {
+    "another id and an unknown service": {"id": "other", "incarnation": BORN + 9, "service": "?"},
+    "another id and a later start": {"id": "other", "incarnation": BORN + 9},
+    "another id and the same start": {"id": "other"},
+    "another id and an earlier start": {"id": "other", "incarnation": BORN - 9},
+    "its id and a later start": {"incarnation": BORN + 9},
+    "its id and an earlier start": {"incarnation": BORN - 9},
+    "its id and no start": {"incarnation": 0},
+}
+
+
+class LivingRunner(Runner):
+    """A runner that answers calls for its present id, and lists what was started on it.
+
+    With `failure` set it answers none.
+    """
+
+    def __init__(self) -> None:
+        self.begin_life("t", BORN)
+        self.failure: Exception | None = None
+
+    def begin_life(self, target: str, born: int) -> None:
+        """Become another life without runs."""
+        self.id, self.born = TargetId(target), Incarnation(born)
+        self.token = Token(0)
+        self.running: dict[str, RunningRow] = {}
+        self.highest: dict[str, int] = {}
+
+    def _check(self, token: Token, target: TargetId) -> None:
+        if self.failure is not None:
+            raise self.failure
+        if target != self.id:
+            raise OtherTargetError("another instance", "421")
+        if token < self.token:
+            raise FencedRunnerError("outdated", "fence")
+        self.token = token
+
+    def renew_lease(
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> RunListing:
+        self._check(token, target)
+        return RunListing(0, self.born, tuple(self.running.values()), ())
+
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
+        self._check(token, target)
+        if order.run > self.highest.get(order.task, 0):
+            self.running[order.task] = RunningRow(order.task, order.run, "", 0)
+
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
+        self._check(token, target)
+        self.highest[order.task] = order.run
+        self.running.pop(order.task, None)
+
+    def close(self) -> None:
+        """There are no connections."""
+
+
+def heartbeat(target: str = "t", born: int = BORN, **fields: object) -> Announcement:
+    """What a runner states about itself."""
+    return msgspec.structs.replace(announcement(target, born), **fields)
+
+
+def start_process(context: Context) -> None:
+    runner = LivingRunner()
+    context.stack.enter_context(simulated_target_process(context, runner, None))
+    context.metrics = Metrics()
+    context.poller = RunnerPoller(context.state, runner, context.metrics)
+    # Its pauses end at once.
+    context.poller.stop()
+    context.executor = OrderExecutor(context.state, runner, context.metrics)
+
+
+def send_orders(context: Context, *starts: StartOrder, stops: tuple[StopOrder, ...] = ()) -> None:
+    """Let the target process carry out the owner's orders for the life that it has reported."""
+    incarnation = context.state.life.incarnation
+    orders = Orders(OWNER_TOKEN, incarnation, context.clock, 0, starts, stops)
+    context.executor.execute(orders)
+    # Unlike close(), this lets the orders finish.
+    context.executor._pool.shutdown(wait=True)
+    context.executor = OrderExecutor(context.state, context.runner, context.metrics)
+
+
+@given("a target process whose runner has listed one run")
+def start_with_run(context: Context) -> None:
+    start_process(context)
+    confirm_life(context.state, heartbeat(), context.clock)
+    context.runner.running[RUN.task] = RUN
+    send_orders(context)
+    ask_runner(context)
+    assert context.state.report().running == (RUN,)
+
+
+@given("a target process that has restarted beside a runner with one run")
+def restart_beside_run(context: Context) -> None:
+    start_process(context)
+    context.runner.running[RUN.task] = RUN
+
+
+@given("a target process that has restarted beside a runner that has seen the owner's token")
+def restart_beside_fence(context: Context) -> None:
+    restart_beside_run(context)
+    context.runner.token = OWNER_TOKEN
+
+
+@when("a heartbeat arrives that has {oddity}")
+def receive_odd_heartbeat(context: Context, oddity: str) -> None:
+    context.state.announce(heartbeat(sequence=100, **ODDITIES[oddity]))
+
+
+@when("a late heartbeat of the runner before arrives")
+def receive_late_heartbeat(context: Context) -> None:
+    context.state.announce(heartbeat("before", BORN - 5000, sequence=7))
+
+
+@when("{count:d} heartbeats of other ids arrive, and then one of its runner")
+def receive_many_heartbeats(context: Context, count: int) -> None:
+    for number in range(count):
+        context.state.announce(heartbeat(f"other{number}", BORN + number))
+    context.state.announce(heartbeat())
+
+
+@when("its runner sends a heartbeat")
+@when("that runner sends a heartbeat")
+def send_heartbeat(context: Context) -> None:
+    context.state.announce(heartbeat(context.runner.id, context.runner.born))
+
+
+@when("another runner follows on the VM")
+def follow_on_machine(context: Context) -> None:
+    context.runner.begin_life("next", BORN + 5000)
+
+
+@when("another runner follows on the VM and sends a heartbeat")
+def follow_and_announce(context: Context) -> None:
+    follow_on_machine(context)
+    send_heartbeat(context)
+
+
+@when("the target process asks its runner")
+def ask_runner(context: Context) -> None:
+    context.clock += 0.1
+    context.poller.poll()
+
+
+@then("it still reports the runner's life with its run")
+def check_life_reported(context: Context) -> None:
+    report = context.state.report()
+    assert (report.announcement.id, report.incarnation) == ("t", BORN), report
+    assert report.announcement.service == ServiceId("permit")
+    assert report.lists_known and report.runner_up and report.running == (RUN,), report
+    assert not context.state.claimed_ids()
+
+
+@then("the start of another task is carried out on the runner")
+def check_start_carried_out(context: Context) -> None:
+    send_orders(context, StartOrder("later.0.0.0", 1, "", ""))
+    assert "later.0.0.0" in context.runner.running
+
+
+@then("it reports the next runner, without runs")
+def check_next_reported(context: Context) -> None:
+    report = context.state.report()
+    assert (report.announcement.id, report.incarnation) == ("next", BORN + 5000), report
+    assert report.lists_known and report.runner_up and not report.running, report
+
+
+@then("it reports its target as down")
+def check_reported_down(context: Context) -> None:
+    report = context.state.report()
+    assert report.announcement.id == "t" and not report.runner_up, report
+
+
+@then("it reports nothing to the owner")
+def check_nothing_reported(context: Context) -> None:
+    assert context.state.message_to_owner() is None
+
+
+@then("it asks the owner for its token, and names no target")
+def check_token_asked(context: Context) -> None:
+    assert context.state.message_to_owner() == TokenRequest("m")
+
+
+@when("the owner answers")
+def answer_token_request(context: Context) -> None:
+    owner = OwnerTaskWorld(context.stack)
+    owner.elect(OWNER_TOKEN)
+    owner.task.handle(TokenRequest("m"))
+    ((recipient, orders),) = owner.hub.sent
+    assert recipient == "m"
+    context.executor.execute(orders)
+
+
+@then("the answer was no contact that keeps the runner's lease alive")
+def check_no_contact(context: Context) -> None:
+    assert context.state.lease_deadline_ms() is None
+
+
+@when("a target process asks for its token")
+def ask_owner(context: Context) -> None:
+    context.owner.task.handle(TokenRequest("m"))
+
+
+@when("a target process asks an entry for its token that was never elected")
+def ask_other_entry(context: Context) -> None:
+    ask_owner(context)
+
+
+@then("that process gets token {token:d} without starts and stops, and no target has joined")
+def check_token_sent(context: Context, token: int) -> None:
+    recipient, orders = context.owner.hub.sent[-1]
+    assert (recipient, orders.token) == ("m", token)
+    assert not orders.starts and not orders.stops
+    assert not context.owner.task._core.targets
+
+
+@then("that process is told that the entry does not own the schedule")
+def check_not_owner(context: Context) -> None:
+    assert [(to, orders.token) for to, orders in context.owner.hub.sent] == [("m", 0)]
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -32,9 +32,10 @@
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import FakeStore, OwnerTaskWorld
 from features.owner_world import FakeTarget, World, step
-from features.target_world import simulated_target_process
+from features.target_world import confirm_life, simulated_target_process
 
 ORDER_THREADS = 4
+TARGET = TargetId("t")
 
 
 @given("an owner whose job runs on one of 4 targets")
@@ -372,7 +373,7 @@
     context.executor = OrderExecutor(context.state, runner, Metrics())
     context.stack.callback(context.executor.close)
     context.stack.callback(runner.answers.set)
-    context.state.apply_listing(make_listing(), context.clock)
+    context.state.apply_listing(TARGET, make_listing(), context.clock)
 
 
 def send_orders(
@@ -440,10 +441,11 @@
 def follow_runner(context: Context) -> None:
     """Let another target be announced on the same machine."""
     announcement = context.state._announcement
-    context.state.announce(
-        msgspec.structs.replace(announcement, id=TargetId("next"), incarnation=Incarnation(2))
+    confirm_life(
+        context.state,
+        msgspec.structs.replace(announcement, id=TargetId("next"), incarnation=Incarnation(2)),
+        context.clock,
     )
-    context.state.apply_listing(RunListing(0, Incarnation(2), (), ()), context.clock)
 
 
 @when("the runner is followed by another one, and that one answers")
@@ -491,7 +493,8 @@
 
 @when("it lists its runs again")
 def list_runs(context: Context) -> None:
-    context.state.apply_listing(make_listing(RunningRow("job.0.0.0", 1, "", 1)), context.clock)
+    listing = make_listing(RunningRow("job.0.0.0", 1, "", 1))
+    context.state.apply_listing(TARGET, listing, context.clock)
 
 
 @when("the runner refuses one connection")
@@ -526,7 +529,7 @@
 def answer_slow_listing(context: Context) -> None:
     requested_at = context.clock
     context.clock += 1.3
-    context.state.apply_listing(make_listing(), requested_at)
+    context.state.apply_listing(TARGET, make_listing(), requested_at)
     context.clock += 1.3
     send_orders(context, 5, (), ())
 
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -35,7 +35,7 @@
 from comfreyshelf.fleet.target_process import TargetProcess
 from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.fleet.web import Call, Reply, WebServer
-from comfreyshelf.ids import JobId, OrganisationId
+from comfreyshelf.ids import JobId, OrganisationId, TargetId
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.platform.runner import HttpRunner
 from comfreyshelf.platform.settings import read_settings
@@ -143,16 +143,20 @@
 
 @when("a target process gets a heartbeat, one of a new incarnation, and then a late one of the old")
 def receive_late_heartbeat(context: Context) -> None:
-    context.state = TargetState(Bounds(), "m", Metrics())
-    for sequence, born in ((5, 10), (1, 20), (6, 10)):
+    state = context.state = TargetState(Bounds(), "m", Metrics())
+    # The runner that follows under the same id is asked after each heartbeat.
+    for sequence, born, answers in ((5, 10, 10), (1, 20, 20), (6, 10, 20)):
         body = json.dumps(HEARTBEAT | {"sequence": sequence, "born": born}).encode()
-        context.accepted = context.state.announce(decode_announcement("i-1", body))
+        announcement = decode_announcement("i-1", body)
+        state.announce(announcement)
+        listing = RunListing(0, Incarnation(answers), (), ())
+        state.apply_listing(announcement.id, listing, monotonic())
 
 
 @then("the new incarnation stays in force")
 def new_incarnation_in_force(context: Context) -> None:
-    assert not context.accepted
     assert context.state.report().incarnation == 20
+    assert not context.state.claimed_ids()
 
 
 def start_store(context: Context) -> StoreStandin:
@@ -278,6 +282,10 @@
     assert state.announce(decode_announcement("i-1", body))
 
 
+def list_no_runs(state: TargetState, requested_at: float) -> None:
+    state.apply_listing(TargetId("i-1"), RunListing(0, Incarnation(10), (), ()), requested_at)
+
+
 def start_orders(state: TargetState) -> Orders:
     return Orders(Token(1), 10, monotonic(), 0, (ORDER,), ())
 
@@ -286,6 +294,7 @@
 def start_under_way(context: Context) -> None:
     context.state = TargetState(Bounds(), "m", Metrics())
     announce_state(context.state, 1, "ready")
+    list_no_runs(context.state, monotonic())
     assert context.state.apply_orders(start_orders(context.state)).starts == [ORDER]
 
 
@@ -310,6 +319,7 @@
 def start_draining_target(context: Context) -> None:
     context.state = TargetState(Bounds(), "m", Metrics())
     announce_state(context.state, 1, "draining")
+    list_no_runs(context.state, monotonic())
 
 
 @when("a start is ordered")
@@ -324,10 +334,9 @@
     state.record_stopped(state.life, StopOrder(ORDER.task, ORDER.run))
     state.close_order(ORDER.task)
     assert not state.report().rejected
-    nothing = RunListing(0, Incarnation(10), (), ())
-    state.apply_listing(nothing, monotonic())
+    list_no_runs(state, monotonic())
     assert not state.report().rejected
-    state.apply_listing(nothing, monotonic() + 1.0)
+    list_no_runs(state, monotonic() + 1.0)
     assert [row.task for row in state.report().rejected] == [ORDER.task]
 
 
--- a/features/target_world.py
+++ b/features/target_world.py
@@ -6,9 +6,9 @@
 
 from behave.runner import Context
 
-from comfreyshelf.fleet import order_executor, target_state
+from comfreyshelf.fleet import order_executor, runner_poller, target_state
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.jobs import Announcement, Incarnation, Resources
+from comfreyshelf.fleet.jobs import Announcement, Incarnation, Resources, RunListing
 from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.ids import RackId, ServiceId, TargetId, ZoneId
@@ -32,18 +32,28 @@
     )
 
 
+def confirm_life(state: TargetState, heartbeat: Announcement, now: float) -> None:
+    """Send a heartbeat, and let the runner answer as the life that it names, without runs."""
+    state.announce(heartbeat)
+    state.apply_listing(heartbeat.id, RunListing(0, heartbeat.incarnation, (), ()), now)
+
+
 @contextmanager
-def simulated_target_process(context: Context, runner: Runner) -> Iterator[None]:
+def simulated_target_process(
+    context: Context, runner: Runner, target: str | None = "t"
+) -> Iterator[None]:
     """Put the state of a target process into `context`, with `context.clock` as its clock.
 
-    Its target `t` has sent one heartbeat.
+    Its target has sent one heartbeat, and its runner has confirmed it, unless `target` is None.
     """
     context.clock = 100.0
     with (
         mock.patch.object(target_state, "monotonic", lambda: context.clock),
         mock.patch.object(order_executor, "monotonic", lambda: context.clock),
+        mock.patch.object(runner_poller, "monotonic", lambda: context.clock),
     ):
         context.state = TargetState(Bounds(), "m", Metrics())
-        context.state.announce(announcement("t", 1))
+        if target is not None:
+            confirm_life(context.state, announcement(target, 1), context.clock)
         context.runner = runner
         yield
