Give up a runner's runs when their lease has lapsed, not when it refuses connections

Cause: after 0.3 s of refused connections the target process reported its runner as down, and the owner started the runs elsewhere. A link that resets connections refuses them too, and the runs go on under their lease.

Ruled out: that a listing or an end was misread; the first run's stop follows from the listing that shows it again when the link is back.

Change: refusals make a target unreachable, so that nothing new is placed there. Its runs are given up when another target answers at its address or when the last lease that may have been sent has lapsed, which the target process now follows itself. Crashes are counted then, too.

--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -55,7 +55,10 @@
             self.wait(RETRY_S)
             return
         except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
-            state.record_connection(isinstance(exc, NotListeningError))
+            state.record_connection(
+                is_refused=isinstance(exc, NotListeningError),
+                may_be_carried_out=not isinstance(exc, StoreBusyError),
+            )
             if self._is_runner_up:
                 log_event("runner lost", target=state.target, why=str(exc))
             self._is_runner_up = False
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -1,6 +1,7 @@
 """State of a target process: its target's last heartbeat, its runs and the open orders."""
 
 import threading
+from enum import Enum
 from typing import NamedTuple
 
 import msgspec
@@ -19,12 +20,13 @@
     TargetMessage,
     TokenRequest,
 )
+from comfreyshelf.fleet.runner_lease import RunnerLease
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
-# A runner whose machine refuses connections for this long is down. The pause excludes a single
-# refusal while it starts.
+# A runner whose machine refuses connections for this long gets no new work. The pause excludes a
+# single refusal while it starts.
 REFUSED_AFTER_S = 0.3
 
 
@@ -42,6 +44,16 @@
     refusal_reason: str = ""
 
 
+class _Condition(Enum):
+    """How a runner is, as far as its target process can tell."""
+
+    UP = "up"
+    # It refuses connections, and its runs may go on under their lease.
+    UNREACHABLE = "unreachable"
+    # Nothing of it is left: another target has answered, or the lease of all runs has lapsed.
+    ENDED = "ended"
+
+
 class ListingRequest(NamedTuple):
     """What to tell the runner when its runs are listed; see `Runner.renew_lease`."""
 
@@ -72,10 +84,11 @@
         self._needs_token = False
         self._gone = False
         self._crash_log = CrashLog()
+        self._lease = RunnerLease(bounds, monotonic())
         # When the first of the listings failed that have failed since the last answer.
         self._failing_since: float | None = None
-        # Whether the runner was down when that was last checked; each change is reported at once.
-        self._is_down_reported = False
+        # How the runner was when that was last checked; each change is reported at once.
+        self._condition = _Condition.UP
         self._listing: RunListing | None = None
         self._listed_at = 0.0
         # When the runner last answered with a listing, or this process started.
@@ -148,7 +161,8 @@
         """Replace the present life by one that has answered."""
         self._record_crash()
         self._announcement = announcement
-        self._gone = self._is_replaced = self._is_down_reported = False
+        self._gone = self._is_replaced = False
+        self._condition = _Condition.UP
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
@@ -182,8 +196,9 @@
                 self._begin_life(announcement)
             self._is_replaced = False
             previous = self._listing
-            if self._is_down_reported:
-                self._is_down_reported = False
+            self._lease.renewal_ended(may_be_carried_out=True)
+            if self._condition is not _Condition.UP:
+                self._condition = _Condition.UP
                 self.report_due.set()
             self._runner_answered_at = monotonic()
             self._refused_since = self._failing_since = None
@@ -228,9 +243,7 @@
                 return
             self._is_replaced = True
             log_event("target replaced", target=target)
-            self._record_crash()
-            self._unlisted_starts.clear()
-            self.report_due.set()
+            self._update_condition()
 
     def record_fenced(self) -> None:
         """Record that the runner has refused the token of this process as outdated."""
@@ -241,9 +254,10 @@
     def listing_request(self) -> ListingRequest:
         """What to tell the present life of the target when its runs are listed."""
         with self._lock:
-            return ListingRequest(
-                self.token, self.target, self.acknowledged, self._lease_deadline_ms()
-            )
+            deadline_ms = self._lease_deadline_ms()
+            if deadline_ms is not None:
+                self._lease.renewal_sent(monotonic())
+            return ListingRequest(self.token, self.target, self.acknowledged, deadline_ms)
 
     def lease_deadline_ms(self) -> int | None:
         """Return when a lease that starts now ends, in milliseconds on the runner's clock.
@@ -263,30 +277,48 @@
         elapsed_s = now - self._listed_at
         return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
 
-    def record_connection(self, is_refused: bool) -> None:
-        """Record whether the runner's machine refused the connection of a listing that failed."""
+    def record_connection(self, is_refused: bool, may_be_carried_out: bool = True) -> None:
+        """Record that a listing failed.
+
+        `is_refused` is whether the runner's machine refused the connection; `may_be_carried_out`
+        whether the runner may have renewed its lease all the same.
+        """
         with self._lock:
+            self._lease.renewal_ended(may_be_carried_out)
             if self._failing_since is None:
                 self._failing_since = monotonic()
             if not is_refused:
                 self._refused_since = None
             elif self._refused_since is None:
                 self._refused_since = monotonic()
-            if self._is_runner_down() and not self._is_down_reported:
-                self._is_down_reported = True
-                log_event("runner down", target=self.target)
-                if is_refused:
-                    self._record_crash()
-                self._unlisted_starts.clear()
-                self.report_due.set()
+            self._update_condition()
 
-    def _is_runner_down(self) -> bool:
-        """Whether the runner runs nothing: its process has ended, or all leases have lapsed."""
-        if self._is_replaced:
-            return True
-        now, refused_since = monotonic(), self._refused_since
-        is_refused = refused_since is not None and now - refused_since >= REFUSED_AFTER_S
-        return is_refused or (now - self._runner_answered_at > self._bounds.runs_lapsed_after_s)
+    def _update_condition(self) -> None:
+        """Note how a runner is that does not answer, and report each change at once."""
+        condition = self._present_condition()
+        if condition is self._condition:
+            return
+        self._condition = condition
+        log_event("runner down", target=self.target, condition=condition.value)
+        if condition is _Condition.ENDED:
+            if self._is_replaced or self._refused_since is not None:
+                self._record_crash()
+            self._unlisted_starts.clear()
+        self.report_due.set()
+
+    def _present_condition(self) -> _Condition:
+        """How the runner is.
+
+        Refused connections do not prove that it runs nothing: the way to it may be cut. Unless
+        another target has answered in its place, only a lease that has lapsed does.
+        """
+        now = monotonic()
+        is_silent = self._failing_since is not None and now - self._failing_since >= REFUSED_AFTER_S
+        if self._is_replaced or (is_silent and self._lease.has_lapsed(now)):
+            return _Condition.ENDED
+        if self._refused_since is not None and now - self._refused_since >= REFUSED_AFTER_S:
+            return _Condition.UNREACHABLE
+        return _Condition.UP
 
     def message_to_owner(self) -> TargetMessage | None:
         """Return what to send to the owner now; None if there is nothing to tell or ask."""
@@ -301,6 +333,7 @@
             if self._announcement is None:
                 return None
             is_listing_current = self._listing is not None
+            condition = self._present_condition()
             return Report(
                 monotonic(),
                 self._announcement,
@@ -312,9 +345,10 @@
                 self._machine,
                 self._gone,
                 self._listed_at,
-                not self._is_runner_down(),
+                condition is not _Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
                 self._zone_guard.offset,
+                condition is _Condition.UP,
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
@@ -380,9 +414,9 @@
     def record_start_sent(self, life: TargetLife, order: StartOrder) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
-            return life == self.life and self._crash_log.start_sent(
-                order.task, order.run, monotonic()
-            )
+            now = monotonic()
+            self._lease.start_sent(now)
+            return life == self.life and self._crash_log.start_sent(order.task, order.run, now)
 
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -39,8 +39,20 @@
     Then no report is due
     When the runner refuses the connections of 0.2 seconds more
     Then a report is due
+    And no crash is reported
+    When the runner refuses the connections of 6.2 seconds more
+    Then a report is due
     And a crash is reported with "old"
 
+  Scenario: Work on a runner that was cut off for a while is not blamed for a crash
+    # Guards against tasks that are suspected, and given up after some cuts, though their runner never
+    # crashed: its machine only refused connections.
+    Given a target process whose runner has run "old" for 5 seconds
+    When its lease is renewed
+    And the runner refuses the connections of 4 seconds
+    And it answers again
+    Then no crash is reported
+
   Scenario: A task that crashes each runner that starts it is given up
     # Guards against one task that crashes runner after runner: its runs are lost with the runners,
     # and lost runs were no attempts, so that it was started without end.
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -155,17 +155,39 @@
     Then the runner that follows is reported without runs
     And the call named the runner that the order was for
 
-  Scenario: A runner that refuses connections is reported as down
-    # Guards against work that waits for a crashed runner, and against a single refusal that counts
-    # as a crash.
+  Scenario: A runner that refuses connections gets no new work, and has ended with its lease
+    # Guards against runs that start again elsewhere while they go on behind a link that resets all
+    # connections, against work that waits for a crashed runner, and against a single refusal that
+    # counts as a crash.
     Given a target process whose runner has listed a run
     When the runner refuses one connection
     Then its target process reports it as up
     When it refuses connections for half a second more
+    Then its target process reports it as unreachable, and its runs as going on
+    When it refuses connections for 5.9 seconds more
+    Then its target process reports it as unreachable, and its runs as going on
+    When it refuses connections for 0.2 seconds more
     Then its target process reports it as down
     When it lists its runs again
     Then its target process reports it as up
 
+  Scenario: A lease that the runner may have renewed without an answer counts
+    # Guards against runs that are given up while a renewal keeps them alive whose answer was lost.
+    Given a target process whose runner has listed a run
+    When 1 second passes, and a renewal of the lease gets no answer
+    And it refuses connections for 6 seconds more
+    Then its target process reports it as unreachable, and its runs as going on
+    When it refuses connections for 0.6 seconds more
+    Then its target process reports it as down
+
+  Scenario: A runner that cannot be reached gets no new work
+    # Guards against starts on a runner that has crashed or is cut off, beside idle targets.
+    Given an owner whose job runs on one of 4 targets
+    When the target process reports that its runner cannot be reached
+    And four jobs of 7 accelerators are accepted
+    Then none of them runs on that target
+    And no run was stopped
+
   Scenario: A listing that takes long does not keep runs from starting
     # Guards against starts that are dropped although the runner is well: it may hold a listing for
     # over a second, so the last one that it answered was requested more than two seconds ago.
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -106,9 +106,25 @@
 @when("the runner refuses the connections of {seconds:g} seconds more")
 def refuse_connections(context: Context, seconds: float) -> None:
     context.state.report_due.clear()
-    context.state.record_connection(is_refused=True)
+    refuse_listing(context)
     context.clock += seconds
-    context.state.record_connection(is_refused=True)
+    refuse_listing(context)
+
+
+def refuse_listing(context: Context) -> None:
+    context.state.record_connection(is_refused=True, may_be_carried_out=False)
+
+
+@when("its lease is renewed")
+def renew_lease(context: Context) -> None:
+    order_starts(context)
+    assert context.state.listing_request().deadline_ms is not None
+    list_runs(context, RunningRow("old", 1, "", 10))
+
+
+@when("it answers again")
+def answer_again(context: Context) -> None:
+    list_runs(context, RunningRow("old", 1, "", 20))
 
 
 @then("no report is due")
