Start a task again only when the next life under its target's id cannot run it

Cause: the target process told lives apart by heartbeats only and went on carrying out orders for a former life, which the next one under that id accepts. The owner then gave those runs up at once when the heartbeat came.

Ruled out: the belief in heartbeats alone.

Change: a listing with another start under the present id begins the next life, without room until its heartbeat. The owner orders that life to stop what the former one had, and a task starts again once this is settled.

The four scenarios of features/fleet_lives.feature fail without the change.

--- a/comfreyshelf/fleet/lost_work.py
+++ b/comfreyshelf/fleet/lost_work.py
@@ -18,6 +18,7 @@
     CANCELLED = "its job was cancelled"
     JOB_FAILED = "its job failed"
     SUPERSEDED = "its task was done already"
+    TARGET_RESTARTED = "its target started again"
 
 
 STOP_CAUSE_BY_PHASE = {
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -13,6 +13,7 @@
     parse_task_name,
     split_full_name,
 )
+from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.scheduling import Feature
 from comfreyshelf.fleet.speed.machine_speed import DISTURBED_SPEED
@@ -77,17 +78,28 @@
         self.needs_plan = True
         if old is not None:
             self._record_signal(old, Signal.RESTARTED, now)
-            self._drop_runs(old, unix_now, "its target started again")
+            view.active_runs.update(old.active_runs)
         for active in self._unreported_runs.pop(target, []):
             view.active_runs[active.full_name] = active
-        for active in list(view.active_runs.values()):
-            if active.incarnation != report.incarnation:
-                self._end_run(view, active, EndKind.LOST, "", now, unix_now)
         for active in view.active_runs.values():
+            if active.incarnation != report.incarnation:
+                self._stop_under_same_id(view, active, now)
             self._update_slowdown(active)
         self.log_event("target joined", target=target, incarnation=report.incarnation)
         return view
 
+    def _stop_under_same_id(self, view: TargetView, active: ActiveRun, now: float) -> None:
+        """Order the next life under a target's id to stop a run that has ended with the one before.
+
+        A start that was on its way is carried out by the life that answers to the id when it
+        arrives. The task may start again once this life has listed the run as ended, or refuses it.
+        """
+        self._log_lost_run(active, "its target started again")
+        active.incarnation = view.incarnation
+        if active.stopping_since is None:
+            active.stopping_since = now
+            active.stop_cause = StopCause.TARGET_RESTARTED.value
+
     def _apply_announcement(self, view: TargetView, announcement: Announcement, now: float) -> None:
         if announcement.draining and not view.drain_until:
             view.drain_until = now + announcement.drain_left_ms / 1000
@@ -188,7 +200,9 @@
                 self.count("starts_rejected")
                 if active.stopping_since is None:
                     view.record_refusal(now)
-                self._end_run(view, active, EndKind.REJECTED, "", now, unix_now)
+                was_lost = active.stop_cause == StopCause.TARGET_RESTARTED.value
+                kind = EndKind.LOST if was_lost else EndKind.REJECTED
+                self._end_run(view, active, kind, "", now, unix_now)
         listed = set()
         for row in report.running:
             listed.add(row.task)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -10,7 +10,14 @@
 from comfreyshelf.fleet.crash_log import CrashLog
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
 from comfreyshelf.fleet.heartbeat_claims import HeartbeatClaims, TargetLife
-from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
+from comfreyshelf.fleet.jobs import (
+    Announcement,
+    Incarnation,
+    Resources,
+    RunListing,
+    RunningRow,
+    Token,
+)
 from comfreyshelf.fleet.messages import (
     Orders,
     Rejection,
@@ -25,6 +32,8 @@
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
+# Lower than the number of any heartbeat.
+NO_SEQUENCE = -1
 # A runner whose machine refuses connections for this long gets no new work. The pause excludes a
 # single refusal while it starts.
 REFUSED_AFTER_S = 0.3
@@ -170,6 +179,24 @@
         self.acknowledged = 0
         self.report_due.set()
 
+    def _stand_in_heartbeat(
+        self, target: TargetId, incarnation: Incarnation
+    ) -> Announcement | None:
+        """What is known of a life under the present id before its first heartbeat.
+
+        It may be of another kind, so it has no room. Returns None for another id.
+        """
+        if self._announcement is None or self._announcement.id != target:
+            return None
+        return msgspec.structs.replace(
+            self._announcement,
+            incarnation=incarnation,
+            sequence=NO_SEQUENCE,
+            room=Resources(),
+            draining=False,
+            drain_left_ms=0,
+        )
+
     def _record_crash(self) -> None:
         """Record the runs of a runner that has ended, unless it had announced its end."""
         now = monotonic()
@@ -185,12 +212,14 @@
         """Apply the runner's listing of its runs, its answer to a call that named `target`.
 
         `requested_at` is when the call was sent. A life that answers before any heartbeat of it has
-        come is ignored.
+        come is ignored, unless it has taken the id of the present one: that can no longer answer.
         """
         with self._lock:
             self._needs_token = False
             announcement = self._claims.settle(target, listing.incarnation, requested_at)
             if self.life != (target, listing.incarnation):
+                if announcement is None:
+                    announcement = self._stand_in_heartbeat(target, listing.incarnation)
                 if announcement is None:
                     return
                 self._begin_life(announcement)
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -79,3 +79,38 @@
     When 50 heartbeats of other ids arrive, and then one of its runner
     And the target process asks its runner
     Then it still reports the runner's life with its run
+
+  Scenario: A runner that starts again under its id is reported without room until its heartbeat
+    # Guards against starts for the former life that the next one carries out: the two were told
+    # apart by heartbeats only, and the first one may come some seconds after the start.
+    Given a target process whose runner has listed one run
+    When its runner starts again under its id
+    And the target process asks its runner
+    Then it reports the runner's next life, without runs and room
+    And a start for the former life is not carried out
+    When its runner sends a heartbeat
+    Then it reports the room of the runner's next life
+
+  Scenario Outline: A run starts again only when <what> has ended or refused it
+    # Guards against two runs of a task: a start that was on its way when its runner started again
+    # under its id is carried out by the next life, while the owner has given the run up.
+    Given an owner whose job runs on one of 4 targets
+    And <what> has started again under its id, and its next life has carried out the start
+    When the owner has heard of the next life
+    Then the job's task has not started again
+    When the next life has stopped the run
+    Then the job's task starts again as run 2
+
+    Examples:
+      | what                       |
+      | its target                 |
+      | its target for a new owner |
+
+  Scenario: A run that the next life under its target's id never got starts again
+    # Guards against work that waits for the end of a run that no life of its target has.
+    Given an owner whose job runs on one of 4 targets
+    And its target has started again under its id without the run
+    When the owner has heard of the next life
+    Then the job's task has not started again
+    When the next life has refused the run
+    Then the job's task starts again as run 2
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -4,8 +4,15 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
-from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder, TokenRequest
+from comfreyshelf.fleet.jobs import (
+    Announcement,
+    Incarnation,
+    Resources,
+    RunListing,
+    RunningRow,
+    Token,
+)
+from comfreyshelf.fleet.messages import Orders, Rejection, StartOrder, StopOrder, TokenRequest
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.runner_poller import RunnerPoller
 from comfreyshelf.fleet.target_runner import FencedRunnerError, OtherTargetError, Runner
@@ -16,6 +23,7 @@
 
 BORN = 1000
 RUN = RunningRow("job.0.0.0", 1, "", 50)
+ROOM = Resources(64000, 262144, 8)
 OWNER_TOKEN = Token(5)
 ODDITIES = {
     "another id and an unknown service": {"id": "other", "incarnation": BORN + 9, "service": "?"},
@@ -81,7 +89,7 @@
 
 def heartbeat(target: str = "t", born: int = BORN, **fields: object) -> Announcement:
     """What a runner states about itself."""
-    return msgspec.structs.replace(announcement(target, born), **fields)
+    return msgspec.structs.replace(announcement(target, born), **({"room": ROOM} | fields))
 
 
 def start_process(context: Context) -> None:
@@ -188,6 +196,95 @@
     assert report.lists_known and report.runner_up and not report.running, report
 
 
+@when("its runner starts again under its id")
+def restart_under_same_id(context: Context) -> None:
+    context.former_life = context.state.life
+    context.runner.begin_life("t", BORN + 5000)
+
+
+@then("it reports the runner's next life, without runs and room")
+def check_next_life_reported(context: Context) -> None:
+    report = context.state.report()
+    assert (report.announcement.id, report.incarnation) == ("t", BORN + 5000), report
+    assert report.lists_known and not report.running, report
+    assert report.announcement.room == Resources()
+
+
+@then("a start for the former life is not carried out")
+def check_start_not_carried_out(context: Context) -> None:
+    order = StartOrder("later.0.0.0", 1, "", "")
+    orders = Orders(OWNER_TOKEN, context.former_life.incarnation, context.clock, 0, (order,), ())
+    context.executor.execute(orders)
+    context.executor.close()
+    assert not context.runner.running
+
+
+@then("it reports the room of the runner's next life")
+def check_room_reported(context: Context) -> None:
+    assert context.state.report().announcement.room == ROOM
+
+
+def restart_target(context: Context) -> None:
+    """Let the job's target start again under its id, without its runs."""
+    target = context.target
+    target.born += 1
+    target.running.clear()
+    target.ended, target.acknowledged = [], 0
+
+
+@given("its target has started again under its id without the run")
+def restart_without_run(context: Context) -> None:
+    restart_target(context)
+
+
+@given("its target has started again under its id, and its next life has carried out the start")
+def restart_with_run(context: Context) -> None:
+    restart_target(context)
+    context.target.running[context.row.task] = context.row
+
+
+@given(
+    "its target for a new owner has started again under its id, "
+    "and its next life has carried out the start"
+)
+def restart_for_new_owner(context: Context) -> None:
+    context.world.take_over()
+    restart_with_run(context)
+
+
+@when("the owner has heard of the next life")
+def hear_of_next_life(context: Context) -> None:
+    context.world.settle(3, instant_stops=False)
+
+
+@then("the job's task has not started again")
+def check_not_started_again(context: Context) -> None:
+    assert context.world.starts("job") == [(context.row.task, 1)]
+
+
+@when("the next life has stopped the run")
+def stop_at_next_life(context: Context) -> None:
+    context.world.settle()
+
+
+@then("the job's task starts again as run 2")
+def check_started_again(context: Context) -> None:
+    task = context.row.task
+    assert context.world.starts("job") == [(task, 1), (task, 2)]
+    assert [t.running[task].run for t in context.world.targets if task in t.running] == [2]
+
+
+@when("the next life has refused the run")
+def refuse_at_next_life(context: Context) -> None:
+    world, target = context.world, context.target
+    (stop,) = world.core.orders_for(world.core.targets[target.id]).stops
+    assert stop == StopOrder(context.row.task, 1)
+    target.rejected.append(Rejection(stop.task, stop.run, "stopped before its start"))
+    world.report()
+    target.rejected.clear()
+    world.settle()
+
+
 @then("it reports its target as down")
 def check_reported_down(context: Context) -> None:
     report = context.state.report()
