Take a message that a runner leaves for its end only once it refuses connections

What callers saw: nothing yet. A trial with real processes ran a task twice at once for 2.1 s after such a message for a sound runner; found while following what each path that gives up runs takes for proof.

Cause: the message was taken for the end of the runner. It may be late or from another writer, and a runner sends it before it ends.

Change: the message stops starts; the target is gone once its runner has refused connections for 0.3 s as well, another life has answered, or the lease has lapsed. The next heartbeat takes the message back.

Both new scenarios of features/fleet_lives.feature fail without the change.

--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -65,7 +65,7 @@
             return Reply(404, b"{}")
         if call.method == "DELETE":
             log_event("target left", target=target)
-            self._state.mark_gone(TargetId(target))
+            self._state.record_departure(TargetId(target))
             return Reply(200, b"{}")
         try:
             announcement = self._codec.decode_announcement(target, call.body)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -91,7 +91,7 @@
         self._is_replaced = False
         # Whether the runner has answered that it knows a newer token than this process does.
         self._needs_token = False
-        self._gone = False
+        self._is_leaving = False
         self._crash_log = CrashLog()
         self._lease = RunnerLease(bounds, monotonic())
         # When the first of the listings failed that have failed since the last answer.
@@ -154,23 +154,27 @@
             if old.sequence >= announcement.sequence:
                 return False
             self._announcement = announcement
-            self._gone = False
+            self._is_leaving = False
             if (old.draining, old.room) != (announcement.draining, announcement.room):
                 self.report_due.set()
             return True
 
-    def mark_gone(self, target: TargetId) -> None:
-        """Record that the target has left permanently."""
+    def record_departure(self, target: TargetId) -> None:
+        """Record the message that the target leaves for good.
+
+        It counts as gone once its runner no longer answers: the message may be late, or from
+        another writer. The target's next heartbeat takes it back.
+        """
         with self._lock:
             if self._announcement is not None and self._announcement.id == target:
-                self._gone = True
+                self._is_leaving = True
                 self.report_due.set()
 
     def _begin_life(self, announcement: Announcement) -> None:
         """Replace the present life by one that has answered."""
         self._record_crash()
         self._announcement = announcement
-        self._gone = self._is_replaced = False
+        self._is_leaving = self._is_replaced = False
         self._condition = _Condition.UP
         self._listing = None
         self._unlisted_starts.clear()
@@ -200,7 +204,7 @@
     def _record_crash(self) -> None:
         """Record the runs of a runner that has ended, unless it had announced its end."""
         now = monotonic()
-        if self._gone or (self._announcement is not None and self._announcement.draining):
+        if self._is_leaving or (self._announcement is not None and self._announcement.draining):
             self._crash_log.clear()
             return
         crash = self._crash_log.record_crash(self._failing_since or now, now)
@@ -372,7 +376,7 @@
                 self._listing.ended if is_listing_current and self._listing else (),
                 tuple(self._rejected.values()),
                 self._machine,
-                self._gone,
+                self._is_leaving and condition is not _Condition.UP,
                 self._listed_at,
                 condition is not _Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
@@ -430,7 +434,7 @@
 
     def _refusal_reason(self, announcement: Announcement) -> str:
         """Why no start may be carried out; empty if starts are permitted."""
-        if announcement.draining or self._gone:
+        if announcement.draining or self._is_leaving:
             return "draining"
         return ZONE_EVACUATED if self._zone_guard.is_evacuated(announcement.zone) else ""
 
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -114,3 +114,24 @@
     Then the job's task has not started again
     When the next life has refused the run
     Then the job's task starts again as run 2
+
+  Scenario: A message that a sound runner leaves ends none of its runs
+    # Guards against runs that start again elsewhere while they go on: a message that was late, or
+    # from another writer, was taken for the end of the runner.
+    Given a target process whose runner has listed one run
+    When a message arrives that its target leaves
+    And the target process asks its runner
+    Then it still reports the runner's life with its run
+    And it reports no departure
+    And a start is refused, as its target may leave
+    When its runner sends a heartbeat
+    Then the start of another task is carried out on the runner
+
+  Scenario: A runner that has left is gone as soon as it refuses connections
+    # Guards against work that waits for the lease of a runner that has ended as it announced.
+    Given a target process whose runner has listed one run
+    When a message arrives that its target leaves
+    And its runner refuses connections for 0.2 seconds
+    Then it reports no departure
+    When its runner refuses connections for 0.2 seconds
+    Then it reports the departure of its target
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -15,6 +15,7 @@
 from comfreyshelf.fleet.messages import Orders, Rejection, StartOrder, StopOrder, TokenRequest
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.runner_poller import RunnerPoller
+from comfreyshelf.fleet.store import NotListeningError
 from comfreyshelf.fleet.target_runner import FencedRunnerError, OtherTargetError, Runner
 from comfreyshelf.ids import ServiceId, TargetId
 from comfreyshelf.metrics import Metrics
@@ -154,7 +155,9 @@
 @when("its runner sends a heartbeat")
 @when("that runner sends a heartbeat")
 def send_heartbeat(context: Context) -> None:
-    context.state.announce(heartbeat(context.runner.id, context.runner.born))
+    context.sequence = context.sequence + 1 if "sequence" in context else 2
+    beat = heartbeat(context.runner.id, context.runner.born, sequence=context.sequence)
+    context.state.announce(beat)
 
 
 @when("another runner follows on the VM")
@@ -196,6 +199,35 @@
     assert report.lists_known and report.runner_up and not report.running, report
 
 
+@when("a message arrives that its target leaves")
+def receive_departure(context: Context) -> None:
+    context.state.record_departure(TargetId("t"))
+
+
+@when("its runner refuses connections for {seconds:g} seconds")
+def refuse_connections(context: Context, seconds: float) -> None:
+    context.runner.failure = NotListeningError("refused", "retry")
+    ask_runner(context)
+    context.clock += seconds - 0.1
+    ask_runner(context)
+
+
+@then("it reports no departure")
+def check_no_departure(context: Context) -> None:
+    assert not context.state.report().gone
+
+
+@then("it reports the departure of its target")
+def check_departure(context: Context) -> None:
+    assert context.state.report().gone
+
+
+@then("a start is refused, as its target may leave")
+def check_start_refused(context: Context) -> None:
+    send_orders(context, StartOrder("refused.0.0.0", 1, "", ""))
+    assert "refused.0.0.0" not in context.runner.running
+
+
 @when("its runner starts again under its id")
 def restart_under_same_id(context: Context) -> None:
     context.former_life = context.state.life
