Refuse numbers that no message can hold, and ids that no call can name

Here one heartbeat with a huge sequence number, under a runner's own id and start, left that runner idle for good.

Cause: JSON numbers were decoded at any size, and each report of the target process then failed to encode.

Ruled out: deep nesting is refused as undecodable; the address with its port is not read.

Change: numbers of heartbeats and jobs beyond 2^53 are malformed; ids of heartbeats that no header can hold are answered 404, as heartbeats are verified by calls that name them now.

Of the scenarios of fleet_platform, those on damaged heartbeats, their ids and generated heartbeats fail before the change. The generated bodies were only decoded, never encoded, so the test could not see it.

--- a/comfreyshelf/platform/wire.py
+++ b/comfreyshelf/platform/wire.py
@@ -1,5 +1,8 @@
 """Decodes bodies of callers, runners and operators into the fleet's types; encodes answers."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from comfreyshelf.errors import UserError
@@ -43,21 +46,27 @@
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+# A number that each message and record can hold; a JSON number may be of any size.
+_Integer = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+# What may stand in a header that names a target.
+_TARGET_ID = re.compile(r"[!-~]{1,200}")
+
+
 class WireError(UserError):
     """A body cannot be decoded, or violates a limit."""
 
 
 class _Step(msgspec.Struct, rename="kebab"):
     # Number of tasks.
-    count: int = 1
+    count: _Integer = 1
     # Thousandths of a core for each task.
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: _Integer = 0
+    mem_mb: _Integer = 0
     # Number of accelerators for each task.
-    gpu: int = 0
-    est_runtime_ms: int = 0
+    gpu: _Integer = 0
+    est_runtime_ms: _Integer = 0
     # Indexes of steps that have to be done first.
-    depends_on: list[int] = []
+    depends_on: list[_Integer] = []
     checkpointing: bool = False
     gang_scheduled: bool = False
     same_rack: bool = False
@@ -66,7 +75,7 @@
     # Despite its name, only a preference: the rack that holds the step's data.
     affinity: str = ""
     # Despite its name, a limit: the most tasks of the step on one runner; 0 means no limit.
-    anti_affinity: int = 0
+    anti_affinity: _Integer = 0
     # A service: the end of a run neither completes its task nor counts as a failure.
     long_running: bool = False
 
@@ -76,18 +85,18 @@
     task_spec: str
     steps: list[_Step]
     # How many times the steps run. Despite its name, the first time counts; 0 if not periodic.
-    repeat_count: int = 0
+    repeat_count: _Integer = 0
     # In Unix milliseconds.
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    first_run_ms: _Integer = 0
+    interval_ms: _Integer = 0
 
 
 class _Capacity(msgspec.Struct, rename="kebab"):
     # Thousandths of a core.
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: _Integer = 0
+    mem_mb: _Integer = 0
     # Number of accelerators.
-    gpu: int = 0
+    gpu: _Integer = 0
 
 
 class _Heartbeat(msgspec.Struct, rename="kebab"):
@@ -95,17 +104,17 @@
     zone: str
     # A key of _IS_DRAINING_BY_STATE.
     state: str
-    sequence: int
+    sequence: _Integer
     # Total capacity, whatever is in use.
     capacity: _Capacity
     # The first label is the runner's kind, the second its rack.
     labels: list[str] = []
-    drain_left_ms: int = 0
-    clock_ms: int = 0
+    drain_left_ms: _Integer = 0
+    clock_ms: _Integer = 0
     # When the runner started, in Unix milliseconds; it identifies the target's incarnation.
-    born: int = 0
+    born: _Integer = 0
     # For how long the target will be slow, after an evacuation of its zone.
-    cold_left_ms: int = 0
+    cold_left_ms: _Integer = 0
 
 
 class _Evacuation(msgspec.Struct):
@@ -321,4 +330,5 @@
         return msgspec.json.encode({"retry-after-ms": retry_after_s * 1000})
 
     def target_from_path(self, path: str) -> str:
-        return path.removeprefix(_INSTANCES_PATH) if path.startswith(_INSTANCES_PATH) else ""
+        target = path.removeprefix(_INSTANCES_PATH)
+        return target if target != path and _TARGET_ID.fullmatch(target) else ""
--- a/features/fleet_platform.feature
+++ b/features/fleet_platform.feature
@@ -18,10 +18,17 @@
       | config    | 300   |
 
   Scenario: A heartbeat of an unknown state, with a field of another type or missing is refused
-    # Guards against a target that is placed by a damaged heartbeat.
+    # Guards against a target that is placed by a damaged heartbeat, and against one with a number
+    # that no message holds: it ended each report of its target process, so that the runner got no
+    # more work.
     When heartbeats with damaged fields are decoded
     Then each is refused
 
+  Scenario: A heartbeat under an id that cannot be named in a call is refused
+    # Guards against a target process that fails at each call for that id.
+    When heartbeats come under ids that no header can hold
+    Then each is refused
+
   Scenario: A late heartbeat does not replace a newer one
     # Guards against a heartbeat of the previous incarnation that is delayed, has a higher sequence
     # number, and puts that incarnation in force again.
--- a/features/steps/fleet_platform_steps.py
+++ b/features/steps/fleet_platform_steps.py
@@ -21,9 +21,16 @@
 from comfreyshelf.fleet.entry_sync import JobSync
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import JobTable, progress_record
-from comfreyshelf.fleet.jobs import Incarnation, JobPhase, Progress, RunListing, Token
+from comfreyshelf.fleet.jobs import (
+    Incarnation,
+    JobPhase,
+    Progress,
+    QueueName,
+    RunListing,
+    Token,
+)
 from comfreyshelf.fleet.leader_election import LeaderElection
-from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
+from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder, encode
 from comfreyshelf.fleet.ownership import OwnerTask
 from comfreyshelf.fleet.relay import RELAY_PATH, Relay, relay_for_peer
 from comfreyshelf.fleet.scheduling import Scheduling
@@ -96,13 +103,12 @@
         strategies.lists(strategies.integers(), max_size=2),
     )
 
-    def decode(body: bytes) -> None:
+    def decode(body: bytes) -> object:
         if kind == "job":
-            codec.decode_job(body, JobId("0" * 16), OrganisationId("a"), "q", 0.0)  # type: ignore
-        elif kind == "heartbeat":
-            codec.decode_announcement("i-1", body)
-        else:
-            codec.decode_config(body)
+            return codec.decode_job(body, JobId("0" * 16), OrganisationId("a"), QueueName("q"), 0.0)
+        if kind == "heartbeat":
+            return codec.decode_announcement("i-1", body)
+        return codec.decode_config(body)
 
     @settings(
         max_examples=count,
@@ -115,9 +121,12 @@
     def check(raw: bytes, field: str, value: object) -> None:
         for body in (raw, json.dumps(sample | {field: value}).encode()):
             try:
-                decode(body)
+                decoded = decode(body)
             except UserError:
                 continue
+            # Heartbeats go into messages and jobs into records. Configurations stay where they are.
+            if kind != "config":
+                encode(decoded)
 
     context.check = check
 
@@ -128,6 +137,11 @@
     context.refused = 0
     bodies_sent = [json.dumps(HEARTBEAT | change).encode() for change in changes]
     bodies_sent += [json.dumps({"state": "ready"}).encode(), b"\xff\x00", b""]
+    numbers = ("sequence", "born", "drain-left-ms", "cold-left-ms", "clock-ms")
+    bodies_sent += [json.dumps(HEARTBEAT | {name: 2**70}).encode() for name in numbers]
+    bodies_sent += [json.dumps(HEARTBEAT | {"capacity": {"cpu": 2**70}}).encode()]
+    nested = b"[" * 100_000 + b"]" * 100_000
+    bodies_sent += [json.dumps(HEARTBEAT).encode()[:-1] + b',"x":' + nested + b"}"]
     for body in bodies_sent:
         try:
             decode_announcement("i-1", body)
@@ -136,6 +150,15 @@
     context.sent = len(bodies_sent)
 
 
+@when("heartbeats come under ids that no header can hold")
+def name_damaged_ids(context: Context) -> None:
+    ids = ("", "a b", "a\r\nX: y", "\xff", "\u4e00", "a" * 300)
+    codec = PlatformCodec()
+    context.sent = len(ids)
+    context.refused = sum(not codec.target_from_path(f"/v1/instances/{name}") for name in ids)
+    assert codec.target_from_path("/v1/instances/i-7f3a91c2") == "i-7f3a91c2"
+
+
 @then("each is refused")
 def all_damaged_refused(context: Context) -> None:
     assert context.refused == context.sent
