Let a runner's own heartbeats count again after a foreign one with a high number

What callers saw: nothing that ran twice; a sound runner got no more work after one heartbeat under its id and start with a high sequence number and an unknown service.

Cause: the highest number of a life counted for ever.

Change: after 4 s without a higher one, two rising numbers count again.

The first new scenario of features/fleet_lives.feature fails without the change; the second keeps late heartbeats out.

--- a/comfreyshelf/fleet/heartbeat_claims.py
+++ b/comfreyshelf/fleet/heartbeat_claims.py
@@ -1,4 +1,4 @@
-"""Lives of a target that heartbeats claim, until the runner itself confirms or denies them."""
+"""Which heartbeats to believe: lives that they claim, and their order within one life."""
 
 from typing import NamedTuple
 
@@ -8,6 +8,8 @@
 # Foreign heartbeats may claim any number of lives. The newest are kept, as a runner repeats its own
 # claim with each heartbeat.
 MAX_CLAIMS = 8
+# Longer than a runner's heartbeats are apart, and longer than most are late.
+SERIES_TIMEOUT_S = 4.0
 
 
 class TargetLife(NamedTuple):
@@ -67,3 +69,28 @@
             if life.incarnation == incarnation or claim.received_at <= asked_at:
                 del self._claims[life]
         return confirmed
+
+
+class HeartbeatSeries:
+    """Which heartbeat of a life is the newest, by its sequence number.
+
+    A heartbeat of another writer may carry a number far above those of the runner, whose own go on
+    below it. So after SERIES_TIMEOUT_S without a higher number two rising ones count again. For
+    example, 5, 900, 6, 7 and 8 at intervals of 2 s: 900 is in force until 8 replaces it. Not
+    thread-safe.
+    """
+
+    def __init__(self, sequence: int, now: float) -> None:
+        self._newest, self._newest_at = sequence, now
+        # The last number that was not above the newest one.
+        self._lower: int | None = None
+
+    def accept(self, sequence: int, now: float) -> bool:
+        """Record a heartbeat; returns whether it is the newest one."""
+        is_rising = self._lower is not None and sequence > self._lower
+        is_timed_out = now - self._newest_at >= SERIES_TIMEOUT_S
+        if sequence <= self._newest and not (is_rising and is_timed_out):
+            self._lower = sequence
+            return False
+        self._newest, self._newest_at, self._lower = sequence, now, None
+        return True
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -9,7 +9,11 @@
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
 from comfreyshelf.fleet.crash_log import CrashLog
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
-from comfreyshelf.fleet.heartbeat_claims import HeartbeatClaims, TargetLife
+from comfreyshelf.fleet.heartbeat_claims import (
+    HeartbeatClaims,
+    HeartbeatSeries,
+    TargetLife,
+)
 from comfreyshelf.fleet.jobs import (
     Announcement,
     Incarnation,
@@ -86,6 +90,7 @@
         self._lock = threading.Lock()
         # The last heartbeat of the present life.
         self._announcement: Announcement | None = None
+        self._series = HeartbeatSeries(NO_SEQUENCE, 0.0)
         self._claims = HeartbeatClaims()
         # Whether another target has answered in place of the present one.
         self._is_replaced = False
@@ -151,7 +156,7 @@
             old = self._announcement
             if old is None or self.life != (announcement.id, announcement.incarnation):
                 return self._claims.add(announcement, monotonic())
-            if old.sequence >= announcement.sequence:
+            if not self._series.accept(announcement.sequence, monotonic()):
                 return False
             self._announcement = announcement
             self._is_leaving = False
@@ -174,6 +179,7 @@
         """Replace the present life by one that has answered."""
         self._record_crash()
         self._announcement = announcement
+        self._series = HeartbeatSeries(announcement.sequence, monotonic())
         self._is_leaving = self._is_replaced = False
         self._condition = _Condition.UP
         self._listing = None
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -135,3 +135,17 @@
     Then it reports no departure
     When its runner refuses connections for 0.2 seconds
     Then it reports the departure of its target
+
+  Scenario: A foreign heartbeat with a high number silences a sound runner for some seconds only
+    # Guards against a runner that is never used again, as its own heartbeats count as old.
+    Given a target process whose runner has listed one run
+    When another writer names its id and start, an unknown service and a high number
+    And its runner sends 4 heartbeats 1.5 seconds apart
+    Then it still reports the runner's life with its run
+
+  Scenario: A late heartbeat of a runner that goes on sending does not count
+    # Guards against a room or a state that a delayed heartbeat puts in force again.
+    Given a target process whose runner has listed one run
+    When its runner sends 4 heartbeats 1.5 seconds apart
+    And two heartbeats with lower numbers and less room arrive
+    Then it reports the room of its runner
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -228,6 +228,24 @@
     assert "refused.0.0.0" not in context.runner.running
 
 
+@when("another writer names its id and start, an unknown service and a high number")
+def receive_high_number(context: Context) -> None:
+    assert context.state.announce(heartbeat(service=ServiceId("?"), sequence=10**9))
+
+
+@when("its runner sends {count:d} heartbeats {seconds:g} seconds apart")
+def send_heartbeats(context: Context, count: int, seconds: float) -> None:
+    for _ in range(count):
+        context.clock += seconds
+        send_heartbeat(context)
+
+
+@when("two heartbeats with lower numbers and less room arrive")
+def receive_late_heartbeats(context: Context) -> None:
+    for sequence in (2, 3):
+        assert not context.state.announce(heartbeat(sequence=sequence, room=Resources(1, 1, 1)))
+
+
 @when("its runner starts again under its id")
 def restart_under_same_id(context: Context) -> None:
     context.former_life = context.state.life
@@ -251,6 +269,7 @@
     assert not context.runner.running
 
 
+@then("it reports the room of its runner")
 @then("it reports the room of the runner's next life")
 def check_room_reported(context: Context) -> None:
     assert context.state.report().announcement.room == ROOM
