Ignore reports of a life before the one that has the machine's runs

What callers saw: nothing; found by taking the rule of what ends a life through the owner's paths.

Cause: a new owner compared the incarnations of stored runs with that of a report for equality only, and those of other targets of the machine not at all, so a report that was sent before the present life began made it give up running tasks. An owner that knew the present target joined the former one again.

Change: a report with an incarnation below the newest one known of its machine counts for nothing, and is counted.

Not reproduced with processes.

--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -8,6 +8,7 @@
 from comfreyshelf.fleet.jobs import (
     Announcement,
     EndKind,
+    Incarnation,
     RunNumber,
     TaskName,
     parse_task_name,
@@ -32,10 +33,12 @@
         """Process the report of a target process."""
         target = report.announcement.id
         self._count_crashes(report, unix_now)
+        if report.incarnation < self._newest_incarnation(report):
+            # It was sent before the present life of the machine's target began.
+            self.count("reports_outdated")
+            return
         self._drop_replaced_target(report, now, unix_now)
         view = self.targets.get(target)
-        if view is not None and report.incarnation < view.incarnation:
-            return
         if view is None or view.incarnation != report.incarnation:
             view = self._join_target(report, view, now, unix_now)
         self._record_report_signals(view, report, now)
@@ -152,14 +155,22 @@
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event("task cleared", task=active.full_name, run=active.run)
 
+    def _newest_incarnation(self, report: Report) -> int:
+        """The newest incarnation of a target, or of one that runs were ordered on, of a machine."""
+        target = report.announcement.id
+        newest = self._target_by_machine.get(report.machine, target)
+        views = (self.targets.get(newest), self.targets.get(target))
+        known = [view.incarnation for view in views if view is not None]
+        for runs in self._unreported_runs.values():
+            known += [run.incarnation for run in runs if run.machine == report.machine]
+        return max(known, default=Incarnation(0))
+
     def _drop_replaced_target(self, report: Report, now: float, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
         target = report.announcement.id
         previous = self._target_by_machine.get(report.machine, target)
         if previous != target:
             view = self.targets.get(previous)
-            if view is not None and view.incarnation > report.incarnation:
-                return
             if view is not None:
                 self._record_signal(view, Signal.RESTARTED, now)
                 self._drop_runs(view, unix_now, "its machine runs another target")
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -149,3 +149,20 @@
     When its runner sends 4 heartbeats 1.5 seconds apart
     And two heartbeats with lower numbers and less room arrive
     Then it reports the room of its runner
+
+  Scenario Outline: A late report of a former life ends no run of the present one: <knows>
+    # Guards against an owner that starts running tasks again: it was paused, and a report that waited
+    # meanwhile tells of a life before the one that has its runs.
+    Given an owner whose job runs on a target that has started again <how>
+    And <knows>
+    When a report of the target's former life arrives late
+    Then the job's task has not started again, and only the present target is known
+    When 3 seconds pass
+    Then the job's task has not started again
+
+    Examples:
+      | how              | knows                                           |
+      | under its id     | the owner knows the present life                |
+      | under its id     | a new owner takes over that has no report yet   |
+      | under another id | the owner knows the present target              |
+      | under another id | a new owner takes over that has had no report   |
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -17,9 +17,10 @@
 from comfreyshelf.fleet.runner_poller import RunnerPoller
 from comfreyshelf.fleet.store import NotListeningError
 from comfreyshelf.fleet.target_runner import FencedRunnerError, OtherTargetError, Runner
-from comfreyshelf.ids import ServiceId, TargetId
+from comfreyshelf.ids import JobId, ServiceId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import OwnerTaskWorld
+from features.owner_world import World, step
 from features.target_world import announcement, confirm_life, simulated_target_process
 
 BORN = 1000
@@ -303,6 +304,57 @@
     restart_with_run(context)
 
 
+@given("an owner whose job runs on a target that has started again {how}")
+def start_job_on_next_life(context: Context, how: str) -> None:
+    world = context.world = World()
+    target = context.target = world.targets[0]
+    context.late_report = target.report(world.now)
+    target.born += 1
+    if how == "under another id":
+        target.id = TargetId("next")
+    world.settle()
+    # The others are too small for the job.
+    for other in world.targets[1:]:
+        other.room = Resources()
+    world.settle()
+    world.accept("job", (step(1),))
+    world.settle()
+    context.row = target.running["job.0.0.0"]
+
+
+@given("the owner knows the present life")
+@given("the owner knows the present target")
+def keep_owner(context: Context) -> None:
+    assert context.world.core.targets[context.target.id].incarnation == context.target.born
+
+
+@given("a new owner takes over that has no report yet")
+@given("a new owner takes over that has had no report")
+def replace_owner(context: Context) -> None:
+    context.world.take_over()
+
+
+@when("a report of the target's former life arrives late")
+def receive_late_report(context: Context) -> None:
+    world = context.world
+    world.core.handle_report(context.late_report, world.now, world.unix_now)
+    world.core.plan(world.now, world.unix_now)
+    world.store()
+
+
+@then("the job's task has not started again, and only the present target is known")
+def check_late_report_ignored(context: Context) -> None:
+    core = context.world.core
+    check_not_started_again(context)
+    assert not core.changes()
+    assert all(
+        view.incarnation != context.late_report.incarnation or view.id != "t0"
+        for view in core.targets.values()
+    )
+    active = core.jobs[JobId("job")].active_runs
+    assert [run.stopping_since for run in active.values()] == [None], active
+
+
 @when("the owner has heard of the next life")
 def hear_of_next_life(context: Context) -> None:
     context.world.settle(3, instant_stops=False)
