Report a start that is refused soon after a restart as rejected only once it is settled

Cause: a target process knows only its own starts without an answer. A start of the process before that is carried out late is ended by the stop that follows a refusal, and that takes up to stop-grace-ms, while the rejection already lets the task start elsewhere.

Change: for as long as a start of an earlier process can still be carried out (6.5 s), a rejection waits for a listing, as it does for the process's own starts without an answer.

Evidence: the new scenario of features/fleet_lives.feature fails without the change. Not reproduced with processes.

--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -129,8 +129,9 @@
     def _reject(self, origin: _Origin, order: StartOrder, reason: str) -> None:
         """Stop the run before rejecting it, as an earlier copy of the order may still arrive.
 
-        If an earlier copy got no answer, it may have started the run. The run then counts as
-        rejected only once a listing shows that it ended or is absent.
+        If an earlier copy got no answer, or may have been sent by an earlier process, it may have
+        started the run. The run then counts as rejected only once a listing shows that it ended or
+        is absent.
         """
         stop = StopOrder(order.task, order.run)
         try:
@@ -138,8 +139,9 @@
         except (StoreBusyError, StoreSilentError, RefusedError) as exc:
             log_event("refused start stays open", task=order.task, run=order.run, why=str(exc))
             return
-        if (order.task, order.run) in self._unanswered_starts:
-            self._unanswered_starts.discard((order.task, order.run))
+        is_unanswered = (order.task, order.run) in self._unanswered_starts
+        self._unanswered_starts.discard((order.task, order.run))
+        if is_unanswered or self._state.may_have_unknown_starts():
             self._state.record_stopped(origin.life, stop)
         else:
             self._state.reject(origin.life, order.task, order.run, reason)
--- a/comfreyshelf/fleet/runner_lease.py
+++ b/comfreyshelf/fleet/runner_lease.py
@@ -14,7 +14,7 @@
     def __init__(self, bounds: Bounds, now: float) -> None:
         self._duration_s = bounds.lease_s * CLOCK_DRIFT_FACTOR
         # An earlier process may have renewed the lease until this one started.
-        self._held_until = now + self._duration_s
+        self._inherited_until = self._held_until = now + self._duration_s
         # End of the renewal whose outcome is open.
         self._open_until: float | None = None
 
@@ -32,6 +32,10 @@
         """Record that a start is sent, which renews the lease of all runs."""
         self._held_until = max(self._held_until, now + self._duration_s)
 
+    def is_inherited(self, now: float) -> bool:
+        """Whether a start that an earlier process sent may still be carried out."""
+        return now < self._inherited_until + ANSWER_MARGIN_S
+
     def has_lapsed(self, now: float) -> bool:
         """Whether no run can be under a lease any more."""
         until = max(self._held_until, self._open_until or self._held_until)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -457,6 +457,11 @@
             self._lease.start_sent(now)
             return life == self.life and self._crash_log.start_sent(order.task, order.run, now)
 
+    def may_have_unknown_starts(self) -> bool:
+        """Whether the runner may still carry out a start that an earlier process sent."""
+        with self._lock:
+            return self._lease.is_inherited(monotonic())
+
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
         with self._lock:
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -166,3 +166,12 @@
       | under its id     | a new owner takes over that has no report yet   |
       | under another id | the owner knows the present target              |
       | under another id | a new owner takes over that has had no report   |
+
+  Scenario: A start that is refused soon after a restart is final only once a listing shows so
+    # Guards against a run that starts elsewhere while a start of the process before is carried out:
+    # the stop that precedes the rejection takes its time.
+    Given a target process whose runner has listed one run
+    When a start is refused 6 seconds after the process has started
+    Then the run is reported as rejected only after a later listing without it
+    When a start is refused 0.6 seconds later
+    Then the run is reported as rejected at once
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -16,12 +16,17 @@
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.runner_poller import RunnerPoller
 from comfreyshelf.fleet.store import NotListeningError
-from comfreyshelf.fleet.target_runner import FencedRunnerError, OtherTargetError, Runner
+from comfreyshelf.fleet.target_runner import (
+    FencedRunnerError,
+    OtherTargetError,
+    RefusedError,
+    Runner,
+)
 from comfreyshelf.ids import JobId, ServiceId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import OwnerTaskWorld
 from features.owner_world import World, step
-from features.target_world import announcement, confirm_life, simulated_target_process
+from features.target_world import START_S, announcement, confirm_life, simulated_target_process
 
 BORN = 1000
 RUN = RunningRow("job.0.0.0", 1, "", 50)
@@ -41,12 +46,13 @@
 class LivingRunner(Runner):
     """A runner that answers calls for its present id, and lists what was started on it.
 
-    With `failure` set it answers none.
+    With `failure` set it answers none. It refuses the starts of the tasks in `refused`.
     """
 
     def __init__(self) -> None:
         self.begin_life("t", BORN)
         self.failure: Exception | None = None
+        self.refused: set[str] = set()
 
     def begin_life(self, target: str, born: int) -> None:
         """Become another life without runs."""
@@ -77,6 +83,8 @@
 
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         self._check(token, target)
+        if order.task in self.refused:
+            raise RefusedError("no room", "room")
         if order.run > self.highest.get(order.task, 0):
             self.running[order.task] = RunningRow(order.task, order.run, "", 0)
 
@@ -247,6 +255,38 @@
         assert not context.state.announce(heartbeat(sequence=sequence, room=Resources(1, 1, 1)))
 
 
+@when("a start is refused {seconds:d} seconds after the process has started")
+def refuse_start_early(context: Context, seconds: int) -> None:
+    refuse_start(context, START_S + seconds - context.clock)
+
+
+@when("a start is refused {seconds:g} seconds later")
+def refuse_start(context: Context, seconds: float) -> None:
+    context.clock += seconds
+    context.order = StartOrder(f"refused{context.clock}.0.0.0", 1, "", "")
+    context.runner.refused.add(context.order.task)
+    send_orders(context)
+    ask_runner(context)
+    send_orders(context, context.order)
+
+
+def is_rejected(context: Context) -> bool:
+    return context.order.task in {row.task for row in context.state.report().rejected}
+
+
+@then("the run is reported as rejected only after a later listing without it")
+def check_rejected_later(context: Context) -> None:
+    assert not is_rejected(context)
+    context.clock += 0.5
+    ask_runner(context)
+    assert is_rejected(context)
+
+
+@then("the run is reported as rejected at once")
+def check_rejected(context: Context) -> None:
+    assert is_rejected(context)
+
+
 @when("its runner starts again under its id")
 def restart_under_same_id(context: Context) -> None:
     context.former_life = context.state.life
--- a/features/target_world.py
+++ b/features/target_world.py
@@ -14,6 +14,9 @@
 from comfreyshelf.ids import RackId, ServiceId, TargetId, ZoneId
 from comfreyshelf.metrics import Metrics
 
+# When the process starts, on its clock.
+START_S = 100.0
+
 
 def announcement(target: str, incarnation: int, draining: bool = False) -> Announcement:
     """What a target without room states about itself."""
@@ -46,7 +49,7 @@
 
     Its target has sent one heartbeat, and its runner has confirmed it, unless `target` is None.
     """
-    context.clock = 100.0
+    context.clock = START_S
     with (
         mock.patch.object(target_state, "monotonic", lambda: context.clock),
         mock.patch.object(order_executor, "monotonic", lambda: context.clock),
