Part how a runner is from the state of its target process

What calls to the runner have shown, and the lease that they may have renewed, are one matter of their own: RunnerCondition. A renewal's outcome is recorded for each answer, also for one of a life that no heartbeat has named yet.

No other change of behaviour, but that no `runner down` is logged for a runner that is up again.

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -1,7 +1,6 @@
 """State of a target process: its target's last heartbeat, its runs and the open orders."""
 
 import threading
-from enum import Enum
 from typing import NamedTuple
 
 import msgspec
@@ -31,16 +30,13 @@
     TargetMessage,
     TokenRequest,
 )
-from comfreyshelf.fleet.runner_lease import RunnerLease
+from comfreyshelf.fleet.runner_condition import Condition, RunnerCondition
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
 # Lower than the number of any heartbeat.
 NO_SEQUENCE = -1
-# A runner whose machine refuses connections for this long gets no new work. The pause excludes a
-# single refusal while it starts.
-REFUSED_AFTER_S = 0.3
 
 
 class PendingOrders(NamedTuple):
@@ -57,16 +53,6 @@
     refusal_reason: str = ""
 
 
-class _Condition(Enum):
-    """How a runner is, as far as its target process can tell."""
-
-    UP = "up"
-    # It refuses connections, and its runs may go on under their lease.
-    UNREACHABLE = "unreachable"
-    # Nothing of it is left: another target has answered, or the lease of all runs has lapsed.
-    ENDED = "ended"
-
-
 class ListingRequest(NamedTuple):
     """What to tell the runner when its runs are listed; see `Runner.renew_lease`."""
 
@@ -92,23 +78,13 @@
         self._announcement: Announcement | None = None
         self._series = HeartbeatSeries(NO_SEQUENCE, 0.0)
         self._claims = HeartbeatClaims()
-        # Whether another target has answered in place of the present one.
-        self._is_replaced = False
         # Whether the runner has answered that it knows a newer token than this process does.
         self._needs_token = False
         self._is_leaving = False
         self._crash_log = CrashLog()
-        self._lease = RunnerLease(bounds, monotonic())
-        # When the first of the listings failed that have failed since the last answer.
-        self._failing_since: float | None = None
-        # How the runner was when that was last checked; each change is reported at once.
-        self._condition = _Condition.UP
+        self._condition = RunnerCondition(bounds, monotonic())
         self._listing: RunListing | None = None
         self._listed_at = 0.0
-        # When the runner last answered with a listing, or this process started.
-        self._runner_answered_at = monotonic()
-        # Since when each connection to the runner was refused; None if the last one was not.
-        self._refused_since: float | None = None
         # Confirmed starts by task that no listing has shown yet.
         self._unlisted_starts: dict[str, RunningRow] = {}
         # Confirmed stops by task: the run, and when a stopped run has ended at the latest.
@@ -180,8 +156,7 @@
         self._record_crash()
         self._announcement = announcement
         self._series = HeartbeatSeries(announcement.sequence, monotonic())
-        self._is_leaving = self._is_replaced = False
-        self._condition = _Condition.UP
+        self._is_leaving = False
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
@@ -213,7 +188,7 @@
         if self._is_leaving or (self._announcement is not None and self._announcement.draining):
             self._crash_log.clear()
             return
-        crash = self._crash_log.record_crash(self._failing_since or now, now)
+        crash = self._crash_log.record_crash(self._condition.failing_since or now, now)
         if crash is not None:
             self._metrics.count("runner_crashes")
             log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
@@ -226,6 +201,7 @@
         """
         with self._lock:
             self._needs_token = False
+            self._condition.lease.renewal_ended(may_be_carried_out=True)
             announcement = self._claims.settle(target, listing.incarnation, requested_at)
             if self.life != (target, listing.incarnation):
                 if announcement is None:
@@ -233,19 +209,15 @@
                 if announcement is None:
                     return
                 self._begin_life(announcement)
-            self._is_replaced = False
             previous = self._listing
-            self._lease.renewal_ended(may_be_carried_out=True)
-            if self._condition is not _Condition.UP:
-                self._condition = _Condition.UP
+            self._listed_at = monotonic()
+            self._condition.record_answer(self._listed_at)
+            if self._condition.note_change(self._listed_at) is not None:
                 self.report_due.set()
-            self._runner_answered_at = monotonic()
-            self._refused_since = self._failing_since = None
             self._listing = listing
             self._crash_log.apply_listing(
-                listing.running, listing.ended, requested_at, self._runner_answered_at
+                listing.running, listing.ended, requested_at, self._listed_at
             )
-            self._listed_at = monotonic()
             listed_runs = {(row.task, row.run) for row in listing.running}
             listed_runs |= {(row.task, row.run) for row in listing.ended}
             for task, row in list(self._unlisted_starts.items()):
@@ -278,11 +250,10 @@
         """Record the runner's answer that it is another target than the one that a call named."""
         with self._lock:
             self._claims.settle(target, None, asked_at)
-            if target != self.target or self._is_replaced:
-                return
-            self._is_replaced = True
-            log_event("target replaced", target=target)
-            self._update_condition()
+            if target == self.target:
+                self._condition.lease.renewal_ended(may_be_carried_out=False)
+                self._condition.record_other_target()
+                self._report_change()
 
     def record_fenced(self) -> None:
         """Record that the runner has refused the token of this process as outdated."""
@@ -295,7 +266,7 @@
         with self._lock:
             deadline_ms = self._lease_deadline_ms()
             if deadline_ms is not None:
-                self._lease.renewal_sent(monotonic())
+                self._condition.lease.renewal_sent(monotonic())
             return ListingRequest(self.token, self.target, self.acknowledged, deadline_ms)
 
     def lease_deadline_ms(self) -> int | None:
@@ -310,7 +281,7 @@
 
     def _lease_deadline_ms(self) -> int | None:
         now = monotonic()
-        last_contact_at = min(self.last_contact_at, self._runner_answered_at)
+        last_contact_at = min(self.last_contact_at, self._condition.answered_at)
         if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
             return None
         elapsed_s = now - self._listed_at
@@ -323,42 +294,22 @@
         whether the runner may have renewed its lease all the same.
         """
         with self._lock:
-            self._lease.renewal_ended(may_be_carried_out)
-            if self._failing_since is None:
-                self._failing_since = monotonic()
-            if not is_refused:
-                self._refused_since = None
-            elif self._refused_since is None:
-                self._refused_since = monotonic()
-            self._update_condition()
-
-    def _update_condition(self) -> None:
-        """Note how a runner is that does not answer, and report each change at once."""
-        condition = self._present_condition()
-        if condition is self._condition:
+            self._condition.record_failure(monotonic(), is_refused, may_be_carried_out)
+            self._report_change()
+
+    def _report_change(self) -> None:
+        """Report at once if the runner is in another condition than before."""
+        condition = self._condition.note_change(monotonic())
+        if condition is None:
             return
-        self._condition = condition
-        log_event("runner down", target=self.target, condition=condition.value)
-        if condition is _Condition.ENDED:
-            if self._is_replaced or self._refused_since is not None:
+        if condition is not Condition.UP:
+            log_event("runner down", target=self.target, condition=condition.value)
+        if condition is Condition.ENDED:
+            if self._condition.is_crash_certain:
                 self._record_crash()
             self._unlisted_starts.clear()
         self.report_due.set()
 
-    def _present_condition(self) -> _Condition:
-        """How the runner is.
-
-        Refused connections do not prove that it runs nothing: the way to it may be cut. Unless
-        another target has answered in its place, only a lease that has lapsed does.
-        """
-        now = monotonic()
-        is_silent = self._failing_since is not None and now - self._failing_since >= REFUSED_AFTER_S
-        if self._is_replaced or (is_silent and self._lease.has_lapsed(now)):
-            return _Condition.ENDED
-        if self._refused_since is not None and now - self._refused_since >= REFUSED_AFTER_S:
-            return _Condition.UNREACHABLE
-        return _Condition.UP
-
     def message_to_owner(self) -> TargetMessage | None:
         """Return what to send to the owner now; None if there is nothing to tell or ask."""
         report = self.report()
@@ -372,7 +323,7 @@
             if self._announcement is None:
                 return None
             is_listing_current = self._listing is not None
-            condition = self._present_condition()
+            condition = self._condition.at(monotonic())
             return Report(
                 monotonic(),
                 self._announcement,
@@ -382,12 +333,12 @@
                 self._listing.ended if is_listing_current and self._listing else (),
                 tuple(self._rejected.values()),
                 self._machine,
-                self._is_leaving and condition is not _Condition.UP,
+                self._is_leaving and condition is not Condition.UP,
                 self._listed_at,
-                condition is not _Condition.ENDED,
+                condition is not Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
                 self._zone_guard.offset,
-                condition is _Condition.UP,
+                condition is Condition.UP,
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
@@ -454,13 +405,13 @@
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
             now = monotonic()
-            self._lease.start_sent(now)
+            self._condition.lease.start_sent(now)
             return life == self.life and self._crash_log.start_sent(order.task, order.run, now)
 
     def may_have_unknown_starts(self) -> bool:
         """Whether the runner may still carry out a start that an earlier process sent."""
         with self._lock:
-            return self._lease.is_inherited(monotonic())
+            return self._condition.lease.is_inherited(monotonic())
 
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
