--- a/features/soak.feature
+++ b/features/soak.feature
@@ -2,9 +2,9 @@
 
   Scenario Outline: Callers and runners see no broken promise in a soak
     # Guards against faults that only show between real processes: signals, restarts, links that are
-    # slow, silent or cut one way, runners that crash, drain and shrink, and changes of keys, in
-    # series and overlapping, while callers keep using their connections. The seeds are those that
-    # have found a fault, with its cause.
+    # slow, silent, refused or cut one way, runners that crash, restart, drain and shrink, heartbeats
+    # that are odd or late, and changes of keys, in series and overlapping, while callers keep using
+    # their connections. The seeds are those that have found a fault, with its cause.
     When a soak of 12 seconds with seed <seed> is played
     Then no promise was broken
 
@@ -14,3 +14,6 @@
       | 15   | one crash of its own and a shared one gave a job up                |
       | 23   | an order for a runner that crashed reached the one that followed   |
       | 39   | a stopping owner took over again in the same generation            |
+      | 608  | a message that a sound runner leaves ended its runs                |
+      | 611  | a start for a crashed runner reached the next one under its id     |
+      | 612  | a refused connection ended the runs of a sound runner              |
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -39,9 +39,9 @@
         for earlier in runs[:index]:
             if earlier.end is None or run.began_at < earlier.ended_at - CLOCK_TOLERANCE_S:
                 history.violate(f"two runs of {task} at once: {earlier.run} and {run.run}")
-            elif earlier.end is RunEnd.DONE and earlier.acknowledged:
+            elif earlier.end is RunEnd.DONE and earlier.is_noted:
                 history.violate(f"{task} was started again as run {run.run} after its end")
-        if len([end for end in failed if end.acknowledged]) >= MAX_ATTEMPTS:
+        if len([end for end in failed if end.is_noted]) >= MAX_ATTEMPTS:
             history.violate(f"{task} was started as run {run.run} after its attempts")
         if run.end is RunEnd.FAILED:
             failed.append(run)
--- a/features/soak/history.py
+++ b/features/soak/history.py
@@ -22,6 +22,7 @@
 
     `room_used` is what the runner had in use with this run, `room` what it had then or shortly
     before. `draining_for_s` is since when it had been told that its heartbeat as draining arrived.
+    `is_lease_lapsed` is whether the runner's lease lapsed between the end and its acknowledgement.
     """
 
     task: str
@@ -34,7 +35,13 @@
     draining_for_s: float = 0.0
     ended_at: float = 0.0
     end: RunEnd | None = None
-    acknowledged: bool = False
+    is_acknowledged: bool = False
+    is_lease_lapsed: bool = False
+
+    @property
+    def is_noted(self) -> bool:
+        """Whether the end counts as taken note of."""
+        return self.is_acknowledged and not self.is_lease_lapsed
 
     @property
     def job(self) -> str:
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -11,11 +11,13 @@
 from features.soak.fleet import Member, SoakFleet
 from features.soak.history import History
 from features.soak.proxy import LinkMode
-from features.soak.runner import ROOM
+from features.soak.runner import ROOM, SoakRunner
 
 FIRST_FAULT_S = 1.0
 # Mean time between two faults; most last longer, so that they overlap.
 MEAN_GAP_S = 0.6
+# The same for faults that bear on which life of a runner is believed to be present.
+LIFE_MEAN_GAP_S = 1.5
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -50,16 +52,35 @@
 )
 
 
+LIFE_KINDS = (
+    "send_odd_heartbeat",
+    "send_late_heartbeat",
+    "send_departure",
+    "refuse_runner_link",
+    "restart_runner_at_once",
+)
+
+
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
-    """The faults of a soak of some seconds; the same seed gives the same plan."""
-    rng = random.Random(seed)
+    """The faults of a soak of some seconds; the same seed gives the same plan.
+
+    Those of LIFE_KINDS are drawn by themselves, so that seeds of before keep all their faults.
+    """
+    plan = _draw(random.Random(seed), KINDS, MEAN_GAP_S, seconds)
+    plan += _draw(random.Random(f"lives {seed}"), LIFE_KINDS, LIFE_MEAN_GAP_S, seconds)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def _draw(
+    rng: random.Random, kinds: tuple[str, ...], mean_gap_s: float, seconds: float
+) -> list[Fault]:
     plan = []
     at = FIRST_FAULT_S
     while at < seconds:
-        kind, for_s = rng.choice(KINDS), round(rng.uniform(0.3, 4.0), 2)
+        kind, for_s = rng.choice(kinds), round(rng.uniform(0.3, 4.0), 2)
         plan.append(Fault(round(at, 2), kind, rng.randrange(10_000), rng.randrange(10_000), for_s))
         # Every now and then the next one follows at once.
-        at += rng.expovariate(1 / MEAN_GAP_S) if rng.random() < 0.8 else 0.0
+        at += rng.expovariate(1 / mean_gap_s) if rng.random() < 0.8 else 0.0
     return plan
 
 
@@ -165,17 +186,54 @@
     def lose_store_answer(self, fault: Fault) -> None:
         self._fleet.store.fault_mode = "lost"
 
+    def _runner(self, fault: Fault) -> SoakRunner:
+        return self._fleet.runners[fault.number % len(self._fleet.runners)]
+
     def crash_runner(self, fault: Fault) -> None:
-        runners = self._fleet.runners
-        runners[fault.number % len(runners)].crash(0.5 + fault.for_s / 2)
+        self._runner(fault).crash(0.5 + fault.for_s / 2)
+
+    def restart_runner_at_once(self, fault: Fault) -> None:
+        self._runner(fault).crash(0.15, keeps_id=True)
 
     def drain_runner(self, fault: Fault) -> None:
-        runners = self._fleet.runners
-        runners[fault.number % len(runners)].drain()
+        self._runner(fault).drain()
 
     def change_room(self, fault: Fault) -> None:
-        runners = self._fleet.runners
-        runners[fault.number % len(runners)].set_room(fault.pick % (ROOM + 1))
+        self._runner(fault).set_room(fault.pick % (ROOM + 1))
+
+    def refuse_runner_link(self, fault: Fault) -> None:
+        link = self._fleet.runner_links[fault.number % len(self._fleet.runner_links)]
+        link.set_refusing(True)
+        time.sleep(fault.for_s)
+        link.set_refusing(False)
+
+    def send_odd_heartbeat(self, fault: Fault) -> None:
+        """Send a heartbeat of another writer, which names no runner or is odd in one field."""
+        runner = self._runner(fault)
+        target, body = runner.heartbeat()
+        rng = random.Random(fault.pick)
+        later = body["born"] + rng.choice((-1000, 0, 1, 100_000))
+        odd = {
+            "service": "unknown",
+            "state": "asleep",
+            "born": later,
+            "sequence": rng.choice((10**9, 2**70)),
+            "capacity": {"cpu": 2**70},
+            "labels": None,
+        }
+        name = rng.choice(list(odd))
+        target = rng.choice((target, "other", self._fleet.runners[0].id))
+        runner.send(target, body | {name: odd[name]} | {"born": later})
+
+    def send_late_heartbeat(self, fault: Fault) -> None:
+        """Send the last heartbeat of each former life of a runner again."""
+        runner = self._runner(fault)
+        for target, body in list(runner.former_heartbeats):
+            runner.send(target, body)
+
+    def send_departure(self, fault: Fault) -> None:
+        """Send the message that a runner leaves, which is not its own."""
+        self._runner(fault).send_departure()
 
     def change_keys(self, fault: Fault) -> None:
         """Withdraw the spare key, and issue another one; a withdrawn key is never issued again."""
--- a/features/soak/runner.py
+++ b/features/soak/runner.py
@@ -50,10 +50,13 @@
         self._control_address = control_address
         self._history = history
         self._life = 1
+        self._id_number = 1
         self._sequence = 0
+        # The last heartbeat of each life that has ended, with its id.
+        self.former_heartbeats: list[tuple[str, dict]] = []
         self._lease_until = float("inf")
         self._active: dict[tuple[str, int], SeenRun] = {}
-        self._lives_ended: dict[str, list[SeenRun]] = {}
+        self._lives_ended: dict[int, list[SeenRun]] = {}
         self._draining_since: float | None = None
         self._drain_acknowledged_at: float | None = None
         self._is_down = False
@@ -64,8 +67,8 @@
 
     @property
     def id(self) -> str:
-        """The id of this life of the runner."""
-        return f"{self.name}-{self._life}"
+        """The id of this life of the runner, which the one before may have had as well."""
+        return f"{self.name}-{self._id_number}"
 
     def _beat(self) -> None:
         while not self._stopping.wait(HEARTBEAT_S):
@@ -74,10 +77,18 @@
 
     def send_heartbeat(self) -> None:
         """Send one heartbeat; a lost one is followed by the next."""
+        target, body = self.heartbeat()
+        is_acknowledged = self.send(target, body) == 200
+        is_draining = body["state"] == "draining"
+        if is_acknowledged and is_draining and self._drain_acknowledged_at is None:
+            self._drain_acknowledged_at = time.monotonic()
+
+    def heartbeat(self) -> tuple[str, dict]:
+        """The id of this life and the body of its next heartbeat."""
         with self.lock:
             self._sequence += 1
             is_draining = self._draining_since is not None
-            body = {
+            return self.id, {
                 "service": "permit",
                 "zone": "z",
                 "state": "draining" if is_draining else "ready",
@@ -88,13 +99,21 @@
                 "born": self.born,
                 "clock-ms": int(time.monotonic() * 1000),
             }
-            url = f"http://{self._control_address}/v1/instances/{self.id}"
+
+    def send(self, target: str, body: dict) -> int:
+        """Send a heartbeat to the target process; returns the status, 0 without an answer."""
+        url = f"http://{self._control_address}/v1/instances/{target}"
         try:
-            status = self._pool.request("PUT", url, body=json.dumps(body).encode()).status
+            return self._pool.request("PUT", url, body=json.dumps(body).encode()).status
         except urllib3.exceptions.HTTPError:
-            return
-        if status == 200 and is_draining and self._drain_acknowledged_at is None:
-            self._drain_acknowledged_at = time.monotonic()
+            return 0
+
+    def send_departure(self) -> None:
+        """Send the message that this runner leaves."""
+        try:
+            self._pool.request("DELETE", f"http://{self._control_address}/v1/instances/{self.id}")
+        except urllib3.exceptions.HTTPError:
+            self._history.note(f"{self.id} leaves unheard")
 
     def handle(self, call: Call) -> Reply:
         with self.lock:
@@ -113,7 +132,7 @@
         seen = self._active[key]
         self._end(key, end, ended_at)
         self.ended.append([len(self.ended) + 1, seen.task, seen.run, end.value, ""])
-        self._lives_ended.setdefault(self.id, []).append(seen)
+        self._lives_ended.setdefault(self._life, []).append(seen)
 
     def _finish(self) -> None:
         now = time.monotonic()
@@ -125,6 +144,9 @@
                 self._list_end(key, end, work_ends_at)
             elif now > self._lease_until:
                 self._list_end(key, RunEnd.LAPSED, self._lease_until)
+        if now > self._lease_until:
+            for seen in self._lives_ended.get(self._life, []):
+                seen.is_lease_lapsed |= not seen.is_acknowledged
 
     def _extend_lease(self, fields: dict) -> None:
         if "deadline-ms" not in fields:
@@ -176,8 +198,8 @@
     def hold(self, fields: dict) -> Reply:
         self._finish()
         self._extend_lease(fields)
-        for seen in self._lives_ended.get(self.id, [])[: fields["ack-cursor"]]:
-            seen.acknowledged = True
+        for seen in self._lives_ended.get(self._life, [])[: fields["ack-cursor"]]:
+            seen.is_acknowledged = True
         return super().hold(fields)
 
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
@@ -186,22 +208,28 @@
         self._timers.append(timer)
         timer.start()
 
-    def crash(self, down_s: float) -> None:
-        """Lose everything, and come back as another runner on the same machine."""
+    def crash(self, down_s: float, keeps_id: bool = False) -> None:
+        """Lose everything, and come back as another runner on the same machine.
+
+        With `keeps_id` it comes back under its id, and its first heartbeat is a regular one.
+        """
+        former = self.heartbeat()
         with self.lock:
             if self._is_down:
                 return
             self._is_down = True
+            self.former_heartbeats.append(former)
             self._history.note(f"{self.id} crashes with {sorted(self.running)}")
             self._finish()
             for key in list(self._active):
                 self._end(key, RunEnd.CRASHED, time.monotonic())
         self._proxy.set_refusing(True)
-        self._later(down_s, self._come_back)
+        self._later(down_s, lambda: self._come_back(keeps_id))
 
-    def _come_back(self) -> None:
+    def _come_back(self, keeps_id: bool) -> None:
         with self.lock:
             self._life += 1
+            self._id_number += not keeps_id
             self._sequence, self.fence = 0, 0
             self.born = time.time_ns() // 1_000_000
             self.running, self.highest_runs, self.ended = {}, {}, []
@@ -209,7 +237,8 @@
             self._draining_since = self._drain_acknowledged_at = None
         self._proxy.set_refusing(False)
         self._is_down = False
-        self.send_heartbeat()
+        if not keeps_id:
+            self.send_heartbeat()
 
     def drain(self) -> None:
         """Announce the end, leave after 4 s, and come back as another runner."""
@@ -221,10 +250,7 @@
         self._later(4.0, self._leave)
 
     def _leave(self) -> None:
-        try:
-            self._pool.request("DELETE", f"http://{self._control_address}/v1/instances/{self.id}")
-        except urllib3.exceptions.HTTPError:
-            self._history.note(f"{self.id} leaves unheard")
+        self.send_departure()
         self.crash(1.0)
 
     def set_room(self, room: int) -> None:
