Ask for one claimed life a poll, and keep all work off one that has not announced itself

One claim is asked for a poll now, and any refusal but that of the token settles it.

A life that took its predecessor's id was reported without room until its heartbeat; tasks that ask for nothing would still have fitted. It is reported to take no work instead, as an unreachable one is, and its first heartbeat is reported at once. A new owner's first report of an unreachable runner is no signal of its health again.

--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -41,10 +41,10 @@
     runs to this process. A target that is `gone` has left for good and runs nothing. `machine`
     names the VM, which runs one target at a time. `listed_at` is when the target's runner last
     listed its runs, on the sender's clock. If the runner is not `runner_up`, it runs nothing and
-    starts nothing until a later report says otherwise. One that is not `reachable` may still run
-    what it has, and gets no new work. `crashes` repeats the recent crashes of
-    runners on this VM, also of earlier incarnations. The process knows the evacuated zones that
-    follow from the records of the operators' topic below `operator_offset`.
+    starts nothing until a later report says otherwise. One that `takes_no_work` may run what it
+    has, but cannot be reached, or has not announced what it is. `crashes` repeats the recent
+    crashes of runners on this VM, also of earlier incarnations. The process knows the evacuated
+    zones that follow from the records of the operators' topic below `operator_offset`.
     """
 
     sent_at: float
@@ -60,7 +60,7 @@
     runner_up: bool = True
     crashes: tuple[RunnerCrash, ...] = ()
     operator_offset: Offset = OFFSET_UNSUPPORTED
-    reachable: bool = True
+    takes_no_work: bool = False
 
 
 class TokenRequest(msgspec.Struct, frozen=True, tag="token request"):
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -47,8 +47,8 @@
         view.report_sent_at = report.sent_at
         view.listed_at = report.listed_at or report.sent_at
         view.operator_offset = report.operator_offset
-        if view.is_reachable != report.reachable:
-            view.is_reachable = report.reachable
+        if view.takes_no_work != report.takes_no_work:
+            view.takes_no_work = report.takes_no_work
             self.needs_plan = True
         self._update_cold(view, now)
         if report.gone:
@@ -68,7 +68,7 @@
         """Record that a target was silent before a report, or that its runner went down."""
         if now - view.seen_at > SUSPECT_AFTER_S:
             self._record_signal(view, Signal.SILENT, now)
-        if view.is_reachable and not report.reachable:
+        if view.lists_known and report.takes_no_work and not view.takes_no_work:
             self._record_signal(view, Signal.RUNNER_DOWN, now)
 
     def _join_target(
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -40,7 +40,9 @@
 
     def poll(self) -> None:
         state = self._state
-        for target in state.claimed_ids():
+        claimed_ids = state.claimed_ids()
+        # With a present life one at a time, so that many claims do not delay its lease.
+        for target in claimed_ids[:1] if state.target else claimed_ids:
             self._ask(target)
         if not state.target:
             self.wait(RETRY_S if state.claimed_ids() else IDLE_S)
@@ -74,7 +76,8 @@
     def _ask(self, target: TargetId) -> None:
         """Ask the runner whether it is a target that a heartbeat claims.
 
-        The call renews no lease and acknowledges no end. Without an answer the claim stays open.
+        The call renews no lease and acknowledges no end. The claim stays open without an answer,
+        and while the owner's token is missing.
         """
         asked_at, token = monotonic(), self._state.token
         try:
@@ -85,7 +88,11 @@
             self._state.record_other_target(target, asked_at)
         except FencedRunnerError:
             self._state.record_fenced()
-        except (StoreBusyError, StoreSilentError, RefusedError, msgspec.DecodeError) as exc:
+        except (RefusedError, msgspec.DecodeError) as exc:
+            log_event("claimed life refuted", target=target, why=str(exc))
+            self._metrics.count("lives_refuted")
+            self._state.refute_claims(target, asked_at)
+        except (StoreBusyError, StoreSilentError) as exc:
             log_event("claimed life not settled", target=target, why=str(exc))
         else:
             self._state.apply_listing(target, listing, asked_at)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -16,7 +16,6 @@
 from comfreyshelf.fleet.jobs import (
     Announcement,
     Incarnation,
-    Resources,
     RunListing,
     RunningRow,
     Token,
@@ -35,7 +34,7 @@
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
-# Lower than the number of any heartbeat.
+# Number of what stands in for the first heartbeat of a life, lower than any real one.
 NO_SEQUENCE = -1
 
 
@@ -136,7 +135,9 @@
                 return False
             self._announcement = announcement
             self._is_leaving = False
-            if (old.draining, old.room) != (announcement.draining, announcement.room):
+            is_first = old.sequence == NO_SEQUENCE
+            is_changed = (old.draining, old.room) != (announcement.draining, announcement.room)
+            if is_first or is_changed:
                 self.report_due.set()
             return True
 
@@ -167,9 +168,9 @@
     def _stand_in_heartbeat(
         self, target: TargetId, incarnation: Incarnation
     ) -> Announcement | None:
-        """What is known of a life under the present id before its first heartbeat.
+        """What is assumed of a life under the present id before its first heartbeat.
 
-        It may be of another kind, so it has no room. Returns None for another id.
+        It may be of another kind, so it takes no work until then. Returns None for another id.
         """
         if self._announcement is None or self._announcement.id != target:
             return None
@@ -177,7 +178,6 @@
             self._announcement,
             incarnation=incarnation,
             sequence=NO_SEQUENCE,
-            room=Resources(),
             draining=False,
             drain_left_ms=0,
         )
@@ -246,6 +246,11 @@
         listed = self._listing.running if self._listing else ()
         return (*listed, *self._unlisted_starts.values())
 
+    def refute_claims(self, target: TargetId, asked_at: float) -> None:
+        """Record that the runner has answered as none of the lives that claim an id."""
+        with self._lock:
+            self._claims.settle(target, None, asked_at)
+
     def record_other_target(self, target: TargetId, asked_at: float) -> None:
         """Record the runner's answer that it is another target than the one that a call named."""
         with self._lock:
@@ -338,7 +343,7 @@
                 condition is not Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
                 self._zone_guard.offset,
-                condition is Condition.UP,
+                condition is not Condition.UP or self._announcement.sequence == NO_SEQUENCE,
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
--- a/comfreyshelf/fleet/targets.py
+++ b/comfreyshelf/fleet/targets.py
@@ -24,8 +24,8 @@
     not know. `drain_until` is when the time for draining ends, 0 if the target does not drain.
     `certain_until` is until when the target certainly stays, by the shortest notice that it gave; 0
     if it has not announced its departure.
-    A target whose runner refused a start gets none until `no_starts_until`; one whose runner is not
-    `is_reachable` gets none either. `speed` is the one
+    A target whose runner refused a start gets none until `no_starts_until`; one that
+    `takes_no_work` gets none either. `speed` is the one
     that the slowdowns of its runs are based on. `orders_changed` is set when new orders have to be
     sent. `operator_offset` is up to where the target process knows the operators' topic. The target
     is slow until `cold_until`, after an evacuation of its zone.
@@ -49,7 +49,7 @@
     orders_changed: bool = True
     operator_offset: Offset = OFFSET_UNSUPPORTED
     cold_until: float = 0.0
-    is_reachable: bool = True
+    takes_no_work: bool = False
 
     @property
     def id(self) -> TargetId:
@@ -60,7 +60,7 @@
         """Whether new work may be placed on the target."""
         return (
             self.lists_known
-            and self.is_reachable
+            and not self.takes_no_work
             and not self.announcement.draining
             and now - self.seen_at < SUSPECT_AFTER_S
             and self.report_sent_at - self.listed_at < LISTING_SUSPECT_S
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -80,16 +80,16 @@
     And the target process asks its runner
     Then it still reports the runner's life with its run
 
-  Scenario: A runner that starts again under its id is reported without room until its heartbeat
+  Scenario: A runner that starts again under its id gets no work until its heartbeat
     # Guards against starts for the former life that the next one carries out: the two were told
     # apart by heartbeats only, and the first one may come some seconds after the start.
     Given a target process whose runner has listed one run
     When its runner starts again under its id
     And the target process asks its runner
-    Then it reports the runner's next life, without runs and room
+    Then it reports the runner's next life, without runs and to take no work
     And a start for the former life is not carried out
     When its runner sends a heartbeat
-    Then it reports the room of the runner's next life
+    Then it reports that the runner's next life takes work
 
   Scenario Outline: A run starts again only when <what> has ended or refused it
     # Guards against two runs of a task: a start that was on its way when its runner started again
@@ -175,3 +175,13 @@
     Then the run is reported as rejected only after a later listing without it
     When a start is refused 0.6 seconds later
     Then the run is reported as rejected at once
+
+  Scenario: Claims that the runner does not answer do not keep its lease from being renewed
+    # Guards against runs that lapse on a slow runner, as foreign heartbeats make its target process
+    # ask it again and again.
+    Given a target process whose runner has listed one run
+    When 8 heartbeats of other ids arrive that the runner answers with errors
+    And the target process asks its runner
+    Then the lease of its runs was renewed after one such answer
+    When the target process asks its runner 7 times more
+    Then it still reports the runner's life with its run
--- a/features/owner_world.py
+++ b/features/owner_world.py
@@ -125,7 +125,7 @@
             runner_up=self.down_until is None,
             crashes=tuple(self.crashes),
             operator_offset=self.operator_offset,
-            reachable=self.down_until is None,
+            takes_no_work=self.down_until is not None,
         )
 
     def refuse_evacuated(self, orders: Orders) -> bool:
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -53,6 +53,10 @@
         self.begin_life("t", BORN)
         self.failure: Exception | None = None
         self.refused: set[str] = set()
+        # Ids for which listings are answered with an error.
+        self.erroneous: set[str] = set()
+        # The id that each listing named, and whether it renewed the lease.
+        self.calls: list[tuple[TargetId, bool]] = []
 
     def begin_life(self, target: str, born: int) -> None:
         """Become another life without runs."""
@@ -78,6 +82,9 @@
         deadline_ms: int | None,
         wait_ms: int,
     ) -> RunListing:
+        self.calls.append((target, deadline_ms is not None))
+        if target in self.erroneous:
+            raise RefusedError("no such instance", "400")
         self._check(token, target)
         return RunListing(0, self.born, tuple(self.running.values()), ())
 
@@ -287,18 +294,38 @@
     assert is_rejected(context)
 
 
+@when("{count:d} heartbeats of other ids arrive that the runner answers with errors")
+def receive_erroneous_claims(context: Context, count: int) -> None:
+    for number in range(count):
+        context.state.announce(heartbeat(f"other{number}", BORN + number))
+        context.runner.erroneous.add(f"other{number}")
+    send_orders(context)
+    context.runner.calls.clear()
+
+
+@then("the lease of its runs was renewed after one such answer")
+def check_lease_renewed(context: Context) -> None:
+    assert context.runner.calls == [("other0", False), ("t", True)], context.runner.calls
+
+
+@when("the target process asks its runner {count:d} times more")
+def ask_runner_again(context: Context, count: int) -> None:
+    for _ in range(count):
+        ask_runner(context)
+
+
 @when("its runner starts again under its id")
 def restart_under_same_id(context: Context) -> None:
     context.former_life = context.state.life
     context.runner.begin_life("t", BORN + 5000)
 
 
-@then("it reports the runner's next life, without runs and room")
+@then("it reports the runner's next life, without runs and to take no work")
 def check_next_life_reported(context: Context) -> None:
     report = context.state.report()
     assert (report.announcement.id, report.incarnation) == ("t", BORN + 5000), report
     assert report.lists_known and not report.running, report
-    assert report.announcement.room == Resources()
+    assert report.takes_no_work
 
 
 @then("a start for the former life is not carried out")
@@ -311,9 +338,11 @@
 
 
 @then("it reports the room of its runner")
-@then("it reports the room of the runner's next life")
+@then("it reports that the runner's next life takes work")
 def check_room_reported(context: Context) -> None:
-    assert context.state.report().announcement.room == ROOM
+    report = context.state.report()
+    assert report.announcement.room == ROOM and not report.takes_no_work
+    assert context.state.report_due.is_set()
 
 
 def restart_target(context: Context) -> None:
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -90,7 +90,9 @@
 @when("the target process reports that its runner cannot be reached")
 def report_unreachable(context: Context) -> None:
     make_report = context.target.report
-    context.target.report = lambda now: msgspec.structs.replace(make_report(now), reachable=False)
+    context.target.report = lambda now: msgspec.structs.replace(
+        make_report(now), takes_no_work=True
+    )
     context.world.settle()
 
 
@@ -531,13 +533,13 @@
 @then("its target process reports it as up")
 def check_runner_up(context: Context) -> None:
     report = context.state.report()
-    assert report.runner_up and report.reachable
+    assert report.runner_up and not report.takes_no_work
 
 
 @then("its target process reports it as unreachable, and its runs as going on")
 def check_unreachable(context: Context) -> None:
     report = context.state.report()
-    assert report.runner_up and not report.reachable
+    assert report.runner_up and report.takes_no_work
     assert [row.task for row in report.running] == ["job.0.0.0"]
 
 
