--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -212,18 +212,18 @@
         runner = self._runner(fault)
         target, body = runner.heartbeat()
         rng = random.Random(fault.pick)
-        later = body["born"] + rng.choice((-1000, 0, 1, 100_000))
+        born = body["born"] + rng.choice((-1000, 0, 1, 100_000))
         odd = {
             "service": "unknown",
             "state": "asleep",
-            "born": later,
+            "born": born,
             "sequence": rng.choice((10**9, 2**70)),
             "capacity": {"cpu": 2**70},
             "labels": None,
         }
         name = rng.choice(list(odd))
         target = rng.choice((target, "other", self._fleet.runners[0].id))
-        runner.send(target, body | {name: odd[name]} | {"born": later})
+        runner.send(target, body | {name: odd[name]} | {"born": born})
 
     def send_late_heartbeat(self, fault: Fault) -> None:
         """Send the last heartbeat of each former life of a runner again."""
