--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -11,45 +11,34 @@
     RunningRow,
     Token,
 )
-from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder, StopOrder
+from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.store import StoreSilentError
-from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.fleet.target_runner import RefusedError
 from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import FakeTarget, World, step
-from features.target_world import announcement, confirm_life, simulated_target_process
+from features.target_world import (
+    FakeRunner,
+    announcement,
+    confirm_life,
+    simulated_target_process,
+)
 
 DOWN_S = 3.0
 ONE_ACCELERATOR = Resources(1000, 1000, 1)
 
 
-class ScriptedRunner(Runner):
+class ScriptedRunner(FakeRunner):
     """Answers each start as `outcomes` says for its task; a task that is missing starts."""
 
     def __init__(self) -> None:
         self.outcomes: dict[str, Exception] = {}
 
-    def renew_lease(
-        self,
-        token: Token,
-        target: TargetId,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-    ) -> RunListing:
-        return RunListing(0, Incarnation(1), (), ())
-
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         if order.task in self.outcomes:
             raise self.outcomes[order.task]
 
-    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
-        """Stops succeed."""
-
-    def close(self) -> None:
-        """There are no connections."""
-
 
 def list_runs(context: Context, *running: RunningRow) -> None:
     listing = RunListing(0, Incarnation(1), running, ())
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -40,7 +40,6 @@
 )
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.store import Batch, StoreSilentError
-from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.ids import JobId, Offset, OrganisationId, TargetId, ZoneId
 from comfreyshelf.metrics import Metrics
 from comfreyshelf.platform.runner import CALL_TIMEOUT_S as RUNNER_TIMEOUT_S
@@ -48,7 +47,7 @@
 from features.evacuation_world import EVACUATE_S, EvacuationWorld, FakeOperatorStore
 from features.owner_task_world import OwnerTaskWorld
 from features.owner_world import FakeTarget, step
-from features.target_world import announcement, simulated_target_process
+from features.target_world import FakeRunner, announcement, simulated_target_process
 
 ORDER_THREADS = 4
 URGENT_JOBS = 10
@@ -784,7 +783,7 @@
 # The target process
 
 
-class SlowRunner(Runner):
+class SlowRunner(FakeRunner):
     """A runner that answers stops only once `answers` is set."""
 
     def __init__(self) -> None:
@@ -792,16 +791,6 @@
         self.started: list[str] = []
         self.stopped: list[str] = []
 
-    def renew_lease(
-        self,
-        token: Token,
-        target: TargetId,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-    ) -> RunListing:
-        return RunListing(0, Incarnation(1), (), ())
-
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         self.started.append(order.task)
 
@@ -809,9 +798,6 @@
         self.stopped.append(order.task)
         assert self.answers.wait(10)
 
-    def close(self) -> None:
-        """There are no connections."""
-
 
 @given("a target process that has just started")
 def start_target_process(context: Context) -> None:
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -20,13 +20,18 @@
     FencedRunnerError,
     OtherTargetError,
     RefusedError,
-    Runner,
 )
 from comfreyshelf.ids import JobId, ServiceId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import OwnerTaskWorld
 from features.owner_world import World, step
-from features.target_world import START_S, announcement, confirm_life, simulated_target_process
+from features.target_world import (
+    START_S,
+    FakeRunner,
+    announcement,
+    confirm_life,
+    simulated_target_process,
+)
 
 BORN = 1000
 RUN = RunningRow("job.0.0.0", 1, "", 50)
@@ -43,7 +48,7 @@
 }
 
 
-class LivingRunner(Runner):
+class LivingRunner(FakeRunner):
     """A runner that answers calls for its present id, and lists what was started on it.
 
     With `failure` set it answers none. It refuses the starts of the tasks in `refused`.
@@ -100,9 +105,6 @@
         self.highest[order.task] = order.run
         self.running.pop(order.task, None)
 
-    def close(self) -> None:
-        """There are no connections."""
-
 
 def heartbeat(target: str = "t", born: int = BORN, **fields: object) -> Announcement:
     """What a runner states about itself."""
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -27,12 +27,11 @@
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.owner import OwnerCore
 from comfreyshelf.fleet.store import Membership
-from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_task_world import FakeStore, OwnerTaskWorld
 from features.owner_world import FakeTarget, World, step
-from features.target_world import confirm_life, simulated_target_process
+from features.target_world import FakeRunner, confirm_life, simulated_target_process
 
 ORDER_THREADS = 4
 TARGET = TargetId("t")
@@ -339,7 +338,7 @@
     assert context.group.joins == 0
 
 
-class HangingRunner(Runner):
+class HangingRunner(FakeRunner):
     """A runner that answers no stop until `answers` is set; `stopped` lists the calls."""
 
     def __init__(self) -> None:
@@ -349,16 +348,6 @@
         self.named_targets: list[TargetId] = []
         self.before_start: Callable[[], None] = lambda: None
 
-    def renew_lease(
-        self,
-        token: Token,
-        target: TargetId,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-    ) -> RunListing:
-        return make_listing()
-
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         self.before_start()
         self.named_targets.append(target)
@@ -368,9 +357,6 @@
         self.stopped.append((token, order.task))
         assert self.answers.wait(10)
 
-    def close(self) -> None:
-        """There are no connections."""
-
 
 def make_listing(*running: RunningRow) -> RunListing:
     return RunListing(0, Incarnation(1), running, ())
--- a/features/target_world.py
+++ b/features/target_world.py
@@ -8,12 +8,37 @@
 
 from comfreyshelf.fleet import order_executor, runner_poller, target_state
 from comfreyshelf.fleet.bounds import Bounds
-from comfreyshelf.fleet.jobs import Announcement, Incarnation, Resources, RunListing
+from comfreyshelf.fleet.jobs import Announcement, Incarnation, Resources, RunListing, Token
+from comfreyshelf.fleet.messages import StartOrder, StopOrder
 from comfreyshelf.fleet.target_runner import Runner
 from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.ids import RackId, ServiceId, TargetId, ZoneId
 from comfreyshelf.metrics import Metrics
 
+
+class FakeRunner(Runner):
+    """A runner without runs that carries out all calls, for tests to override some of them."""
+
+    def renew_lease(
+        self,
+        token: Token,
+        target: TargetId,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_ms: int,
+    ) -> RunListing:
+        return RunListing(0, Incarnation(1), (), ())
+
+    def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
+        """Starts succeed."""
+
+    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
+        """Stops succeed."""
+
+    def close(self) -> None:
+        """There are no connections."""
+
+
 # When the process starts, on its clock.
 START_S = 100.0
 
