--- a/comfreyshelf/fleet/messages.py
+++ b/comfreyshelf/fleet/messages.py
@@ -41,9 +41,10 @@
     runs to this process. A target that is `gone` has left for good and runs nothing. `machine`
     names the VM, which runs one target at a time. `listed_at` is when the target's runner last
     listed its runs, on the sender's clock. If the runner is not `runner_up`, it runs nothing and
-    starts nothing until a later report says otherwise. `crashes` repeats the recent crashes of
-    runners on this VM, also of earlier incarnations. The process knows the evacuated zones that
-    follow from the records of the operators' topic below `operator_offset`.
+    starts nothing until a later report says otherwise. One that `takes_no_work` may run what it
+    has, but cannot be reached, or has not announced what it is. `crashes` repeats the recent
+    crashes of runners on this VM, also of earlier incarnations. The process knows the evacuated
+    zones that follow from the records of the operators' topic below `operator_offset`.
     """
 
     sent_at: float
@@ -59,6 +60,17 @@
     runner_up: bool = True
     crashes: tuple[RunnerCrash, ...] = ()
     operator_offset: Offset = OFFSET_UNSUPPORTED
+    takes_no_work: bool = False
+
+
+class TokenRequest(msgspec.Struct, frozen=True, tag="token request"):
+    """Asks the owner for orders without starts and stops, for the sake of their token.
+
+    A runner refuses the calls of a target process that has restarted, until that has the token of
+    the present owner. `machine` names the VM: which target lives there is not known yet.
+    """
+
+    machine: str
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -95,6 +107,9 @@
     operator_offset: Offset = OFFSET_UNSUPPORTED
 
 
-decode_report = msgspec.msgpack.Decoder(Report).decode
+# What a target process sends.
+TargetMessage = Report | TokenRequest
+
+decode_target_message = msgspec.msgpack.Decoder(TargetMessage).decode
 decode_orders = msgspec.msgpack.Decoder(Orders).decode
 encode = msgspec.msgpack.encode
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -8,11 +8,13 @@
 from comfreyshelf.fleet.jobs import (
     Announcement,
     EndKind,
+    Incarnation,
     RunNumber,
     TaskName,
     parse_task_name,
     split_full_name,
 )
+from comfreyshelf.fleet.lost_work import StopCause
 from comfreyshelf.fleet.messages import Report
 from comfreyshelf.fleet.scheduling import Feature
 from comfreyshelf.fleet.speed.machine_speed import DISTURBED_SPEED
@@ -31,10 +33,12 @@
         """Process the report of a target process."""
         target = report.announcement.id
         self._count_crashes(report, unix_now)
+        if report.incarnation < self._newest_incarnation(report):
+            # It was sent before the present life of the machine's target began.
+            self.count("reports_outdated")
+            return
         self._drop_replaced_target(report, now, unix_now)
         view = self.targets.get(target)
-        if view is not None and report.incarnation < view.incarnation:
-            return
         if view is None or view.incarnation != report.incarnation:
             view = self._join_target(report, view, now, unix_now)
         self._record_report_signals(view, report, now)
@@ -43,6 +47,9 @@
         view.report_sent_at = report.sent_at
         view.listed_at = report.listed_at or report.sent_at
         view.operator_offset = report.operator_offset
+        if view.takes_no_work != report.takes_no_work:
+            view.takes_no_work = report.takes_no_work
+            self.needs_plan = True
         self._update_cold(view, now)
         if report.gone:
             self._drop_runs(view, unix_now, "its target left")
@@ -61,7 +68,7 @@
         """Record that a target was silent before a report, or that its runner went down."""
         if now - view.seen_at > SUSPECT_AFTER_S:
             self._record_signal(view, Signal.SILENT, now)
-        if view.lists_known and not report.runner_up:
+        if view.lists_known and report.takes_no_work and not view.takes_no_work:
             self._record_signal(view, Signal.RUNNER_DOWN, now)
 
     def _join_target(
@@ -74,17 +81,28 @@
         self.needs_plan = True
         if old is not None:
             self._record_signal(old, Signal.RESTARTED, now)
-            self._drop_runs(old, unix_now, "its target started again")
+            view.active_runs.update(old.active_runs)
         for active in self._unreported_runs.pop(target, []):
             view.active_runs[active.full_name] = active
-        for active in list(view.active_runs.values()):
-            if active.incarnation != report.incarnation:
-                self._end_run(view, active, EndKind.LOST, "", now, unix_now)
         for active in view.active_runs.values():
+            if active.incarnation != report.incarnation:
+                self._stop_under_same_id(view, active, now)
             self._update_slowdown(active)
         self.log_event("target joined", target=target, incarnation=report.incarnation)
         return view
 
+    def _stop_under_same_id(self, view: TargetView, active: ActiveRun, now: float) -> None:
+        """Order the next life under a target's id to stop a run that has ended with the one before.
+
+        A start that was on its way is carried out by the life that answers to the id when it
+        arrives. The task may start again once this life has listed the run as ended, or refuses it.
+        """
+        self._log_lost_run(active, "its target started again")
+        active.incarnation = view.incarnation
+        if active.stopping_since is None:
+            active.stopping_since = now
+            active.stop_cause = StopCause.TARGET_RESTARTED.value
+
     def _apply_announcement(self, view: TargetView, announcement: Announcement, now: float) -> None:
         if announcement.draining and not view.drain_until:
             view.drain_until = now + announcement.drain_left_ms / 1000
@@ -137,14 +155,22 @@
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event("task cleared", task=active.full_name, run=active.run)
 
+    def _newest_incarnation(self, report: Report) -> int:
+        """The newest incarnation of a target, or of one that runs were ordered on, of a machine."""
+        target = report.announcement.id
+        newest = self._target_by_machine.get(report.machine, target)
+        views = (self.targets.get(newest), self.targets.get(target))
+        known = [view.incarnation for view in views if view is not None]
+        for runs in self._unreported_runs.values():
+            known += [run.incarnation for run in runs if run.machine == report.machine]
+        return max(known, default=Incarnation(0))
+
     def _drop_replaced_target(self, report: Report, now: float, unix_now: float) -> None:
         """Drop the targets whose machine now reports another target; it runs one at a time."""
         target = report.announcement.id
         previous = self._target_by_machine.get(report.machine, target)
         if previous != target:
             view = self.targets.get(previous)
-            if view is not None and view.incarnation > report.incarnation:
-                return
             if view is not None:
                 self._record_signal(view, Signal.RESTARTED, now)
                 self._drop_runs(view, unix_now, "its machine runs another target")
@@ -185,7 +211,9 @@
                 self.count("starts_rejected")
                 if active.stopping_since is None:
                     view.record_refusal(now)
-                self._end_run(view, active, EndKind.REJECTED, "", now, unix_now)
+                was_lost = active.stop_cause == StopCause.TARGET_RESTARTED.value
+                kind = EndKind.LOST if was_lost else EndKind.REJECTED
+                self._end_run(view, active, kind, "", now, unix_now)
         listed = set()
         for row in report.running:
             listed.add(row.task)
--- a/comfreyshelf/fleet/target_process.py
+++ b/comfreyshelf/fleet/target_process.py
@@ -45,7 +45,7 @@
             self.kernel.register(
                 "metrics-server", metrics_server(settings.metrics_address, self.metrics)
             )
-        self.kernel.register("looker", RunnerPoller(self._state, self._runner))
+        self.kernel.register("looker", RunnerPoller(self._state, self._runner, self.metrics))
         self.kernel.register(
             "link", OwnerLink(self._state, make_store(relay), self._order_executor)
         )
@@ -65,7 +65,7 @@
             return Reply(404, b"{}")
         if call.method == "DELETE":
             log_event("target left", target=target)
-            self._state.mark_gone(TargetId(target))
+            self._state.record_departure(TargetId(target))
             return Reply(200, b"{}")
         try:
             announcement = self._codec.decode_announcement(target, call.body)
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -8,22 +8,34 @@
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
 from comfreyshelf.fleet.crash_log import CrashLog
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
-from comfreyshelf.fleet.jobs import Announcement, Incarnation, RunListing, RunningRow, Token
-from comfreyshelf.fleet.messages import Orders, Rejection, Report, StartOrder, StopOrder
+from comfreyshelf.fleet.heartbeat_claims import (
+    HeartbeatClaims,
+    HeartbeatSeries,
+    TargetLife,
+)
+from comfreyshelf.fleet.jobs import (
+    Announcement,
+    Incarnation,
+    RunListing,
+    RunningRow,
+    Token,
+)
+from comfreyshelf.fleet.messages import (
+    Orders,
+    Rejection,
+    Report,
+    StartOrder,
+    StopOrder,
+    TargetMessage,
+    TokenRequest,
+)
+from comfreyshelf.fleet.runner_condition import Condition, RunnerCondition
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
 
-# A runner whose machine refuses connections for this long is down. The pause excludes a single
-# refusal while it starts.
-REFUSED_AFTER_S = 0.3
-
-
-class TargetLife(NamedTuple):
-    """One life of a target; another one may follow on the same VM, also under the same id."""
-
-    id: TargetId
-    incarnation: Incarnation
+# Number of what stands in for the first heartbeat of a life, lower than any real one.
+NO_SEQUENCE = -1
 
 
 class PendingOrders(NamedTuple):
@@ -50,26 +62,28 @@
 
 
 class TargetState:
-    """State shared by the threads of a target process; public methods take the lock."""
+    """State shared by the threads of a target process; public methods take the lock.
+
+    The present life of the target is the one that answered the last call. A heartbeat of another
+    life is a claim, which the runner's next answer settles.
+    """
 
     def __init__(self, bounds: Bounds, machine: str, metrics: Metrics) -> None:
         self._bounds = bounds
         self._metrics = metrics
         self._machine = machine
         self._lock = threading.Lock()
+        # The last heartbeat of the present life.
         self._announcement: Announcement | None = None
-        self._gone = False
+        self._series = HeartbeatSeries(NO_SEQUENCE, 0.0)
+        self._claims = HeartbeatClaims()
+        # Whether the runner has answered that it knows a newer token than this process does.
+        self._needs_token = False
+        self._is_leaving = False
         self._crash_log = CrashLog()
-        # When the first of the listings failed that have failed since the last answer.
-        self._failing_since: float | None = None
-        # Whether the runner was down when that was last checked; each change is reported at once.
-        self._is_down_reported = False
+        self._condition = RunnerCondition(bounds, monotonic())
         self._listing: RunListing | None = None
         self._listed_at = 0.0
-        # When the runner last answered with a listing, or this process started.
-        self._runner_answered_at = monotonic()
-        # Since when each connection to the runner was refused; None if the last one was not.
-        self._refused_since: float | None = None
         # Confirmed starts by task that no listing has shown yet.
         self._unlisted_starts: dict[str, RunningRow] = {}
         # Confirmed stops by task: the run, and when a stopped run has ended at the latest.
@@ -87,7 +101,7 @@
 
     @property
     def target(self) -> TargetId:
-        """The target's id, empty until its first heartbeat."""
+        """The target's id, empty until a runner has confirmed its first heartbeat."""
         return self.life.id
 
     @property
@@ -103,79 +117,107 @@
         """Whether a confirmed stop has not shown in a listing yet."""
         return bool(self._unsettled_stops)
 
+    def claimed_ids(self) -> list[TargetId]:
+        """The ids that heartbeats claim and the runner has not been asked for since."""
+        with self._lock:
+            return self._claims.ids()
+
     def announce(self, announcement: Announcement) -> bool:
-        """Apply a heartbeat; returns False if it is not newer than the known one."""
+        """Apply a heartbeat; returns False if it is not newer than the known one.
+
+        One of another life counts only once the runner has answered as that life.
+        """
         with self._lock:
             old = self._announcement
-            if old is not None and (old.incarnation, old.sequence) >= (
-                announcement.incarnation,
-                announcement.sequence,
-            ):
+            if old is None or self.life != (announcement.id, announcement.incarnation):
+                return self._claims.add(announcement, monotonic())
+            if not self._series.accept(announcement.sequence, monotonic()):
                 return False
-            is_new_target = old is None or (old.id, old.incarnation) != (
-                announcement.id,
-                announcement.incarnation,
-            )
-            if is_new_target:
-                self._reset()
             self._announcement = announcement
-            self._gone = False
-            if (
-                old is None
-                or is_new_target
-                or (old.draining, old.room) != (announcement.draining, announcement.room)
-            ):
+            self._is_leaving = False
+            is_first = old.sequence == NO_SEQUENCE
+            is_changed = (old.draining, old.room) != (announcement.draining, announcement.room)
+            if is_first or is_changed:
                 self.report_due.set()
             return True
 
-    def mark_gone(self, target: TargetId) -> None:
-        """Record that the target has left permanently."""
+    def record_departure(self, target: TargetId) -> None:
+        """Record the message that the target leaves for good.
+
+        It counts as gone once its runner no longer answers: the message may be late, or from
+        another writer. The target's next heartbeat takes it back.
+        """
         with self._lock:
             if self._announcement is not None and self._announcement.id == target:
-                self._gone = True
+                self._is_leaving = True
                 self.report_due.set()
 
-    def _reset(self) -> None:
+    def _begin_life(self, announcement: Announcement) -> None:
+        """Replace the present life by one that has answered."""
         self._record_crash()
+        self._announcement = announcement
+        self._series = HeartbeatSeries(announcement.sequence, monotonic())
+        self._is_leaving = False
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
         self._rejected.clear()
         self.acknowledged = 0
+        self.report_due.set()
+
+    def _stand_in_heartbeat(
+        self, target: TargetId, incarnation: Incarnation
+    ) -> Announcement | None:
+        """What is assumed of a life under the present id before its first heartbeat.
+
+        It may be of another kind, so it takes no work until then. Returns None for another id.
+        """
+        if self._announcement is None or self._announcement.id != target:
+            return None
+        return msgspec.structs.replace(
+            self._announcement,
+            incarnation=incarnation,
+            sequence=NO_SEQUENCE,
+            draining=False,
+            drain_left_ms=0,
+        )
 
     def _record_crash(self) -> None:
         """Record the runs of a runner that has ended, unless it had announced its end."""
         now = monotonic()
-        if self._gone or (self._announcement is not None and self._announcement.draining):
+        if self._is_leaving or (self._announcement is not None and self._announcement.draining):
             self._crash_log.clear()
             return
-        crash = self._crash_log.record_crash(self._failing_since or now, now)
+        crash = self._crash_log.record_crash(self._condition.failing_since or now, now)
         if crash is not None:
             self._metrics.count("runner_crashes")
             log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
 
-    def apply_listing(self, listing: RunListing, requested_at: float) -> None:
-        """Apply the runner's listing of its runs; `requested_at` is when it was requested.
+    def apply_listing(self, target: TargetId, listing: RunListing, requested_at: float) -> None:
+        """Apply the runner's listing of its runs, its answer to a call that named `target`.
 
-        A listing of an earlier incarnation of the target is ignored.
+        `requested_at` is when the call was sent. A life that answers before any heartbeat of it has
+        come is ignored, unless it has taken the id of the present one: that can no longer answer.
         """
         with self._lock:
-            announcement = self._announcement
-            if announcement is not None and listing.incarnation < announcement.incarnation:
-                return
-            if self._listing is not None and self._listing.incarnation != listing.incarnation:
-                self._reset()
+            self._needs_token = False
+            self._condition.lease.renewal_ended(may_be_carried_out=True)
+            announcement = self._claims.settle(target, listing.incarnation, requested_at)
+            if self.life != (target, listing.incarnation):
+                if announcement is None:
+                    announcement = self._stand_in_heartbeat(target, listing.incarnation)
+                if announcement is None:
+                    return
+                self._begin_life(announcement)
             previous = self._listing
-            if self._is_down_reported:
-                self._is_down_reported = False
+            self._listed_at = monotonic()
+            self._condition.record_answer(self._listed_at)
+            if self._condition.note_change(self._listed_at) is not None:
                 self.report_due.set()
-            self._runner_answered_at = monotonic()
-            self._refused_since = self._failing_since = None
             self._listing = listing
             self._crash_log.apply_listing(
-                listing.running, listing.ended, requested_at, self._runner_answered_at
+                listing.running, listing.ended, requested_at, self._listed_at
             )
-            self._listed_at = monotonic()
             listed_runs = {(row.task, row.run) for row in listing.running}
             listed_runs |= {(row.task, row.run) for row in listing.ended}
             for task, row in list(self._unlisted_starts.items()):
@@ -204,12 +246,33 @@
         listed = self._listing.running if self._listing else ()
         return (*listed, *self._unlisted_starts.values())
 
+    def refute_claims(self, target: TargetId, asked_at: float) -> None:
+        """Record that the runner has answered as none of the lives that claim an id."""
+        with self._lock:
+            self._claims.settle(target, None, asked_at)
+
+    def record_other_target(self, target: TargetId, asked_at: float) -> None:
+        """Record the runner's answer that it is another target than the one that a call named."""
+        with self._lock:
+            self._claims.settle(target, None, asked_at)
+            if target == self.target:
+                self._condition.lease.renewal_ended(may_be_carried_out=False)
+                self._condition.record_other_target()
+                self._report_change()
+
+    def record_fenced(self) -> None:
+        """Record that the runner has refused the token of this process as outdated."""
+        with self._lock:
+            self._needs_token = True
+            self.report_due.set()
+
     def listing_request(self) -> ListingRequest:
         """What to tell the present life of the target when its runs are listed."""
         with self._lock:
-            return ListingRequest(
-                self.token, self.target, self.acknowledged, self._lease_deadline_ms()
-            )
+            deadline_ms = self._lease_deadline_ms()
+            if deadline_ms is not None:
+                self._condition.lease.renewal_sent(monotonic())
+            return ListingRequest(self.token, self.target, self.acknowledged, deadline_ms)
 
     def lease_deadline_ms(self) -> int | None:
         """Return when a lease that starts now ends, in milliseconds on the runner's clock.
@@ -223,44 +286,49 @@
 
     def _lease_deadline_ms(self) -> int | None:
         now = monotonic()
-        last_contact_at = min(self.last_contact_at, self._runner_answered_at)
+        last_contact_at = min(self.last_contact_at, self._condition.answered_at)
         if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
             return None
         elapsed_s = now - self._listed_at
         return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
 
-    def record_connection(self, is_refused: bool) -> None:
-        """Record whether the runner's machine refused the connection of a listing that failed."""
+    def record_connection(self, is_refused: bool, may_be_carried_out: bool = True) -> None:
+        """Record that a listing failed.
+
+        `is_refused` is whether the runner's machine refused the connection; `may_be_carried_out`
+        whether the runner may have renewed its lease all the same.
+        """
         with self._lock:
-            if self._failing_since is None:
-                self._failing_since = monotonic()
-            if not is_refused:
-                self._refused_since = None
-            elif self._refused_since is None:
-                self._refused_since = monotonic()
-            if self._is_runner_down() and not self._is_down_reported:
-                self._is_down_reported = True
-                log_event("runner down", target=self.target)
-                if is_refused:
-                    self._record_crash()
-                self._unlisted_starts.clear()
-                self.report_due.set()
+            self._condition.record_failure(monotonic(), is_refused, may_be_carried_out)
+            self._report_change()
 
-    def _is_runner_down(self) -> bool:
-        """Whether the runner runs nothing: its process has ended, or all leases have lapsed."""
-        now, refused_since = monotonic(), self._refused_since
-        is_refused = refused_since is not None and now - refused_since >= REFUSED_AFTER_S
-        return is_refused or (now - self._runner_answered_at > self._bounds.runs_lapsed_after_s)
+    def _report_change(self) -> None:
+        """Report at once if the runner is in another condition than before."""
+        condition = self._condition.note_change(monotonic())
+        if condition is None:
+            return
+        if condition is not Condition.UP:
+            log_event("runner down", target=self.target, condition=condition.value)
+        if condition is Condition.ENDED:
+            if self._condition.is_crash_certain:
+                self._record_crash()
+            self._unlisted_starts.clear()
+        self.report_due.set()
+
+    def message_to_owner(self) -> TargetMessage | None:
+        """Return what to send to the owner now; None if there is nothing to tell or ask."""
+        report = self.report()
+        if report is None and self._needs_token:
+            return TokenRequest(self._machine)
+        return report
 
     def report(self) -> Report | None:
-        """Return the report to send now; None before the first heartbeat."""
+        """Return the report to send now; None until a runner has confirmed its first heartbeat."""
         with self._lock:
             if self._announcement is None:
                 return None
-            is_listing_current = (
-                self._listing is not None
-                and self._listing.incarnation == self._announcement.incarnation
-            )
+            is_listing_current = self._listing is not None
+            condition = self._condition.at(monotonic())
             return Report(
                 monotonic(),
                 self._announcement,
@@ -270,11 +338,12 @@
                 self._listing.ended if is_listing_current and self._listing else (),
                 tuple(self._rejected.values()),
                 self._machine,
-                self._gone,
+                self._is_leaving and condition is not Condition.UP,
                 self._listed_at,
-                not self._is_runner_down(),
+                condition is not Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
                 self._zone_guard.offset,
+                condition is not Condition.UP or self._announcement.sequence == NO_SEQUENCE,
             )
 
     def apply_orders(self, orders: Orders) -> PendingOrders:
@@ -291,6 +360,7 @@
                 return PendingOrders(orders.token, self.life, [], [], [])
             if orders.token > self.token:
                 log_event("owner changed", token=orders.token, before=self.token)
+                self._needs_token = False
             self.token = orders.token
             self.last_contact_at = max(self.last_contact_at, orders.report_sent_at)
             if announcement is None or orders.incarnation != announcement.incarnation:
@@ -326,7 +396,7 @@
 
     def _refusal_reason(self, announcement: Announcement) -> str:
         """Why no start may be carried out; empty if starts are permitted."""
-        if announcement.draining or self._gone:
+        if announcement.draining or self._is_leaving:
             return "draining"
         return ZONE_EVACUATED if self._zone_guard.is_evacuated(announcement.zone) else ""
 
@@ -339,9 +409,14 @@
     def record_start_sent(self, life: TargetLife, order: StartOrder) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
-            return life == self.life and self._crash_log.start_sent(
-                order.task, order.run, monotonic()
-            )
+            now = monotonic()
+            self._condition.lease.start_sent(now)
+            return life == self.life and self._crash_log.start_sent(order.task, order.run, now)
+
+    def may_have_unknown_starts(self) -> bool:
+        """Whether the runner may still carry out a start that an earlier process sent."""
+        with self._lock:
+            return self._condition.lease.is_inherited(monotonic())
 
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -11,48 +11,38 @@
     RunningRow,
     Token,
 )
-from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder, StopOrder
+from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.store import StoreSilentError
-from comfreyshelf.fleet.target_runner import RefusedError, Runner
+from comfreyshelf.fleet.target_runner import RefusedError
 from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import FakeTarget, World, step
-from features.target_world import announcement, simulated_target_process
+from features.target_world import (
+    FakeRunner,
+    announcement,
+    confirm_life,
+    simulated_target_process,
+)
 
 DOWN_S = 3.0
 ONE_ACCELERATOR = Resources(1000, 1000, 1)
 
 
-class ScriptedRunner(Runner):
+class ScriptedRunner(FakeRunner):
     """Answers each start as `outcomes` says for its task; a task that is missing starts."""
 
     def __init__(self) -> None:
         self.outcomes: dict[str, Exception] = {}
 
-    def renew_lease(
-        self,
-        token: Token,
-        target: TargetId,
-        acknowledged: int,
-        deadline_ms: int | None,
-        wait_ms: int,
-    ) -> RunListing:
-        return RunListing(0, Incarnation(1), (), ())
-
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         if order.task in self.outcomes:
             raise self.outcomes[order.task]
 
-    def stop(self, token: Token, target: TargetId, order: StopOrder) -> None:
-        """Stops succeed."""
-
-    def close(self) -> None:
-        """There are no connections."""
-
 
 def list_runs(context: Context, *running: RunningRow) -> None:
-    context.state.apply_listing(RunListing(0, Incarnation(1), running, ()), context.clock)
+    listing = RunListing(0, Incarnation(1), running, ())
+    context.state.apply_listing(TargetId("t"), listing, context.clock)
 
 
 def order_starts(context: Context, *tasks: str) -> None:
@@ -89,7 +79,7 @@
 @when("the runner is back as another target")
 def return_as_other_target(context: Context) -> None:
     context.clock += 3.0
-    context.state.announce(announcement("t2", 2))
+    confirm_life(context.state, announcement("t2", 2), context.clock)
 
 
 @when('the runner refuses the start of "{refused}", and leaves the start of "{lost}" unanswered')
@@ -105,9 +95,25 @@
 @when("the runner refuses the connections of {seconds:g} seconds more")
 def refuse_connections(context: Context, seconds: float) -> None:
     context.state.report_due.clear()
-    context.state.record_connection(is_refused=True)
+    refuse_listing(context)
     context.clock += seconds
-    context.state.record_connection(is_refused=True)
+    refuse_listing(context)
+
+
+def refuse_listing(context: Context) -> None:
+    context.state.record_connection(is_refused=True, may_be_carried_out=False)
+
+
+@when("its lease is renewed")
+def renew_lease(context: Context) -> None:
+    order_starts(context)
+    assert context.state.listing_request().deadline_ms is not None
+    list_runs(context, RunningRow("old", 1, "", 10))
+
+
+@when("it answers again")
+def answer_again(context: Context) -> None:
+    list_runs(context, RunningRow("old", 1, "", 20))
 
 
 @then("no report is due")
