--- /dev/null
+++ b/review/lab2/cases/__init__.py
@@ -0,0 +1,1 @@
+"""The cases, one module each."""
--- /dev/null
+++ b/review/lab2/runner.py
@@ -0,0 +1,186 @@
+"""Stand-in of a runner that keeps leases, fences, run numbers and its room, as PROTOCOL.md says."""
+
+import json
+import threading
+import time
+
+from review.lab2.web import Server, call
+
+HEARTBEAT_S = 1.5
+# The longest lease; DEPLOY.md: hold-max-ms.
+LEASE_S = 6.0
+
+
+class Runner:
+    """`work_s(task_spec)` is how long a task takes, None for one that does not end by itself.
+
+    `on_event(kind, runner, task, run, **more)` hears `start`, `end` and `acknowledged`.
+    """
+
+    def __init__(self, name, address, control, work_s, record, gpu=8, labels=("a", "r1-1")):
+        self.name, self.address, self.control = name, address, control
+        self.work_s, self.record = work_s, record
+        self.gpu, self.labels = gpu, list(labels)
+        self.lock = threading.Condition()
+        self.number = 0
+        self.is_up = False
+        self.draining = False
+        self.is_beating = True
+        self.answer_delay = lambda call_name: 0.0
+        self._stopping = threading.Event()
+        self.begin_life()
+        threading.Thread(target=self._beat, daemon=True).start()
+        threading.Thread(target=self._watch, daemon=True).start()
+
+    def begin_life(self):
+        with self.lock:
+            self.number += 1
+            self.id = f"i-{self.name}-{self.number}"
+            self.born = time.time_ns() // 1_000_000
+            self.clock_started = time.monotonic()
+            self.sequence = self.fence = self.cursor = 0
+            self.running, self.highest, self.ended = {}, {}, []
+            self.end_count = 0
+            self.lease_until = None
+            self.is_up = True
+        self.server = Server(self.address, self.handle)
+        self.record(self.name, "runner up", id=self.id)
+
+    def crash(self):
+        """End without a word; everything that runs terminates."""
+        with self.lock:
+            self.is_up = False
+            lost = sorted(self.running)
+            self.running = {}
+        self.server.stop()
+        self.record(self.name, "runner crashed", id=self.id, ran=lost)
+
+    def stop(self):
+        self._stopping.set()
+        if self.is_up:
+            self.server.stop()
+
+    def clock(self):
+        return time.monotonic() - self.clock_started
+
+    def used_gpu(self):
+        return sum(run["gpu"] for run in self.running.values())
+
+    def _beat(self):
+        while not self._stopping.is_set():
+            if self.is_up and self.is_beating:
+                self.heartbeat()
+            self._stopping.wait(HEARTBEAT_S)
+
+    def heartbeat(self):
+        with self.lock:
+            self.sequence += 1
+            body = {
+                "service": "perm1", "address": self.address, "zone": "paysandu", "version": "v1",
+                "slots": 8, "state": "draining" if self.draining else "ready", "cold-left-ms": 0,
+                "capacity": {"cpu": 64000, "mem-mb": 262144, "gpu": self.gpu},
+                "labels": self.labels, "clock-ms": int(self.clock() * 1000),
+                "sequence": self.sequence, "born": self.born,
+            }
+            if self.draining:
+                body["drain-left-ms"] = 2500
+        return call(self.control, "PUT", f"/v1/instances/{self.id}", body, timeout=1.0)[0]
+
+    def _watch(self):
+        while not self._stopping.wait(0.02):
+            with self.lock:
+                self._finish()
+
+    def _end(self, task, how):
+        run = self.running.pop(task)
+        self.highest[task] = max(run["run"], self.highest.get(task, 0))
+        self.end_count += 1
+        self.ended.append([self.end_count, task, run["run"], how, ""])
+        self.record(self.name, "run ended", task=task, run=run["run"], how=how)
+        self.lock.notify_all()
+
+    def _finish(self):
+        if not self.is_up:
+            return
+        now = self.clock()
+        for task, run in list(self.running.items()):
+            if self.lease_until is not None and now >= self.lease_until:
+                self._end(task, "lapsed")
+            elif run["work_s"] is not None and now - run["began"] >= run["work_s"]:
+                self._end(task, "done")
+
+    def _extend(self, fields):
+        if "deadline-ms" in fields:
+            until = min(fields["deadline-ms"] / 1000, self.clock() + LEASE_S)
+            if self.running and self.lease_until is not None:
+                until = max(until, self.lease_until)
+            self.lease_until = until
+
+    def _answer(self, status, **fields):
+        return status, {"clock-ms": int(self.clock() * 1000), "born": self.born} | fields
+
+    def handle(self, method, path, query, headers, body):
+        name = path.rpartition("/")[2].replace("-", "_")
+        delay_s = self.answer_delay(name)
+        if delay_s:
+            time.sleep(delay_s)
+        fields = json.loads(body)
+        with self.lock:
+            if headers.get("Target-Instance", self.id) != self.id:
+                return self._answer(421)
+            if fields.get("fence-token", 0) < self.fence:
+                return self._answer(409, reason="fence")
+            self.fence = fields.get("fence-token", 0)
+            self._finish()
+            return getattr(self, name)(fields)
+
+    def run_start(self, fields):
+        task, run = fields["task"], fields["run-id"]
+        known = self.running.get(task)
+        if known is not None and known["run"] == run:
+            self._extend(fields)
+            return self._answer(200)
+        if run <= self.highest.get(task, 0) or known is not None and run < known["run"]:
+            self._extend(fields)
+            return self._answer(409, reason="old")
+        if fields["deadline-ms"] / 1000 <= self.clock():
+            return self._answer(409, reason="late")
+        spec = json.loads(fields["task-spec"])
+        if self.used_gpu() + spec.get("gpu", 1) > self.gpu:
+            self._extend(fields)
+            self.record(self.name, "start rejected", task=task, run=run, reason="room")
+            return self._answer(409, reason="room")
+        self.running[task] = {
+            "run": run, "began": self.clock(), "work_s": self.work_s(spec), "gpu": spec.get("gpu", 1),
+        }
+        self._extend(fields)
+        self.record(self.name, "run started", task=task, run=run)
+        return self._answer(200)
+
+    def run_stop(self, fields):
+        task, run = fields["task"], fields["run-id"]
+        if task in self.running and self.running[task]["run"] == run:
+            self._end(task, "stopped")
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        return self._answer(200)
+
+    def hold(self, fields):
+        self._extend(fields)
+        acknowledged = fields["ack-cursor"]
+        self.ended = [row for row in self.ended if row[0] > acknowledged]
+        if acknowledged > self.cursor:
+            self.record(self.name, "ends acknowledged", up_to=acknowledged)
+            self.cursor = acknowledged
+        born = self.born
+        self.lock.wait_for(
+            lambda: self.ended or not self.is_up or self.born != born,
+            fields.get("wait-ms", 0) / 1000,
+        )
+        now = self.clock()
+        rows = []
+        for task, run in self.running.items():
+            share = 0.5 if run["work_s"] is None else min(1.0, (now - run["began"]) / run["work_s"])
+            if run["work_s"] is None:
+                share = min(0.99, (now - run["began"]) / 600)
+            rows.append([task, run["run"], "", int(100 * share)])
+        return self._answer(200, running=rows, ended=self.ended[:500])
