--- a/review/lab2/deployment.py
+++ b/review/lab2/deployment.py
@@ -147,7 +147,9 @@
         for n in range(targets):
             ip, name = next(ips), f"side-{n}"
             link = store_link(name, ip, store_address)
-            self.targets.append(self._node(name, "target", ip, link, seeds))
+            # Seeds may be stale or down.
+            known = [f"{ip}:{CONTROL + 70}"] if name in options.get("stale_seeds", ()) else seeds
+            self.targets.append(self._node(name, "target", ip, link, known))
             runner = Runner(
                 f"w{n}", f"{ip}:{APP}", f"{ip}:{CONTROL}", work_s, record,
                 gpu=options.get("gpu", 8), labels=labels.get(n, ("a", "r1-1")),
--- /dev/null
+++ b/review/lab2/proxy.py
@@ -0,0 +1,91 @@
+"""A TCP proxy on loopback whose connections can go silent, or be held up by a cut."""
+
+import socket
+import threading
+
+
+class Link:
+    """Forwards connections from `listen` to `target`, both `ip:port`."""
+
+    def __init__(self, listen, target):
+        self._target = target.partition(":")
+        self._lock = threading.Lock()
+        self._live = set()
+        self._stopping = False
+        self._whole = threading.Event()
+        self._whole.set()
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        host, _, port = listen.partition(":")
+        self._listener.bind((host, int(port)))
+        self._listener.listen(128)
+        self._listener.settimeout(0.1)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def silence_open(self):
+        """Let no further byte pass on the connections that are open now; returns their number."""
+        with self._lock:
+            silenced, self._live = len(self._live), set()
+        return silenced
+
+    def cut(self):
+        """Hold up all bytes and new connections, as a partition does, until `heal`."""
+        self._whole.clear()
+
+    def heal(self):
+        """Let pass what was held up, and all that follows."""
+        self._whole.set()
+
+    def stop(self):
+        self._stopping = True
+        self._whole.set()
+
+    def _accept(self):
+        while not self._stopping:
+            try:
+                client, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._whole.wait()
+            try:
+                server = socket.create_connection((self._target[0], int(self._target[2])), 2.0)
+            except OSError:
+                client.close()
+                continue
+            pair = (client, server)
+            with self._lock:
+                self._live.add(pair)
+            for source, sink in (pair, (server, client)):
+                source.settimeout(None)
+                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self._pump, args=(source, sink, pair), daemon=True).start()
+        self._listener.close()
+
+    def _pump(self, source, sink, pair):
+        while not self._stopping:
+            try:
+                chunk = source.recv(65536)
+            except OSError:
+                chunk = b""
+            self._whole.wait()
+            with self._lock:
+                if pair not in self._live:
+                    # Silent for good: what comes is lost, and nobody is told of an end.
+                    if not chunk:
+                        return
+                    continue
+                if not chunk:
+                    self._live.discard(pair)
+            if not chunk:
+                for sock in pair:
+                    try:
+                        sock.shutdown(socket.SHUT_RDWR)
+                    except OSError:
+                        pass
+                return
+            try:
+                sink.sendall(chunk)
+            except OSError:
+                pass
--- a/review/lab2/runner.py
+++ b/review/lab2/runner.py
@@ -25,9 +25,13 @@
         self.number = 0
         self.is_up = False
         self.draining = False
+        # How many calls have renewed the lease of the present runs.
+        self.holds = 0
         self.is_beating = True
         self.answer_delay = lambda call_name: 0.0
         self._stopping = threading.Event()
+        self._awake = threading.Event()
+        self._awake.set()
         self.begin_life()
         threading.Thread(target=self._beat, daemon=True).start()
         threading.Thread(target=self._watch, daemon=True).start()
@@ -38,6 +42,7 @@
             self.id = f"i-{self.name}-{self.number}"
             self.born = time.time_ns() // 1_000_000
             self.clock_started = time.monotonic()
+            self._suspended_s, self._suspended_at = 0.0, None
             self.sequence = self.fence = self.cursor = 0
             self.running, self.highest, self.ended = {}, {}, []
             self.end_count = 0
@@ -61,13 +66,31 @@
             self.server.stop()
 
     def clock(self):
-        return time.monotonic() - self.clock_started
+        """The steady clock of this life in seconds; it doesn't count suspended time."""
+        until = self._suspended_at if self._suspended_at is not None else time.monotonic()
+        return until - self.clock_started - self._suspended_s
+
+    def suspend(self):
+        """Stand still with the machine: nothing works, answers or counts time."""
+        self._awake.clear()
+        with self.lock:
+            self._suspended_at = time.monotonic()
+        self.record(self.name, "machine suspended", runs=sorted(self.running))
+
+    def resume(self):
+        """Go on after `suspend`."""
+        with self.lock:
+            self._suspended_s += time.monotonic() - self._suspended_at
+            self._suspended_at = None
+        self.record(self.name, "machine awake", runs=sorted(self.running))
+        self._awake.set()
 
     def used_gpu(self):
         return sum(run["gpu"] for run in self.running.values())
 
     def _beat(self):
         while not self._stopping.is_set():
+            self._awake.wait()
             if self.is_up and self.is_beating:
                 self.heartbeat()
             self._stopping.wait(HEARTBEAT_S)
@@ -100,7 +123,7 @@
         self.lock.notify_all()
 
     def _finish(self):
-        if not self.is_up:
+        if not self.is_up or not self._awake.is_set():
             return
         now = self.clock()
         for task, run in list(self.running.items()):
@@ -125,6 +148,7 @@
         if delay_s:
             time.sleep(delay_s)
         fields = json.loads(body)
+        self._awake.wait()
         with self.lock:
             if headers.get("Target-Instance", self.id) != self.id:
                 return self._answer(421)
@@ -132,7 +156,9 @@
                 return self._answer(409, reason="fence")
             self.fence = fields.get("fence-token", 0)
             self._finish()
-            return getattr(self, name)(fields)
+            answer = getattr(self, name)(fields)
+        self._awake.wait()
+        return answer
 
     def run_start(self, fields):
         task, run = fields["task"], fields["run-id"]
@@ -166,6 +192,7 @@
 
     def hold(self, fields):
         self._extend(fields)
+        self.holds += "deadline-ms" in fields
         acknowledged = fields["ack-cursor"]
         self.ended = [row for row in self.ended if row[0] > acknowledged]
         if acknowledged > self.cursor:
