--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,6 @@
 """TWICE: tasks that ended `done` are started again, as their ends were acknowledged unread.
 
-Short tasks come and go. With TROUBLE one runner of six is cut off from its target process for 1.3 s,
+Short tasks come and go. With TROUBLE one runner of eleven is cut off from its target process for 1.3 s,
 crashes behind the cut, and starts again under its id.
 """
 
@@ -11,8 +11,8 @@
 from review.lab2.runner import HEARTBEAT_S
 
 FOLDER = ROOT / "review/6"
-# fleetbench kinds: srv_cut: share (.2); for_s: how long (5).
-RUNNERS, CUT_S = 6, 1.3
+# fleetbench kinds: srv_cut: share (.2); node_cut: share (.1); for_s: how long (5).
+RUNNERS, CUT_S = 11, 1.3
 CRASH_AFTER_S, DOWN_S = 0.5, 0.2
 TASK_S, TASKS = 0.1, 8 * RUNNERS
 LINK = APP + 1
