--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,64 +1,96 @@
-"""UNASKED: a job runs although its cancelling was acknowledged with 410.
+"""LOST: a job is shown as failed, though no run of it failed and no runner crashed under it.
 
-The store loses the answers to the appends of one job's acceptance and carries one out 5.5 s later.
-The client gets 504 for its POST, cancels the job, and gets 410.
+The job's eight tasks fit on the only free runner. With TROUBLE this runner is cut off from its
+target process for 0.8 s, crashes behind the cut while it is idle, and starts again under its id. A
+second runner, which has become free, does the same right after that.
 """
 
+import itertools
+import threading
 import time
 
 from review.lab2.deployment import ROOT, Deployment, base_config, job, run_case
+from review.lab2.reborn import AppLinks, restart_behind_cut
 
 FOLDER = ROOT / "review/10"
 JOB = "5c0e7a21d94b36f8"
-# PROTOCOL.md: a call without an answer may be executed seconds later; kinds: 1 to 6 s.
-LATE_S = 5.5
-CANCEL_S = 3.0
-STOP_GRACE_S = 0.2
+# fleetbench kinds: srv_cut: share (.2); node_cut: share (.1); for_s: how long (5).
+RUNNERS, CUT_S = 11, 0.8
+CRASH_AFTER_S, DOWN_S = 0.2, 0.1
+# The second cut begins this long after the first.
+SECOND_AFTER_S = 0.95
+# Each task of the job takes one of these times in turn.
+TASKS_S = (0.3, 0.5, 0.8, 1.0, 1.2, 1.4, 1.6, 1.8)
+FILLER_S = 60.0
+
+
+def end_filler(runner):
+    """Let the task that fills a runner end now."""
+    with runner.lock:
+        for run in runner.running.values():
+            run["work_s"] = 0.0
+
+
+def find_broken(fleet, record):
+    """Whether the job is shown as failed without cause, in words."""
+    give_up_at = record.now() + 15.0
+    state = ""
+    while state not in ("completed", "failed") and record.now() < give_up_at:
+        time.sleep(0.5)
+        state = fleet.ask(fleet.entries[0], "GET", f"/lohu930/{JOB}")[1].get("state")
+    if state == "completed":
+        return ""
+    if state != "failed":
+        raise RuntimeError(f"the job is {state}")
+    failed = record.find("run ended", how="failed")
+    crashed = [e for e in record.find("runner crashed") if any(JOB in t for t in e[3]["ran"])]
+    starts = len([e for e in record.find("run started") if JOB in e[3]["task"]])
+    if failed or crashed:
+        raise RuntimeError("a run failed or crashed")
+    return f"{JOB} is shown as failed; it was started {starts} times, no run failed or crashed"
 
 
 def play(stack, record, trouble):
-    fleet = Deployment(stack, record, 2, 2, lambda spec: spec["work_s"], base_config())
-    fleet.wait_until_serving()
-    entry = next(e for e in fleet.entries if e is not fleet.owner())
-    lost = []
+    links = AppLinks(stack)
+    times = itertools.cycle(TASKS_S)
 
-    def lose_late(topic, body):
-        if trouble and topic == "keyed.jobs" and b"j/" + JOB.encode() in body:
-            lost.append(1)
-            record("store", "append gets no answer", job=JOB)
-            # The first copy is carried out late; those that repeat it are carried out later still.
-            return LATE_S + 0.1 * len(lost)
-        return None
+    def work_s(spec):
+        return spec["work_s"] if spec["gpu"] == 8 else next(times)
 
-    writes_before = fleet.store.writes
-    fleet.store.lose_late = lose_late
-    status, _ = fleet.ask(entry, "POST", f"/lohu930/{JOB}", job(4.0))
-    cancel_status, cancelled_at = 0, 0.0
-    for _ in range(4):
-        cancel_status, _ = fleet.ask(entry, "DELETE", f"/lohu930/{JOB}")
-        cancelled_at = record.now()
-        if 200 <= cancel_status < 300 or cancel_status == 410:
-            break
-        time.sleep(0.2)
-    fleet.store.lose_late = None
-    time.sleep(14.0)
-    fleet.ask(entry, "GET", f"/lohu930/{JOB}")
-    record(
-        "store",
-        "writes during the case",
-        all=fleet.store.writes - writes_before,
-        unanswered=fleet.store.lost,
-    )
-    if cancel_status not in (200, 410):
-        raise RuntimeError(f"the cancel was not acknowledged: {cancel_status}")
-    late = [e for e in record.find("run started") if e[0] > cancelled_at + CANCEL_S]
-    if late:
-        at, runner, _, fields = late[0]
-        return (
-            f"{runner} starts {fields['task']} {at - cancelled_at:.2f} s after the cancelling was "
-            f"acknowledged with {cancel_status}; the POST got {status}"
+    fleet = Deployment(stack, record, 2, RUNNERS, work_s, base_config(), app_link=links.add)
+    fleet.wait_until_serving()
+    entry = fleet.entries[0]
+    for number in range(RUNNERS - 1):
+        if fleet.ask(entry, "POST", f"/lohu930/{number:016x}", job(FILLER_S, gpu=8))[0] != 200:
+            raise RuntimeError("a job was not accepted")
+    time.sleep(2.0)
+    first = [runner for runner in fleet.runners if not runner.running]
+    if len(first) != 1:
+        raise RuntimeError(f"{len(first)} runners are free")
+    first, second = first[0], next(runner for runner in fleet.runners if runner.running)
+    threads = [
+        threading.Thread(
+            target=restart_behind_cut,
+            args=(record, runner, links.of(runner), CUT_S, CRASH_AFTER_S, DOWN_S),
         )
-    return ""
+        for runner in (first, second)
+    ]
+    # Right after its runs were listed.
+    holds = first.holds
+    while first.holds == holds:
+        time.sleep(0.005)
+    if trouble:
+        threads[0].start()
+    if fleet.ask(entry, "POST", f"/lohu930/{JOB}", job(1.0, len(TASKS_S)))[0] != 200:
+        raise RuntimeError("the job was not accepted")
+    time.sleep(SECOND_AFTER_S - 0.1)
+    end_filler(second)
+    time.sleep(0.1)
+    if trouble:
+        threads[1].start()
+        for thread in threads:
+            thread.join()
+    return find_broken(fleet, record)
 
 
 if __name__ == "__main__":
