Put runs down to the crash of the life that had them, not to one that another life outlived

Cause: a call names a target's id only, and the crash log keeps runs by that id. When an answer showed another `born`, all that had been sent to the id counted as lost with the former life, also the runs that this very answer lists as running or ended. Two runners that crashed idle behind a cut and carried out the starts after it made a job's tasks suspects twice, which gives the job up.

Ruled out by the logs of the case: a crash that did not happen (both runners did crash, with nothing on them), and a run that counts twice (runs 1 and 2). `runner crashed` of the target process names, 0 to 0.84 s old and as started, just the runs that the next life lists.

Change: the life that lists a run has it. At a change of lives under one id the crash log leaves to the next life the runs that only this one lists, and those that were sent or confirmed after its listing was asked for. What the former life listed, or confirmed before, counts as before.

--- a/comfreyshelf/fleet/crash_log.py
+++ b/comfreyshelf/fleet/crash_log.py
@@ -1,22 +1,32 @@
 """What ran on a runner when it crashed, as seen by the target process on its VM."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import msgspec
 
-from comfreyshelf.fleet.jobs import EndedRow, RunningRow
+from comfreyshelf.fleet.jobs import RunListing
 from comfreyshelf.fleet.messages import CrashedRun, RunnerCrash
 
 # A crash is reported for this long, so that the next owner learns of it if the present one stops
 # before it has stored the crash.
 CRASH_REPORT_S = 30.0
 
+# A task and the number of its run.
+RunKey = tuple[str, int]
+
 
 class _PresentRun(msgspec.Struct):
-    """A run that the runner has, or may have; `began_at` is on this process's clock."""
+    """A run that the runner has, or may have; times are on this process's clock.
+
+    `answered_at` is when the runner confirmed the start, or when it was sent until then. A call
+    names an id only, so the run is on the present life of the runner for certain only once that
+    life has listed it.
+    """
 
     began_at: float
-    was_started: bool
+    answered_at: float
+    was_started: bool = False
+    is_listed: bool = False
 
 
 class CrashLog:
@@ -28,52 +38,70 @@
     """
 
     def __init__(self) -> None:
-        self._present: dict[tuple[str, int], _PresentRun] = {}
+        self._present: dict[RunKey, _PresentRun] = {}
         self._crashes: list[tuple[float, RunnerCrash]] = []
 
     def start_sent(self, task: str, run: int, now: float) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for the run."""
         if (task, run) in self._present:
             return False
-        self._present[(task, run)] = _PresentRun(now, was_started=False)
+        self._present[(task, run)] = _PresentRun(now, now)
         return True
 
-    def start_confirmed(self, task: str, run: int) -> None:
+    def start_confirmed(self, task: str, run: int, now: float) -> None:
         """Record that the runner has confirmed a start."""
         present = self._present.get((task, run))
         if present is not None:
             present.was_started = True
+            present.answered_at = now
 
     def start_not_done(self, task: str, run: int) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
         self._present.pop((task, run), None)
 
-    def apply_listing(
-        self,
-        running: Iterable[RunningRow],
-        ended: Iterable[EndedRow],
-        requested_at: float,
-        now: float,
-    ) -> None:
+    def apply_listing(self, listing: RunListing, requested_at: float, now: float) -> None:
         """Add the listed runs, and drop those that have ended or are missing.
 
-        A run whose start was sent after the listing was requested may be missing from it.
+        A run whose start was sent or answered after the listing was requested may be missing from it.
         """
-        listed = {(row.task, row.run) for row in running}
-        over = {(row.task, row.run) for row in ended}
+        running = {(row.task, row.run) for row in listing.running}
+        over = {(row.task, row.run) for row in listing.ended}
         for key, present in list(self._present.items()):
-            if key in over or (key not in listed and present.began_at < requested_at):
+            if key in over or (key not in running and present.answered_at < requested_at):
                 del self._present[key]
-        for key in listed:
-            self._present.setdefault(key, _PresentRun(now, was_started=True)).was_started = True
+        for key in running:
+            present = self._present.setdefault(key, _PresentRun(now, now))
+            present.was_started = present.is_listed = True
+
+    def runs_of_next_life(self, listing: RunListing, requested_at: float) -> set[RunKey]:
+        """The runs that the next life under the runner's id has, or may have, by its first listing.
+
+        A start is carried out by the life that answers to the id when it arrives. So a run that
+        only the next life lists never was on the former one, and a start that was answered after
+        the listing was requested may have been carried out after it.
+        """
+        listed = {(row.task, row.run) for row in listing.running}
+        listed |= {(row.task, row.run) for row in listing.ended}
+        return {
+            key
+            for key, present in self._present.items()
+            if not present.is_listed and (key in listed or present.answered_at >= requested_at)
+        }
 
     def clear(self) -> None:
         """Forget the runs of a runner that ended as planned."""
         self._present.clear()
 
-    def record_crash(self, crashed_at: float, now: float) -> RunnerCrash | None:
-        """Record that the runner crashed at `crashed_at`; returns None if it had no runs."""
-        if not self._present:
+    def record_crash(
+        self, crashed_at: float, now: float, next_runs: Collection[RunKey] = ()
+    ) -> RunnerCrash | None:
+        """Record that the runner crashed at `crashed_at`; returns None if it had no runs.
+
+        The runs in `next_runs` are those of its next life.
+        """
+        former = {key: run for key, run in self._present.items() if key not in next_runs}
+        self._present = {key: run for key, run in self._present.items() if key in next_runs}
+        if not former:
             return None
         crash = RunnerCrash(
             tuple(
@@ -83,10 +111,9 @@
                     round(max(0.0, crashed_at - present.began_at), 3),
                     present.was_started,
                 )
-                for (task, run), present in self._present.items()
+                for (task, run), present in former.items()
             )
         )
-        self._present.clear()
         self._crashes.append((now, crash))
         return crash
 
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -1,12 +1,13 @@
 """State of a target process: its target's last heartbeat, its runs and the open orders."""
 
 import threading
+from collections.abc import Collection
 from typing import NamedTuple
 
 import msgspec
 
 from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
-from comfreyshelf.fleet.crash_log import CrashLog
+from comfreyshelf.fleet.crash_log import CrashLog, RunKey
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
 from comfreyshelf.fleet.heartbeat_claims import (
     HeartbeatClaims,
@@ -152,9 +153,14 @@
                 self._is_leaving = True
                 self.report_due.set()
 
-    def _begin_life(self, announcement: Announcement) -> None:
-        """Replace the present life by one that has answered."""
-        self._record_crash()
+    def _begin_life(
+        self, announcement: Announcement, listing: RunListing, requested_at: float
+    ) -> None:
+        """Replace the present life by one that has answered with its first listing."""
+        next_runs = set()
+        if announcement.id == self.target:
+            next_runs = self._crash_log.runs_of_next_life(listing, requested_at)
+        self._record_crash(next_runs)
         self._announcement = announcement
         self._series = HeartbeatSeries(announcement.sequence, monotonic())
         self._is_leaving = False
@@ -182,13 +188,16 @@
             drain_left_ms=0,
         )
 
-    def _record_crash(self) -> None:
-        """Record the runs of a runner that has ended, unless it had announced its end."""
+    def _record_crash(self, next_runs: Collection[RunKey] = ()) -> None:
+        """Record the runs of a runner that has ended, unless it had announced its end.
+
+        Those in `next_runs` are on the next life under its id.
+        """
         now = monotonic()
         if self._is_leaving or (self._announcement is not None and self._announcement.draining):
             self._crash_log.clear()
             return
-        crash = self._crash_log.record_crash(self._condition.failing_since or now, now)
+        crash = self._crash_log.record_crash(self._condition.failing_since or now, now, next_runs)
         if crash is not None:
             self._metrics.count("runner_crashes")
             log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
@@ -208,16 +217,14 @@
                     announcement = self._stand_in_heartbeat(target, listing.incarnation)
                 if announcement is None:
                     return
-                self._begin_life(announcement)
+                self._begin_life(announcement, listing, requested_at)
             previous = self._listing
             self._listed_at = monotonic()
             self._condition.record_answer(self._listed_at)
             if self._condition.note_change(self._listed_at) is not None:
                 self.report_due.set()
             self._listing = listing
-            self._crash_log.apply_listing(
-                listing.running, listing.ended, requested_at, self._listed_at
-            )
+            self._crash_log.apply_listing(listing, requested_at, self._listed_at)
             listed_runs = {(row.task, row.run) for row in listing.running}
             listed_runs |= {(row.task, row.run) for row in listing.ended}
             for task, row in list(self._unlisted_starts.items()):
@@ -428,7 +435,7 @@
         with self._lock:
             if life != self.life:
                 return
-            self._crash_log.start_confirmed(order.task, order.run)
+            self._crash_log.start_confirmed(order.task, order.run, monotonic())
             self._unlisted_starts[order.task] = RunningRow(order.task, order.run, "", 0)
             self.report_due.set()
 
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -21,6 +21,33 @@
     When the runner drains, and is back as another target
     Then no crash is reported
 
+  Scenario Outline: A start that the next life under the id <has> is not put down to the crash
+    # Guards against a job that is shown as failed though no runner crashed under it: a start on its
+    # way when a runner crashed was carried out by the next life under its id.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner starts again under its id, and "new" is started as its next life <has> it
+    Then a crash is reported with "old"
+    And the next life is reported with its runs only
+
+    Examples:
+      | has                        |
+      | runs                       |
+      | has ended                  |
+      | starts after it has listed |
+
+  Scenario Outline: A run that the former life <had> is put down to its crash
+    # Guards against a task that crashes each runner that starts it, and is not found as the runner is
+    # back at once under its id.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner <had> "new" before it starts again under its id, without runs
+    Then a crash is reported with both "old" and "new"
+
+    Examples:
+      | had                    |
+      | started                |
+      | left unanswered        |
+      | listed                 |
+
   Scenario: A crash is reported for a while, also after it was answered
     # Guards against a crash that is forgotten in a takeover: the owner that heard of it was killed
     # before it stored it.
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -4,6 +4,8 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet.jobs import (
+    EndedRow,
+    EndKind,
     Incarnation,
     JobPhase,
     Resources,
@@ -82,6 +84,62 @@
     confirm_life(context.state, announcement("t2", 2), context.clock)
 
 
+def list_next_life(context: Context, requested_at: float, **rows: tuple) -> None:
+    """Let the next life under the runner's id answer with its first listing."""
+    listing = RunListing(0, Incarnation(2), rows.get("running", ()), rows.get("ended", ()))
+    context.state.apply_listing(TargetId("t"), listing, requested_at)
+
+
+@when('the runner starts again under its id, and "{task}" is started as its next life runs it')
+def start_on_next_life(context: Context, task: str) -> None:
+    order_starts(context, task)
+    context.clock += 0.5
+    list_next_life(context, context.clock, running=(RunningRow(task, 1, "", 5),))
+
+
+@when('the runner starts again under its id, and "{task}" is started as its next life has ended it')
+def end_on_next_life(context: Context, task: str) -> None:
+    order_starts(context, task)
+    context.clock += 0.5
+    list_next_life(context, context.clock, ended=(EndedRow(1, task, 1, EndKind.DONE, ""),))
+
+
+@when(
+    'the runner starts again under its id, and "{task}" is started as its next life '
+    "starts after it has listed it"
+)
+def start_after_listing(context: Context, task: str) -> None:
+    requested_at = context.clock
+    context.clock += 0.1
+    order_starts(context, task)
+    list_next_life(context, requested_at)
+
+
+@when('the runner started "{task}" before it starts again under its id, without runs')
+def start_before_crash(context: Context, task: str) -> None:
+    order_starts(context, task)
+    context.clock += 0.5
+    list_next_life(context, context.clock)
+
+
+@when('the runner left unanswered "{task}" before it starts again under its id, without runs')
+def lose_start_before_crash(context: Context, task: str) -> None:
+    context.runner.outcomes = {task: StoreSilentError("the connection was cut", "retry")}
+    start_before_crash(context, task)
+
+
+@when('the runner listed "{task}" before it starts again under its id, without runs')
+def list_before_crash(context: Context, task: str) -> None:
+    order_starts(context, task)
+    context.clock += 0.5
+    list_runs(context, RunningRow("old", 1, "", 10), RunningRow(task, 1, "", 10))
+    # An answer that is late confirms the start only after the next life was asked.
+    requested_at = context.clock
+    context.clock += 0.1
+    context.state.record_started(context.state.life, StartOrder(task, 1, "", ""))
+    list_next_life(context, requested_at)
+
+
 @when('the runner refuses the start of "{refused}", and leaves the start of "{lost}" unanswered')
 def refuse_and_lose_starts(context: Context, refused: str, lost: str) -> None:
     context.runner.outcomes = {
@@ -157,6 +215,17 @@
     assert list(reported_runs(context)) == [task]
 
 
+@then('a crash is reported with both "{old}" and "{new}"')
+def check_both_reported(context: Context, old: str, new: str) -> None:
+    assert list(reported_runs(context)) == [old, new]
+
+
+@then("the next life is reported with its runs only")
+def check_next_life_runs(context: Context) -> None:
+    report = context.state.report()
+    assert report.incarnation == 2 and "old" not in {row.task for row in report.running}, report
+
+
 @then("no crash is reported")
 def check_no_crash(context: Context) -> None:
     assert not context.state.report().crashes
