Acknowledge only ends that the present life has listed, and none after a call without its answer

Cause: each listing call carried the number up to which the owner has stored the ends of the life that is known. A life numbers its ends from 1 and a call names an id only, so a runner that had started again under its id behind a cut was told to forget ends 1 to 24, of which it had listed none. An answer from an id was taken for one from the life that was known.

Ruled out by the record and the code: an owner that acknowledges before it has stored (no report carried an end of the next life), and orders for the former life that reach the next (`apply_orders` compares the incarnation).

Change: a call acknowledges only ends of the last listing, so each once, and none while the last call has not been answered by the present life.

--- a/comfreyshelf/fleet/runner_condition.py
+++ b/comfreyshelf/fleet/runner_condition.py
@@ -44,6 +44,11 @@
         """Whether a runner that has ended did so with its process, not only with its lease."""
         return self._is_replaced or self._refused_since is not None
 
+    @property
+    def has_answered_last_call(self) -> bool:
+        """Whether the present life of the target has answered the last call with its runs."""
+        return self.failing_since is None and not self._is_replaced
+
     def record_answer(self, now: float) -> None:
         """Record that the present life of the target has listed its runs."""
         self.answered_at = now
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -279,7 +279,19 @@
             deadline_ms = self._lease_deadline_ms()
             if deadline_ms is not None:
                 self._condition.lease.renewal_sent(monotonic())
-            return ListingRequest(self.token, self.target, self.acknowledged, deadline_ms)
+            return ListingRequest(self.token, self.target, self._listed_ends_stored(), deadline_ms)
+
+    def _listed_ends_stored(self) -> int:
+        """Up to which number the present life may forget its ends; 0 for none.
+
+        A life numbers its ends from 1, and a call names an id only. So only ends of the last
+        listing are acknowledged, and none after a call that this life has not answered: another
+        life may have followed, which would forget ends that nobody has read.
+        """
+        if self._listing is None or not self._condition.has_answered_last_call:
+            return 0
+        numbers = (row.number for row in self._listing.ended if row.number <= self.acknowledged)
+        return max(numbers, default=0)
 
     def lease_deadline_ms(self) -> int | None:
         """Return when a lease that starts now ends, in milliseconds on the runner's clock.
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -185,3 +185,33 @@
     Then the lease of its runs was renewed after one such answer
     When the target process asks its runner 7 times more
     Then it still reports the runner's life with its run
+
+  Scenario Outline: A life that may have followed another one is acknowledged no ends: <failure>
+    # Guards against tasks that are started again after they have ended: the first call to a life that
+    # had followed under the same id acknowledged as many ends as the former one had, unread.
+    Given a target process whose runner has had its first end acknowledged
+    When the listing call gets <failure>, as its runner starts again under its id and ends another run
+    And the target process asks its runner
+    Then it reports the end of that run
+    When the owner has stored the first end
+    And the target process asks its runner
+    Then its runner has no ends left
+
+    Examples:
+      | failure              |
+      | no answer            |
+      | a refused connection |
+      | an error             |
+
+  Scenario: Ends are acknowledged after an answer that was lost, and once only
+    # Guards against a runner that lists its ends for ever, and against acknowledging again, to
+    # whatever life then answers, what the present one has forgotten long ago.
+    Given a target process whose runner has had its first end acknowledged
+    When the target process asks its runner
+    Then the call acknowledged no end
+    When another run ends, and the answer to the listing call is lost
+    And the target process asks its runner
+    Then it reports the end of that run
+    When the owner has stored 2 ends
+    And the target process asks its runner
+    Then its runner has no ends left
--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -170,7 +170,9 @@
         self.fence = 0
         self.running: dict[str, tuple[int, float]] = {}
         self.highest_runs: dict[str, int] = {}
+        # Ends that have not been acknowledged, and how many there have been in this life.
         self.ended: list[list] = []
+        self.end_count = 0
         self.starts: list[tuple[str, int]] = []
         self.server = WebServer(address, 8, self.handle, lambda: 1 << 20)
 
@@ -191,7 +193,12 @@
         for task, (run, until) in list(self.running.items()):
             if now >= until:
                 del self.running[task]
-                self.ended.append([len(self.ended) + 1, task, run, "done", ""])
+                self.add_end(task, run, "done")
+
+    def add_end(self, task: str, run: int, how: str) -> None:
+        """List the end of a run until it is acknowledged."""
+        self.end_count += 1
+        self.ended.append([self.end_count, task, run, how, ""])
 
     def run_start(self, fields: dict) -> Reply:
         task, run = fields["task"], fields["run-id"]
@@ -209,18 +216,26 @@
         self.highest_runs[task] = max(run, self.highest_runs.get(task, 0))
         if self.running.get(task, (0,))[0] == run:
             del self.running[task]
-            self.ended.append([len(self.ended) + 1, task, run, "stopped", ""])
+            self.add_end(task, run, "stopped")
         return self._answer(200)
 
     def hold(self, fields: dict) -> Reply:
         deadline = time.monotonic() + min(0.3, fields.get("wait-ms", 0) / 1000)
         self._finish()
-        acknowledged = fields["ack-cursor"]
-        while time.monotonic() < deadline and not any(e[0] > acknowledged for e in self.ended):
+        born = self.born
+        while time.monotonic() < deadline and not self._unread_ends(fields):
             self.lock.wait(0.02)
+            if self.born != born:
+                # The process that this call was waiting in has ended.
+                return self._answer(503)
             self._finish()
         rows = [[task, run, "", 50] for task, (run, _) in self.running.items()]
-        return self._answer(200, running=rows, ended=[e for e in self.ended if e[0] > acknowledged])
+        return self._answer(200, running=rows, ended=self._unread_ends(fields))
+
+    def _unread_ends(self, fields: dict) -> list[list]:
+        """Forget the ends that a call acknowledges for good, and return the others."""
+        self.ended = [end for end in self.ended if end[0] > fields["ack-cursor"]]
+        return self.ended
 
 
 def _json(status: int, fields: dict) -> Reply:
--- a/features/soak/runner.py
+++ b/features/soak/runner.py
@@ -131,7 +131,7 @@
     def _list_end(self, key: tuple[str, int], end: RunEnd, ended_at: float) -> None:
         seen = self._active[key]
         self._end(key, end, ended_at)
-        self.ended.append([len(self.ended) + 1, seen.task, seen.run, end.value, ""])
+        self.add_end(seen.task, seen.run, end.value)
         self._lives_ended.setdefault(self._life, []).append(seen)
 
     def _finish(self) -> None:
@@ -233,6 +233,7 @@
             self._sequence, self.fence = 0, 0
             self.born = time.time_ns() // 1_000_000
             self.running, self.highest_runs, self.ended = {}, {}, []
+            self.end_count = 0
             self._lease_until = float("inf")
             self._draining_since = self._drain_acknowledged_at = None
         self._proxy.set_refusing(False)
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -6,6 +6,8 @@
 
 from comfreyshelf.fleet.jobs import (
     Announcement,
+    EndedRow,
+    EndKind,
     Incarnation,
     Resources,
     RunListing,
@@ -15,7 +17,7 @@
 from comfreyshelf.fleet.messages import Orders, Rejection, StartOrder, StopOrder, TokenRequest
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.runner_poller import RunnerPoller
-from comfreyshelf.fleet.store import NotListeningError
+from comfreyshelf.fleet.store import NotListeningError, StoreSilentError
 from comfreyshelf.fleet.target_runner import (
     FencedRunnerError,
     OtherTargetError,
@@ -62,6 +64,8 @@
         self.erroneous: set[str] = set()
         # The id that each listing named, and whether it renewed the lease.
         self.calls: list[tuple[TargetId, bool]] = []
+        # Up to which number the last listing acknowledged ends.
+        self.acknowledged = 0
 
     def begin_life(self, target: str, born: int) -> None:
         """Become another life without runs."""
@@ -69,6 +73,8 @@
         self.token = Token(0)
         self.running: dict[str, RunningRow] = {}
         self.highest: dict[str, int] = {}
+        self.ended: list[EndedRow] = []
+        self.end_count = 0
 
     def _check(self, token: Token, target: TargetId) -> None:
         if self.failure is not None:
@@ -88,10 +94,18 @@
         wait_ms: int,
     ) -> RunListing:
         self.calls.append((target, deadline_ms is not None))
+        self.acknowledged = acknowledged
         if target in self.erroneous:
             raise RefusedError("no such instance", "400")
         self._check(token, target)
-        return RunListing(0, self.born, tuple(self.running.values()), ())
+        self.ended = [row for row in self.ended if row.number > acknowledged]
+        return RunListing(0, self.born, tuple(self.running.values()), tuple(self.ended))
+
+    def end(self, task: str) -> None:
+        """End the first run of a task, which may not have been listed before."""
+        self.running.pop(task, None)
+        self.end_count += 1
+        self.ended.append(EndedRow(self.end_count, task, 1, EndKind.DONE, ""))
 
     def start(self, token: Token, target: TargetId, order: StartOrder, deadline_ms: int) -> None:
         self._check(token, target)
@@ -141,6 +155,73 @@
     assert context.state.report().running == (RUN,)
 
 
+def store_ends(context: Context, count: int) -> None:
+    """Let the owner tell that it has stored the present life's ends up to this number."""
+    incarnation = context.state.life.incarnation
+    context.executor.execute(Orders(OWNER_TOKEN, incarnation, context.clock, count, (), ()))
+
+
+@given("a target process whose runner has had its first end acknowledged")
+def acknowledge_first_end(context: Context) -> None:
+    start_with_run(context)
+    context.runner.end(RUN.task)
+    ask_runner(context)
+    store_ends(context, 1)
+    ask_runner(context)
+    assert not context.runner.ended
+
+
+FAILURES = {
+    "no answer": StoreSilentError("silent", "retry"),
+    "a refused connection": NotListeningError("refused", "retry"),
+    "an error": RefusedError("overloaded", "500"),
+}
+
+
+@when(
+    "the listing call gets {failure}, as its runner starts again under its id and ends another run"
+)
+def restart_during_call(context: Context, failure: str) -> None:
+    context.runner.failure = FAILURES[failure]
+    ask_runner(context)
+    context.runner.failure = None
+    restart_under_same_id(context)
+    context.runner.end("other.0.0.0")
+
+
+@when("another run ends, and the answer to the listing call is lost")
+def lose_answer(context: Context) -> None:
+    context.runner.failure = FAILURES["no answer"]
+    context.runner.end("other.0.0.0")
+    ask_runner(context)
+    context.runner.failure = None
+
+
+@then("it reports the end of that run")
+def check_end_reported(context: Context) -> None:
+    assert [row.task for row in context.state.report().ended] == ["other.0.0.0"]
+
+
+@when("the owner has stored the first end")
+def store_first_end(context: Context) -> None:
+    store_ends(context, 1)
+
+
+@when("the owner has stored {count:d} ends")
+def store_more_ends(context: Context, count: int) -> None:
+    store_ends(context, count)
+
+
+@then("its runner has no ends left")
+def check_no_ends_left(context: Context) -> None:
+    assert not context.runner.ended
+
+
+@then("the call acknowledged no end")
+def check_nothing_acknowledged(context: Context) -> None:
+    assert context.runner.acknowledged == 0
+
+
 @given("a target process that has restarted beside a runner with one run")
 def restart_beside_run(context: Context) -> None:
     start_process(context)
