Stop work that is not moved any more just before its target leaves

Cause: a unit without checkpoints that had been moved three times stayed on a leaving target until that was gone, though it could not end there.

Ruled out: believing the departure for such runs. It may be late, or the way to the runner may be cut. Moving units more often: that limit keeps work from being moved without end.

Change: at the latest moment at which a stop can be reported, a unit that cannot end in time is stopped, whatever kept it from being moved. Its end is proven then, and it starts elsewhere at once.

Measured: "Work that was moved too often is stopped just before its target leaves" failed before and passes.

--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -197,7 +197,12 @@
             return Stay.ENDS_IN_TIME
         if not at_risk.unit.step.checkpoints:
             stay = self._move_if_possible(at_risk, moves)
-            if stay not in _WITHOUT_ROOM or self._may_still_end(at_risk, moves):
+            if stay is None or self._may_still_end(at_risk, moves):
+                return stay
+            # The end of a run that is stopped is proven, while one that goes on until its target has
+            # left may only be given up with its lease.
+            is_last_chance = at_risk.left_s <= stop_margin_s(moves.fleet.bounds)
+            if stay not in _WITHOUT_ROOM and not is_last_chance:
                 return stay
             self._stop(at_risk, None, moves)
             return None
--- a/features/fleet_moves.feature
+++ b/features/fleet_moves.feature
@@ -207,6 +207,18 @@
     Then 3 units were moved for the reason departure
     And the counter moves_declined{reason="moved_often"} is 1
 
+  Scenario: Work that was moved too often is stopped just before its target leaves
+    # Guards against work that waits for the lease of a runner that has left: the end of a run that
+    # goes on until then is not proven.
+    Given 8 targets and a job of 30 seconds that has run for 8 seconds
+    When each target that it runs on leaves in 10 seconds, 5 times in turn
+    Then the counter moves_declined{reason="moved_often"} is 1
+    When the fleet runs on for 5 s
+    Then 3 units were moved for the reason departure
+    When the fleet runs on for 1.5 s
+    Then the counter stops_without_room{reason="departure"} is 1
+    And the job runs on a target that stays
+
   Scenario: The owner dies between the stop and the start
     # Guards against a unit that starts twice or never, as reservations die with the owner.
     Given a job of 30 seconds that has run for 8 seconds
