Take a runner for gone once it has ended for certain, not when it has said so and refuses connections

Cause: a departure and 0.3 s of refused connections were taken together for a runner's end. The message may be late, from another writer, or early, as a runner goes on for seconds if it gets no answer to it; a refused connection may be a cut. Neither proves an end, and nor do both.

Ruled out by the logs of the case: a lease that had lapsed (4 s were left) and another runner that answered. The owner's `run lost` gives `its target left`, 1 ms after the message.

Change: a target is gone when its runner has ended: another one has answered in its place, or the lease of all runs has lapsed. "A runner that has left is gone as soon as it refuses connections" asserted the fault; the scenario in its place asks for the same end of waiting, at the moment that proves it, and for no earlier one.

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -145,8 +145,9 @@
     def record_departure(self, target: TargetId) -> None:
         """Record the message that the target leaves for good.
 
-        It counts as gone once its runner no longer answers: the message may be late, or from
-        another writer. The target's next heartbeat takes it back.
+        It counts as gone once its runner has ended for certain: the message may be late, or from
+        another writer, and the runner may go on for seconds after it. The target's next heartbeat
+        takes it back.
         """
         with self._lock:
             if self._announcement is not None and self._announcement.id == target:
@@ -357,7 +358,7 @@
                 self._listing.ended if is_listing_current and self._listing else (),
                 tuple(self._rejected.values()),
                 self._machine,
-                self._is_leaving and condition is not Condition.UP,
+                self._is_leaving and condition is Condition.ENDED,
                 self._listed_at,
                 condition is not Condition.ENDED,
                 self._crash_log.recent_crashes(monotonic()),
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -127,15 +127,28 @@
     When its runner sends a heartbeat
     Then the start of another task is carried out on the runner
 
-  Scenario: A runner that has left is gone as soon as it refuses connections
-    # Guards against work that waits for the lease of a runner that has ended as it announced.
+  Scenario: A runner that has left is gone once its lease has lapsed, not when it refuses connections
+    # Guards against a task that runs twice: a departure and refused connections together were taken
+    # for the end of a runner that went on behind a cut. And against work that waits for ever for a
+    # runner that has ended as it announced.
     Given a target process whose runner has listed one run
     When a message arrives that its target leaves
-    And its runner refuses connections for 0.2 seconds
+    And its runner refuses connections for 0.4 seconds
+    Then it reports no departure
+    And it reports its run as going on, and takes no work
+    When its runner refuses connections for 5.7 seconds
     Then it reports no departure
     When its runner refuses connections for 0.2 seconds
     Then it reports the departure of its target
 
+  Scenario: A runner that has left is gone as soon as another one answers in its place
+    # Guards against work that waits for the lease of a runner whose end is proven.
+    Given a target process whose runner has listed one run
+    When a message arrives that its target leaves
+    And another runner follows on the VM
+    And the target process asks its runner
+    Then it reports the departure of its target
+
   Scenario: A foreign heartbeat with a high number silences a sound runner for some seconds only
     # Guards against a runner that is never used again, as its own heartbeats count as old.
     Given a target process whose runner has listed one run
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -316,6 +316,12 @@
     assert not context.state.report().gone
 
 
+@then("it reports its run as going on, and takes no work")
+def check_run_goes_on(context: Context) -> None:
+    report = context.state.report()
+    assert report.runner_up and report.takes_no_work and report.running == (RUN,), report
+
+
 @then("it reports the departure of its target")
 def check_departure(context: Context) -> None:
     assert context.state.report().gone
