Stop what outlives its lease on a VM that was suspended, before its owner starts it elsewhere

Cause: the owner adds up the time for which a target process renews without contact and one lease, and takes the runs for lapsed then. A lease is counted on the runner's clock, which stands still while the VM is suspended, so that time on one clock was taken for time on another.

Ruled out: a lease that was renewed without contact (the last renewal, 9.2 s, and 10 s explain the run), and an owner that waited too short by its own clock (9.1 s of 9.02).

Change: a target process that has heard no owner for 8.4 s, the owner's bound less 0.4 s and the time of a stop, stops what its runner still lists. Its own view of the lease and the deadlines that it gives go by a clock that stands still like the runner's.

--- a/comfreyshelf/fleet/bounds.py
+++ b/comfreyshelf/fleet/bounds.py
@@ -55,6 +55,14 @@
         """Time after a target's last report by which the lease of its runs has certainly lapsed."""
         return CONTACT_GRACE_S + self.lease_s * CLOCK_DRIFT_FACTOR + ANSWER_MARGIN_S
 
+    @property
+    def runs_stopped_after_s(self) -> float:
+        """Time after its last contact to an owner when a target process stops what still runs.
+
+        The stops have taken effect before the owner takes the runs for lapsed.
+        """
+        return self.runs_lapsed_after_s - ANSWER_MARGIN_S - self.stop_grace_s
+
     @property
     def unreported_runs_lapsed_after_s(self) -> float:
         """Time after a takeover by which the runs of a target that never reported have lapsed.
@@ -67,3 +75,8 @@
 def monotonic() -> float:
     """Monotonic clock in seconds that, unlike time.monotonic, runs on while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def steady() -> float:
+    """Monotonic clock in seconds that, like a runner's, stands still while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_MONOTONIC)
--- a/comfreyshelf/fleet/crash_log.py
+++ b/comfreyshelf/fleet/crash_log.py
@@ -62,7 +62,8 @@
     def apply_listing(self, listing: RunListing, requested_at: float, now: float) -> None:
         """Add the listed runs, and drop those that have ended or are missing.
 
-        A run whose start was sent or answered after the listing was requested may be missing from it.
+        A run whose start was sent or answered after the listing was requested may be missing from
+        it.
         """
         running = {(row.task, row.run) for row in listing.running}
         over = {(row.task, row.run) for row in listing.ended}
--- a/comfreyshelf/fleet/moves/unit_moves.py
+++ b/comfreyshelf/fleet/moves/unit_moves.py
@@ -199,8 +199,8 @@
             stay = self._move_if_possible(at_risk, moves)
             if stay is None or self._may_still_end(at_risk, moves):
                 return stay
-            # The end of a run that is stopped is proven, while one that goes on until its target has
-            # left may only be given up with its lease.
+            # The end of a run that is stopped is proven; one that goes on until its target has left
+            # is given up with its lease.
             is_last_chance = at_risk.left_s <= stop_margin_s(moves.fleet.bounds)
             if stay not in _WITHOUT_ROOM and not is_last_chance:
                 return stay
--- a/comfreyshelf/fleet/runner_condition.py
+++ b/comfreyshelf/fleet/runner_condition.py
@@ -2,7 +2,6 @@
 
 from enum import Enum
 
-from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.runner_lease import RunnerLease
 
 # A runner whose machine refuses connections for this long gets no new work. The pause excludes a
@@ -24,11 +23,12 @@
     """What the calls to a runner have shown, and the lease that they may have renewed.
 
     A refused connection does not prove that the runner's process has ended: the way to it may be
-    cut. Not thread-safe; times are on the clock of the target process.
+    cut. Not thread-safe; times are on the clock of the target process, which counts the time that
+    the VM was suspended.
     """
 
-    def __init__(self, bounds: Bounds, now: float) -> None:
-        self.lease = RunnerLease(bounds, now)
+    def __init__(self, lease: RunnerLease, now: float) -> None:
+        self.lease = lease
         # When the runner last answered with a listing, or this process started.
         self.answered_at = now
         # When the first of the listings failed that have failed since the last answer.
@@ -72,7 +72,7 @@
     def at(self, now: float) -> Condition:
         """How the runner is."""
         is_failing = self.failing_since is not None and now - self.failing_since >= REFUSED_AFTER_S
-        if self._is_replaced or (is_failing and self.lease.has_lapsed(now)):
+        if self._is_replaced or (is_failing and self.lease.has_lapsed()):
             return Condition.ENDED
         if self._refused_since is not None and now - self._refused_since >= REFUSED_AFTER_S:
             return Condition.UNREACHABLE
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -70,9 +70,21 @@
             log_event("runner regained", target=state.target)
         self._is_runner_up = True
         state.apply_listing(request.target, listing, requested_at)
+        self._stop_overdue_runs()
         if listing.ended or request.deadline_ms is None:
             state.new_acknowledgement.wait(LISTING_PAUSE_S)
 
+    def _stop_overdue_runs(self) -> None:
+        """Stop runs that go on although their owner is about to start their tasks elsewhere."""
+        for stop in self._state.overdue_runs():
+            outcome = "stopped"
+            try:
+                self._runner.stop(self._state.token, self._state.target, stop)
+            except (StoreBusyError, StoreSilentError, RefusedError) as exc:
+                outcome = str(exc)
+            self._metrics.count("overdue_runs_stopped")
+            log_event("overdue run stopped", task=stop.task, run=stop.run, outcome=outcome)
+
     def _ask(self, target: TargetId) -> None:
         """Ask the runner whether it is a target that a heartbeat claims.
 
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic
+from comfreyshelf.fleet.bounds import CONTACT_GRACE_S, Bounds, monotonic, steady
 from comfreyshelf.fleet.crash_log import CrashLog, RunKey
 from comfreyshelf.fleet.evacuation.zone_guard import ZONE_EVACUATED, ZoneGuard
 from comfreyshelf.fleet.heartbeat_claims import (
@@ -31,6 +31,7 @@
     TokenRequest,
 )
 from comfreyshelf.fleet.runner_condition import Condition, RunnerCondition
+from comfreyshelf.fleet.runner_lease import RunnerLease
 from comfreyshelf.ids import TargetId, ZoneId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
@@ -82,9 +83,12 @@
         self._needs_token = False
         self._is_leaving = False
         self._crash_log = CrashLog()
-        self._condition = RunnerCondition(bounds, monotonic())
+        self._started_at = monotonic()
+        self._condition = RunnerCondition(RunnerLease(bounds, steady), self._started_at)
         self._listing: RunListing | None = None
         self._listed_at = 0.0
+        # The same on the clock that stands still while the VM is suspended.
+        self._listed_at_steady = 0.0
         # Confirmed starts by task that no listing has shown yet.
         self._unlisted_starts: dict[str, RunningRow] = {}
         # Confirmed stops by task: the run, and when a stopped run has ended at the latest.
@@ -220,7 +224,7 @@
                     return
                 self._begin_life(announcement, listing, requested_at)
             previous = self._listing
-            self._listed_at = monotonic()
+            self._listed_at, self._listed_at_steady = monotonic(), steady()
             self._condition.record_answer(self._listed_at)
             if self._condition.note_change(self._listed_at) is not None:
                 self.report_due.set()
@@ -279,7 +283,7 @@
         with self._lock:
             deadline_ms = self._lease_deadline_ms()
             if deadline_ms is not None:
-                self._condition.lease.renewal_sent(monotonic())
+                self._condition.lease.renewal_sent()
             return ListingRequest(self.token, self.target, self._listed_ends_stored(), deadline_ms)
 
     def _listed_ends_stored(self) -> int:
@@ -309,9 +313,20 @@
         last_contact_at = min(self.last_contact_at, self._condition.answered_at)
         if self._listing is None or now - last_contact_at > CONTACT_GRACE_S:
             return None
-        elapsed_s = now - self._listed_at
+        elapsed_s = steady() - self._listed_at_steady
         return int(self._listing.clock_ms + (elapsed_s + self._bounds.lease_s) * 1000)
 
+    def overdue_runs(self) -> list[StopOrder]:
+        """Stops for the runs that the owner is about to take for lapsed, as it hears nothing.
+
+        Their lease has lapsed by then, unless the VM was suspended under it.
+        """
+        with self._lock:
+            last_contact_at = max(self.last_contact_at, self._started_at)
+            if monotonic() - last_contact_at < self._bounds.runs_stopped_after_s:
+                return []
+            return [StopOrder(row.task, row.run) for row in self._running()]
+
     def record_connection(self, is_refused: bool, may_be_carried_out: bool = True) -> None:
         """Record that a listing failed.
 
@@ -429,14 +444,15 @@
     def record_start_sent(self, life: TargetLife, order: StartOrder) -> bool:
         """Record that a start is sent; returns whether it is the first one sent for its run."""
         with self._lock:
-            now = monotonic()
-            self._condition.lease.start_sent(now)
-            return life == self.life and self._crash_log.start_sent(order.task, order.run, now)
+            self._condition.lease.start_sent()
+            return life == self.life and self._crash_log.start_sent(
+                order.task, order.run, monotonic()
+            )
 
     def may_have_unknown_starts(self) -> bool:
         """Whether the runner may still carry out a start that an earlier process sent."""
         with self._lock:
-            return self._condition.lease.is_inherited(monotonic())
+            return self._condition.lease.is_inherited()
 
     def record_start_not_done(self, order: StartOrder) -> None:
         """Record that the runner has not carried out the only start sent for a run."""
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -203,3 +203,39 @@
     Then the lease is not renewed, and its target process reports it as up
     When the runner answers no call for 7 more seconds
     Then its target process reports it as down
+
+  Scenario: Runs that outlive their lease are stopped before their owner starts their tasks elsewhere
+    # Guards against a task that runs twice: a VM was suspended for a while, which the lease of its
+    # runner does not count, and cut off as it woke.
+    Given a target process whose runner has listed one run
+    When its VM is suspended for 4 seconds
+    And it asks its runner 8.3 seconds after its last contact to an owner
+    Then its run goes on
+    When it asks its runner 8.5 seconds after its last contact to an owner
+    Then its run has been stopped before the owner takes it for lapsed
+
+  Scenario: Runs on a VM that was suspended go on if their owner is heard in time
+    # Guards against work that is thrown away, although its owner knows that it goes on.
+    Given a target process whose runner has listed one run
+    When its VM is suspended for 8.4 seconds
+    And an owner answers its report
+    And the target process asks its runner
+    Then its run goes on
+
+  Scenario: A runner's lease lasts longer by the time that its VM was suspended
+    # Guards against runs that are given up while they go on: the clock of the target process counts
+    # the time that its VM was suspended, that of its runner does not.
+    Given a target process whose runner has listed a run
+    When its VM is suspended for 4 seconds
+    And it refuses connections for 5.9 seconds more
+    Then its target process reports it as unreachable, and its runs as going on
+    When it refuses connections for 0.7 seconds more
+    Then its target process reports it as down
+
+  Scenario: A lease is no longer by the time that its VM was suspended
+    # Guards against a lease that outlasts what owners wait for: the time since the last listing
+    # counted as time on the runner's clock, also while that stood still.
+    Given a target process whose runner has listed a run
+    When its VM is suspended for 2 seconds
+    And 0.5 seconds later an owner answers its report
+    Then a lease lasts until 6.5 seconds after the listing on the runner's clock
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -9,6 +9,7 @@
 from behave.runner import Context
 
 from comfreyshelf.fleet import leader_election
+from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.job_table import job_record, progress_record
 from comfreyshelf.fleet.jobs import (
     Incarnation,
@@ -26,6 +27,7 @@
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
 from comfreyshelf.fleet.order_executor import OrderExecutor
 from comfreyshelf.fleet.owner import OwnerCore
+from comfreyshelf.fleet.runner_poller import LISTING_PAUSE_S
 from comfreyshelf.fleet.store import Membership
 from comfreyshelf.ids import JobId, OrganisationId, TargetId
 from comfreyshelf.metrics import Metrics
@@ -560,3 +562,49 @@
     send_orders(context, 5, (), ())
     assert context.state.lease_deadline_ms() is None
     check_runner_up(context)
+
+
+@when("its VM is suspended for {seconds:g} seconds")
+def suspend_machine(context: Context, seconds: float) -> None:
+    context.clock += seconds
+    context.suspended_s += seconds
+
+
+@when("it asks its runner {seconds:g} seconds after its last contact to an owner")
+def ask_without_contact(context: Context, seconds: float) -> None:
+    context.clock = context.state.last_contact_at + seconds
+    context.poller.poll()
+
+
+@when("an owner answers its report")
+def answer_report(context: Context) -> None:
+    send_orders_of_owner(context)
+
+
+@when("{seconds:g} seconds later an owner answers its report")
+def answer_report_later(context: Context, seconds: float) -> None:
+    context.clock += seconds
+    send_orders_of_owner(context)
+
+
+def send_orders_of_owner(context: Context) -> None:
+    incarnation = context.state.life.incarnation
+    context.executor.execute(Orders(Token(5), incarnation, context.clock, 0, (), ()))
+
+
+@then("its run goes on")
+def check_run_goes_on(context: Context) -> None:
+    assert list(context.runner.running) == ["job.0.0.0"]
+
+
+@then("its run has been stopped before the owner takes it for lapsed")
+def check_stopped_in_time(context: Context) -> None:
+    bounds = Bounds()
+    assert not context.runner.running
+    silent_s = context.clock - context.state.last_contact_at
+    assert silent_s + bounds.stop_grace_s + LISTING_PAUSE_S < bounds.runs_lapsed_after_s
+
+
+@then("a lease lasts until {seconds:g} seconds after the listing on the runner's clock")
+def check_deadline(context: Context, seconds: float) -> None:
+    assert context.state.lease_deadline_ms() == seconds * 1000
--- a/features/target_world.py
+++ b/features/target_world.py
@@ -72,11 +72,14 @@
 ) -> Iterator[None]:
     """Put the state of a target process into `context`, with `context.clock` as its clock.
 
+    Its VM has been suspended for `context.suspended_s` of that time.
+
     Its target has sent one heartbeat, and its runner has confirmed it, unless `target` is None.
     """
-    context.clock = START_S
+    context.clock, context.suspended_s = START_S, 0.0
     with (
         mock.patch.object(target_state, "monotonic", lambda: context.clock),
+        mock.patch.object(target_state, "steady", lambda: context.clock - context.suspended_s),
         mock.patch.object(order_executor, "monotonic", lambda: context.clock),
         mock.patch.object(runner_poller, "monotonic", lambda: context.clock),
     ):
