Count a crash also if a message that the runner leaves comes after it

Whenever it came, the crash log took the end of the runner for a planned one and forgot what had run there.

Change: a departure makes an end a planned one if it comes before the runner has failed for 0.3 s, as that of a runner does that leaves. One that has announced that it drains has not crashed, as before.

Measured: "A message that a runner leaves does not undo its crash" failed before and passes; "A runner that says that it leaves right before or after it ends has not crashed" passed before and does.

--- a/comfreyshelf/fleet/runner_condition.py
+++ b/comfreyshelf/fleet/runner_condition.py
@@ -69,10 +69,13 @@
         """Record that another target has answered in place of the present one."""
         self._is_replaced = True
 
+    def is_failing(self, now: float) -> bool:
+        """Whether the runner has not answered for longer than a single call may fail."""
+        return self.failing_since is not None and now - self.failing_since >= REFUSED_AFTER_S
+
     def at(self, now: float) -> Condition:
         """How the runner is."""
-        is_failing = self.failing_since is not None and now - self.failing_since >= REFUSED_AFTER_S
-        if self._is_replaced or (is_failing and self.lease.has_lapsed()):
+        if self._is_replaced or (self.is_failing(now) and self.lease.has_lapsed()):
             return Condition.ENDED
         if self._refused_since is not None and now - self._refused_since >= REFUSED_AFTER_S:
             return Condition.UNREACHABLE
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -82,6 +82,8 @@
         # Whether the runner has answered that it knows a newer token than this process does.
         self._needs_token = False
         self._is_leaving = False
+        # Whether the runner has said that it leaves while it was well.
+        self._is_end_announced = False
         self._crash_log = CrashLog()
         self._started_at = monotonic()
         self._condition = RunnerCondition(RunnerLease(bounds, steady), self._started_at)
@@ -139,7 +141,7 @@
             if not self._series.accept(announcement.sequence, monotonic()):
                 return False
             self._announcement = announcement
-            self._is_leaving = False
+            self._is_leaving = self._is_end_announced = False
             is_first = old.sequence == NO_SEQUENCE
             is_changed = (old.draining, old.room) != (announcement.draining, announcement.room)
             if is_first or is_changed:
@@ -151,11 +153,12 @@
 
         It counts as gone once its runner has ended for certain: the message may be late, or from
         another writer, and the runner may go on for seconds after it. The target's next heartbeat
-        takes it back.
+        takes it back. A runner that had failed before has crashed all the same.
         """
         with self._lock:
             if self._announcement is not None and self._announcement.id == target:
                 self._is_leaving = True
+                self._is_end_announced |= not self._condition.is_failing(monotonic())
                 self.report_due.set()
 
     def _begin_life(
@@ -168,7 +171,7 @@
         self._record_crash(next_runs)
         self._announcement = announcement
         self._series = HeartbeatSeries(announcement.sequence, monotonic())
-        self._is_leaving = False
+        self._is_leaving = self._is_end_announced = False
         self._listing = None
         self._unlisted_starts.clear()
         self._unsettled_stops.clear()
@@ -199,7 +202,8 @@
         Those in `next_runs` are on the next life under its id.
         """
         now = monotonic()
-        if self._is_leaving or (self._announcement is not None and self._announcement.draining):
+        is_draining = self._announcement is not None and self._announcement.draining
+        if is_draining or self._is_end_announced:
             self._crash_log.clear()
             return
         crash = self._crash_log.record_crash(self._condition.failing_since or now, now, next_runs)
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -48,6 +48,24 @@
       | left unanswered        |
       | listed                 |
 
+  Scenario: A message that a runner leaves does not undo its crash
+    # Guards against a task that is started again and again although it crashes its runners: a message
+    # that was late, or from another writer, made each crash before it a planned end.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner refuses the connections of 0.4 seconds
+    And a message arrives that its target leaves
+    And the runner is back as another target
+    Then a crash is reported with "old"
+
+  Scenario: A runner that says that it leaves right before or after it ends has not crashed
+    # Guards against blaming the tasks that ran on a target that left as it announced.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner refuses the connections of 0.1 seconds
+    And a message arrives that its target leaves
+    And the runner refuses the connections of 1 seconds more
+    And the runner is back as another target
+    Then no crash is reported
+
   Scenario: A crash is reported for a while, also after it was answered
     # Guards against a crash that is forgotten in a takeover: the owner that heard of it was killed
     # before it stored it.
