Leave starts without an answer out of the crash of a runner that had fallen silent

Cause: a start without an answer counts half a crash against its task, as the task may have crashed the runner before that could answer. It counted also if the runner had been silent before, so that its crash, when it came to light, said nothing of the start.

Change: calls that time out are told from those whose connection ends (`ConnectionLostError`), as it does with the process. Once a call to a life has timed out, its crash leaves out the starts without an answer. Two steps of earlier scenarios raised the time-out where they speak of a cut connection; they raise the lost connection now, and ask for what they asked before.

Measured: with the mechanism taken out, both examples of "A start without an answer is not put down to the crash of a silent runner" fail.

--- a/comfreyshelf/fleet/crash_log.py
+++ b/comfreyshelf/fleet/crash_log.py
@@ -94,13 +94,22 @@
         self._present.clear()
 
     def record_crash(
-        self, crashed_at: float, now: float, next_runs: Collection[RunKey] = ()
+        self,
+        crashed_at: float,
+        now: float,
+        next_runs: Collection[RunKey] = (),
+        is_end_seen: bool = True,
     ) -> RunnerCrash | None:
         """Record that the runner crashed at `crashed_at`; returns None if it had no runs.
 
-        The runs in `next_runs` are those of its next life.
+        The runs in `next_runs` are those of its next life. Unless the end of the runner's process
+        `is_end_seen`, starts without an answer are left out: it may have been cut off before.
         """
-        former = {key: run for key, run in self._present.items() if key not in next_runs}
+        former = {
+            key: run
+            for key, run in self._present.items()
+            if key not in next_runs and (run.was_started or is_end_seen)
+        }
         self._present = {key: run for key, run in self._present.items() if key in next_runs}
         if not former:
             return None
--- a/comfreyshelf/fleet/http.py
+++ b/comfreyshelf/fleet/http.py
@@ -5,7 +5,12 @@
 import msgspec
 import urllib3
 
-from comfreyshelf.fleet.store import NotListeningError, StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.store import (
+    ConnectionLostError,
+    NotListeningError,
+    StoreBusyError,
+    StoreSilentError,
+)
 
 CONNECT_TIMEOUT_S = 0.6
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -44,7 +49,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
     ) -> HttpResponse:
-        """Send one call; raises StoreBusyError or StoreSilentError."""
+        """Send one call; raises StoreBusyError, StoreSilentError or one of their kinds."""
         timeout = urllib3.Timeout(connect=min(self._connect_timeout_s, timeout_s), read=timeout_s)
         try:
             response = self._pool.request(
@@ -60,7 +65,9 @@
                 "check that it runs and can be reached, then retry",
             ) from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise StoreSilentError(
+            is_late = isinstance(exc, urllib3.exceptions.TimeoutError)
+            silence = StoreSilentError if is_late else ConnectionLostError
+            raise silence(
                 f"no answer from {self.address}: {exc}",
                 "retry only if the call is idempotent, as it may have been carried out",
             ) from exc
--- a/comfreyshelf/fleet/order_executor.py
+++ b/comfreyshelf/fleet/order_executor.py
@@ -9,7 +9,7 @@
 from comfreyshelf.fleet.heartbeat_claims import TargetLife
 from comfreyshelf.fleet.jobs import Token
 from comfreyshelf.fleet.messages import Orders, StartOrder, StopOrder
-from comfreyshelf.fleet.store import StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.store import ConnectionLostError, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError, Runner
 from comfreyshelf.fleet.target_state import TargetState
 from comfreyshelf.logs import log_event
@@ -112,6 +112,8 @@
             self._reject(origin, order, exc.reason)
         except (StoreBusyError, StoreSilentError) as exc:
             self._unanswered_starts.add((order.task, order.run))
+            if isinstance(exc, StoreSilentError) and not isinstance(exc, ConnectionLostError):
+                state.record_start_silent(origin.life)
             # The owner repeats the order until the run is listed or rejected.
             outcome = str(exc)
             self._metrics.count("starts_unanswered")
--- a/comfreyshelf/fleet/runner_condition.py
+++ b/comfreyshelf/fleet/runner_condition.py
@@ -33,6 +33,8 @@
         self.answered_at = now
         # When the first of the listings failed that have failed since the last answer.
         self.failing_since: float | None = None
+        # Whether a call has got no answer in time since the last answer, before any other failure.
+        self._was_silent = False
         # Since when each connection to the runner was refused; None if the last one was not.
         self._refused_since: float | None = None
         # Whether another target has answered in place of the present one.
@@ -44,6 +46,14 @@
         """Whether a runner that has ended did so with its process, not only with its lease."""
         return self._is_replaced or self._refused_since is not None
 
+    @property
+    def is_end_seen(self) -> bool:
+        """Whether a runner that has ended was heard until then, as far as is known.
+
+        One that had fallen silent before may have been cut off for some time.
+        """
+        return not self._was_silent
+
     @property
     def has_answered_last_call(self) -> bool:
         """Whether the present life of the target has answered the last call with its runs."""
@@ -53,11 +63,20 @@
         """Record that the present life of the target has listed its runs."""
         self.answered_at = now
         self.failing_since = self._refused_since = None
-        self._is_replaced = False
+        self._was_silent = self._is_replaced = False
+
+    def record_silence(self) -> None:
+        """Record that a call has got no answer in time."""
+        if self.failing_since is None:
+            self._was_silent = True
 
-    def record_failure(self, now: float, is_refused: bool, may_be_carried_out: bool) -> None:
-        """Record that a listing failed, and whether its machine refused the connection."""
+    def record_failure(
+        self, now: float, is_refused: bool, may_be_carried_out: bool, is_end_seen: bool
+    ) -> None:
+        """Record that a listing failed; see `TargetState.record_connection`."""
         self.lease.renewal_ended(may_be_carried_out)
+        if not is_end_seen:
+            self.record_silence()
         if self.failing_since is None:
             self.failing_since = now
         if not is_refused:
--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from comfreyshelf.fleet.bounds import monotonic
-from comfreyshelf.fleet.store import NotListeningError, StoreBusyError, StoreSilentError
+from comfreyshelf.fleet.store import (
+    ConnectionLostError,
+    NotListeningError,
+    StoreBusyError,
+    StoreSilentError,
+)
 from comfreyshelf.fleet.target_runner import (
     FencedRunnerError,
     OtherTargetError,
@@ -60,6 +65,7 @@
             state.record_connection(
                 is_refused=isinstance(exc, NotListeningError),
                 may_be_carried_out=not isinstance(exc, StoreBusyError),
+                is_end_seen=isinstance(exc, (NotListeningError, ConnectionLostError)),
             )
             if self._is_runner_up:
                 log_event("runner lost", target=state.target, why=str(exc))
--- a/comfreyshelf/fleet/store.py
+++ b/comfreyshelf/fleet/store.py
@@ -18,6 +18,10 @@
     """A call got no usable answer; it may have been carried out, or may still be."""
 
 
+class ConnectionLostError(StoreSilentError):
+    """The connection ended before the answer, as it does if the process at the far end ends."""
+
+
 class NotListeningError(StoreBusyError):
     """The machine refused the connection, because no process listens at the address."""
 
--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -206,7 +206,10 @@
         if is_draining or self._is_end_announced:
             self._crash_log.clear()
             return
-        crash = self._crash_log.record_crash(self._condition.failing_since or now, now, next_runs)
+        condition = self._condition
+        crash = self._crash_log.record_crash(
+            condition.failing_since or now, now, next_runs, condition.is_end_seen
+        )
         if crash is not None:
             self._metrics.count("runner_crashes")
             log_event("runner crashed", target=self.target, runs=msgspec.to_builtins(crash.runs))
@@ -331,14 +334,17 @@
                 return []
             return [StopOrder(row.task, row.run) for row in self._running()]
 
-    def record_connection(self, is_refused: bool, may_be_carried_out: bool = True) -> None:
+    def record_connection(
+        self, is_refused: bool, may_be_carried_out: bool = True, is_end_seen: bool = True
+    ) -> None:
         """Record that a listing failed.
 
         `is_refused` is whether the runner's machine refused the connection; `may_be_carried_out`
-        whether the runner may have renewed its lease all the same.
+        whether the runner may have renewed its lease all the same; `is_end_seen` whether the
+        failure is one that the end of the runner's process causes.
         """
         with self._lock:
-            self._condition.record_failure(monotonic(), is_refused, may_be_carried_out)
+            self._condition.record_failure(monotonic(), is_refused, may_be_carried_out, is_end_seen)
             self._report_change()
 
     def _report_change(self) -> None:
@@ -463,6 +469,12 @@
         with self._lock:
             self._crash_log.start_not_done(order.task, order.run)
 
+    def record_start_silent(self, life: TargetLife) -> None:
+        """Record that the runner has not answered a start in time."""
+        with self._lock:
+            if life == self.life:
+                self._condition.record_silence()
+
     def record_started(self, life: TargetLife, order: StartOrder) -> None:
         """Record that the runner has confirmed a start."""
         with self._lock:
--- a/features/fleet_crashes.feature
+++ b/features/fleet_crashes.feature
@@ -15,6 +15,19 @@
     And the runner is back as another target
     Then a crash is reported with "old", and "lost" as possibly begun
 
+  Scenario Outline: A start without an answer is not put down to the crash of a silent runner: <call>
+    # Guards against a job that is shown as failed though none of its tasks was ever started: each
+    # runner that it was ordered to was cut off, and crashed behind the cut.
+    Given a target process whose runner has run "old" for 5 seconds
+    When the runner leaves the start of "lost" unanswered, and <call> got no answer in time
+    And the runner is back as another target
+    Then a crash is reported with "old"
+
+    Examples:
+      | call        |
+      | the start   |
+      | the listing |
+
   Scenario: A runner that leaves as it announced has not crashed
     # Guards against blaming the tasks that ran on a target that drained.
     Given a target process whose runner has run "old" for 5 seconds
--- a/features/steps/fleet_crashes_steps.py
+++ b/features/steps/fleet_crashes_steps.py
@@ -15,7 +15,7 @@
 )
 from comfreyshelf.fleet.messages import CrashedRun, Orders, RunnerCrash, StartOrder
 from comfreyshelf.fleet.order_executor import OrderExecutor
-from comfreyshelf.fleet.store import StoreSilentError
+from comfreyshelf.fleet.store import ConnectionLostError, StoreSilentError
 from comfreyshelf.fleet.target_runner import RefusedError
 from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
@@ -124,7 +124,7 @@
 
 @when('the runner left unanswered "{task}" before it starts again under its id, without runs')
 def lose_start_before_crash(context: Context, task: str) -> None:
-    context.runner.outcomes = {task: StoreSilentError("the connection was cut", "retry")}
+    context.runner.outcomes = {task: ConnectionLostError("the connection was cut", "retry")}
     start_before_crash(context, task)
 
 
@@ -144,11 +144,27 @@
 def refuse_and_lose_starts(context: Context, refused: str, lost: str) -> None:
     context.runner.outcomes = {
         refused: RefusedError("no room", "room"),
-        lost: StoreSilentError("the connection was cut", "retry"),
+        lost: ConnectionLostError("the connection was cut", "retry"),
     }
     order_starts(context, refused, lost)
 
 
+@when('the runner leaves the start of "{lost}" unanswered, and the listing got no answer in time')
+def time_out_listing(context: Context, lost: str) -> None:
+    context.runner.outcomes = {lost: ConnectionLostError("reset", "retry")}
+    order_starts(context, lost)
+    context.state.record_connection(is_refused=False, is_end_seen=False)
+    # The next call's connection is lost as the silence ends.
+    context.state.record_connection(is_refused=False)
+
+
+@when('the runner leaves the start of "{lost}" unanswered, and the start got no answer in time')
+def time_out_start(context: Context, lost: str) -> None:
+    context.runner.outcomes = {lost: StoreSilentError("timed out", "retry")}
+    order_starts(context, lost)
+    context.state.record_connection(is_refused=False)
+
+
 @when("the runner refuses the connections of {seconds:g} seconds")
 @when("the runner refuses the connections of {seconds:g} seconds more")
 def refuse_connections(context: Context, seconds: float) -> None:
