Part open orders from the state of a target process

Which confirmed starts and stops no listing has shown yet, what the runner refuses for good and what is in progress is one job of its own, and is now `OpenOrders`. Nothing is decided differently; a test that waits for orders in progress reads them there.

--- a/comfreyshelf/fleet/target_state.py
+++ b/comfreyshelf/fleet/target_state.py
@@ -23,13 +23,13 @@
 )
 from comfreyshelf.fleet.messages import (
     Orders,
-    Rejection,
     Report,
     StartOrder,
     StopOrder,
     TargetMessage,
     TokenRequest,
 )
+from comfreyshelf.fleet.open_orders import OpenOrders
 from comfreyshelf.fleet.runner_condition import Condition, RunnerCondition
 from comfreyshelf.fleet.runner_lease import RunnerLease
 from comfreyshelf.ids import TargetId, ZoneId
@@ -91,13 +91,7 @@
         self._listed_at = 0.0
         # The same on the clock that stands still while the VM is suspended.
         self._listed_at_steady = 0.0
-        # Confirmed starts by task that no listing has shown yet.
-        self._unlisted_starts: dict[str, RunningRow] = {}
-        # Confirmed stops by task: the run, and when a stopped run has ended at the latest.
-        self._unsettled_stops: dict[str, tuple[int, float]] = {}
-        self._rejected: dict[tuple[str, int], Rejection] = {}
-        # Tasks with an order that is being carried out on the runner.
-        self._tasks_with_open_order: set[str] = set()
+        self._open_orders = OpenOrders(bounds.stop_grace_s)
         self._zone_guard = ZoneGuard()
         self.token = Token(0)
         self.last_contact_at = float("-inf")
@@ -122,7 +116,7 @@
     @property
     def has_unsettled_stops(self) -> bool:
         """Whether a confirmed stop has not shown in a listing yet."""
-        return bool(self._unsettled_stops)
+        return self._open_orders.has_unsettled_stops
 
     def claimed_ids(self) -> list[TargetId]:
         """The ids that heartbeats claim and the runner has not been asked for since."""
@@ -173,9 +167,7 @@
         self._series = HeartbeatSeries(announcement.sequence, monotonic())
         self._is_leaving = self._is_end_announced = False
         self._listing = None
-        self._unlisted_starts.clear()
-        self._unsettled_stops.clear()
-        self._rejected.clear()
+        self._open_orders.begin_life()
         self.acknowledged = 0
         self.report_due.set()
 
@@ -237,33 +229,14 @@
                 self.report_due.set()
             self._listing = listing
             self._crash_log.apply_listing(listing, requested_at, self._listed_at)
-            listed_runs = {(row.task, row.run) for row in listing.running}
-            listed_runs |= {(row.task, row.run) for row in listing.ended}
-            for task, row in list(self._unlisted_starts.items()):
-                if (task, row.run) in listed_runs:
-                    del self._unlisted_starts[task]
-            self._settle_stops(listed_runs, requested_at)
-            if previous is None or _listed_rows(previous) != _listed_rows(listing):
+            if self._open_orders.apply_listing(listing, requested_at):
                 self.report_due.set()
-
-    def _settle_stops(self, listed_runs: set[tuple[str, int]], requested_at: float) -> None:
-        """Forget stops that a later listing confirms, and reject the runs that it omits.
-
-        A run that the listing shows neither as running nor as ended never started and never will. A
-        listing that was requested before the stop took effect says nothing about it.
-        """
-        for task, (run, stopped_at) in list(self._unsettled_stops.items()):
-            if requested_at < stopped_at:
-                continue
-            if (task, run) not in listed_runs and (task, run) not in self._rejected:
-                self._rejected[(task, run)] = Rejection(task, run, "stopped before its start")
+            if previous is None or _listed_rows(previous) != _listed_rows(listing):
                 self.report_due.set()
-            if (task, run) not in {(row.task, row.run) for row in self._running()}:
-                del self._unsettled_stops[task]
 
     def _running(self) -> tuple[RunningRow, ...]:
         listed = self._listing.running if self._listing else ()
-        return (*listed, *self._unlisted_starts.values())
+        return (*listed, *self._open_orders.unlisted_starts)
 
     def refute_claims(self, target: TargetId, asked_at: float) -> None:
         """Record that the runner has answered as none of the lives that claim an id."""
@@ -357,7 +330,7 @@
         if condition is Condition.ENDED:
             if self._condition.is_crash_certain:
                 self._record_crash()
-            self._unlisted_starts.clear()
+            self._open_orders.drop_starts()
         self.report_due.set()
 
     def message_to_owner(self) -> TargetMessage | None:
@@ -381,7 +354,7 @@
                 is_listing_current,
                 self._running() if is_listing_current else (),
                 self._listing.ended if is_listing_current and self._listing else (),
-                tuple(self._rejected.values()),
+                self._open_orders.rejections,
                 self._machine,
                 self._is_leaving and condition is Condition.ENDED,
                 self._listed_at,
@@ -413,27 +386,7 @@
             if orders.acknowledged > self.acknowledged:
                 self.acknowledged = orders.acknowledged
                 self.new_acknowledgement.set()
-            ordered_runs = {(order.task, order.run) for order in orders.starts}
-            ordered_runs |= {(order.task, order.run) for order in orders.stops}
-            for key in [key for key in self._rejected if key not in ordered_runs]:
-                del self._rejected[key]
-            running = {(row.task, row.run) for row in self._running()}
-            starts = [
-                order
-                for order in orders.starts
-                if (order.task, order.run) not in running | self._rejected.keys()
-                and order.task not in self._tasks_with_open_order
-                and order.task not in self._unsettled_stops
-            ]
-            stops = [
-                order
-                for order in orders.stops
-                if order.task not in self._tasks_with_open_order
-                and order.task not in self._unsettled_stops
-            ]
-            self._tasks_with_open_order |= {order.task for order in starts} | {
-                order.task for order in stops
-            }
+            starts, stops = self._open_orders.take(orders, self._running())
             reason = self._refusal_reason(announcement)
             if reason:
                 return PendingOrders(orders.token, self.life, [], stops, starts, reason)
@@ -481,7 +434,7 @@
             if life != self.life:
                 return
             self._crash_log.start_confirmed(order.task, order.run, monotonic())
-            self._unlisted_starts[order.task] = RunningRow(order.task, order.run, "", 0)
+            self._open_orders.record_started(order)
             self.report_due.set()
 
     def record_stopped(self, life: TargetLife, order: StopOrder) -> None:
@@ -489,23 +442,19 @@
         with self._lock:
             if life != self.life:
                 return
-            self._unlisted_starts.pop(order.task, None)
-            self._unsettled_stops[order.task] = (
-                order.run,
-                monotonic() + self._bounds.stop_grace_s,
-            )
+            self._open_orders.record_stopped(order, monotonic())
 
     def reject(self, life: TargetLife, task: str, run: int, reason: str) -> None:
         """Record that the runner will never start a run, and report it."""
         with self._lock:
             if life == self.life:
-                self._rejected[(task, run)] = Rejection(task, run, reason)
+                self._open_orders.reject(task, run, reason)
                 self.report_due.set()
 
     def close_order(self, task: str) -> None:
         """Record that the order for a task has been carried out or has failed."""
         with self._lock:
-            self._tasks_with_open_order.discard(task)
+            self._open_orders.close(task)
 
 
 def _listed_rows(listing: RunListing) -> tuple:
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -851,9 +851,9 @@
 def drain_executor(context: Context) -> None:
     """Wait until the executor has carried out all orders."""
     deadline = time.monotonic() + 10
-    while context.state._tasks_with_open_order and time.monotonic() < deadline:
+    while context.state._open_orders._tasks_in_progress and time.monotonic() < deadline:
         time.sleep(0.005)
-    assert not context.state._tasks_with_open_order
+    assert not context.state._open_orders._tasks_in_progress
 
 
 @then("nothing is started, and the run is rejected after a listing without it")
