Let no call that acknowledges ends wait for others

Ruled out: a call after a failure (no `runner lost` was logged, the call was answered by the next life), and an owner that stored nothing (it ordered the stop of run 4 and heard that this had never begun).

Change: a call that acknowledges ends does not wait; the next one, which acknowledges none, does. So what such a call can forget is what has ended before it arrives.

Measured: "A call that acknowledges ends does not wait for others" failed before and passes.

--- a/comfreyshelf/fleet/runner_poller.py
+++ b/comfreyshelf/fleet/runner_poller.py
@@ -15,7 +15,7 @@
     RefusedError,
     Runner,
 )
-from comfreyshelf.fleet.target_state import TargetState
+from comfreyshelf.fleet.target_state import ListingRequest, TargetState
 from comfreyshelf.ids import TargetId
 from comfreyshelf.logs import log_event
 from comfreyshelf.metrics import Metrics
@@ -56,7 +56,7 @@
         state.new_acknowledgement.clear()
         request = state.listing_request()
         try:
-            listing = self._runner.renew_lease(*request, self._wait_ms(request.deadline_ms))
+            listing = self._runner.renew_lease(*request, self._wait_ms(request))
         except OtherTargetError:
             state.record_other_target(request.target, requested_at)
             self.wait(RETRY_S)
@@ -115,11 +115,13 @@
         else:
             self._state.apply_listing(target, listing, asked_at)
 
-    def _wait_ms(self, deadline_ms: int | None) -> int:
+    def _wait_ms(self, request: ListingRequest) -> int:
         """Return how long the runner may hold the call, in milliseconds.
 
         It is 0 without a lease deadline, and short while stops wait for a listing to confirm them.
+        A call that acknowledges ends does not wait either: if it reaches another life than the one
+        that it is for, the ends that come meanwhile could be forgotten with those before.
         """
-        if deadline_ms is None:
+        if request.deadline_ms is None or request.acknowledged:
             return 0
         return STOPPING_LISTING_WAIT_MS if self._state.has_unsettled_stops else LISTING_WAIT_MS
--- a/features/fleet_lives.feature
+++ b/features/fleet_lives.feature
@@ -216,6 +216,16 @@
       | a refused connection |
       | an error             |
 
+  Scenario: A call that acknowledges ends does not wait for others
+    # Guards against ends that nobody has read: such a call was held up by a cut and reached the next
+    # life under the id, which forgot the ends that came while the call waited.
+    Given a target process whose runner has listed one run
+    When its run ends and the owner has stored the end
+    And the target process asks its runner
+    Then the call acknowledged 1 end without waiting
+    When the target process asks its runner
+    Then the call waited for ends, and acknowledged none
+
   Scenario: Ends are acknowledged after an answer that was lost, and once only
     # Guards against a runner that lists its ends for ever, and against acknowledging again, to
     # whatever life then answers, what the present one has forgotten long ago.
--- a/features/steps/fleet_lives_steps.py
+++ b/features/steps/fleet_lives_steps.py
@@ -16,7 +16,7 @@
 )
 from comfreyshelf.fleet.messages import Orders, Rejection, StartOrder, StopOrder, TokenRequest
 from comfreyshelf.fleet.order_executor import OrderExecutor
-from comfreyshelf.fleet.runner_poller import RunnerPoller
+from comfreyshelf.fleet.runner_poller import LISTING_WAIT_MS, RunnerPoller
 from comfreyshelf.fleet.store import NotListeningError, StoreSilentError
 from comfreyshelf.fleet.target_runner import (
     FencedRunnerError,
@@ -64,8 +64,8 @@
         self.erroneous: set[str] = set()
         # The id that each listing named, and whether it renewed the lease.
         self.calls: list[tuple[TargetId, bool]] = []
-        # Up to which number the last listing acknowledged ends.
-        self.acknowledged = 0
+        # Up to which number the last listing acknowledged ends, and how long it was to wait.
+        self.acknowledged = self.wait_ms = 0
 
     def begin_life(self, target: str, born: int) -> None:
         """Become another life without runs."""
@@ -94,7 +94,7 @@
         wait_ms: int,
     ) -> RunListing:
         self.calls.append((target, deadline_ms is not None))
-        self.acknowledged = acknowledged
+        self.acknowledged, self.wait_ms = acknowledged, wait_ms
         if target in self.erroneous:
             raise RefusedError("no such instance", "400")
         self._check(token, target)
@@ -164,11 +164,26 @@
 @given("a target process whose runner has had its first end acknowledged")
 def acknowledge_first_end(context: Context) -> None:
     start_with_run(context)
+    end_and_store(context)
+    ask_runner(context)
+    assert not context.runner.ended
+
+
+@when("its run ends and the owner has stored the end")
+def end_and_store(context: Context) -> None:
     context.runner.end(RUN.task)
     ask_runner(context)
     store_ends(context, 1)
-    ask_runner(context)
-    assert not context.runner.ended
+
+
+@then("the call acknowledged 1 end without waiting")
+def check_quick_acknowledgement(context: Context) -> None:
+    assert (context.runner.acknowledged, context.runner.wait_ms) == (1, 0)
+
+
+@then("the call waited for ends, and acknowledged none")
+def check_waiting_call(context: Context) -> None:
+    assert (context.runner.acknowledged, context.runner.wait_ms) == (0, LISTING_WAIT_MS)
 
 
 FAILURES = {
