Soak: end runners unseen, behind a cut or behind refused connections

The soak restarted runners under their ids only where their target processes saw the connections break, and let them leave only where they ended at once.

Change: a third plan, drawn by itself so that the seeds of before keep their faults. Runners start again under their ids while their link holds all calls up, and the next life gets these; their heartbeats are lost meanwhile. Runners leave unheard and go on behind refused connections.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,3 +17,7 @@
       | 608  | a message that a sound runner leaves ended its runs                |
       | 611  | a start for a crashed runner reached the next one under its id     |
       | 612  | a refused connection ended the runs of a sound runner              |
+      | 671  | a departure and a refused link ended the runs of a sound runner    |
+      | 689  | a departure after its crash made a runner's end a planned one      |
+      | 780  | a start that the next life carried out counted as a crash          |
+      | 841  | a call that acknowledged ends waited at the next life              |
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -18,6 +18,8 @@
 MEAN_GAP_S = 0.6
 # The same for faults that bear on which life of a runner is believed to be present.
 LIFE_MEAN_GAP_S = 1.5
+# The same for runners that end or start again while their target process cannot see it.
+UNSEEN_MEAN_GAP_S = 2.5
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -61,13 +63,18 @@
 )
 
 
+UNSEEN_KINDS = ("restart_runner_behind_cut", "end_runner_behind_cut")
+
+
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
     """The faults of a soak of some seconds; the same seed gives the same plan.
 
-    Those of LIFE_KINDS are drawn by themselves, so that seeds of before keep all their faults.
+    Those of LIFE_KINDS and UNSEEN_KINDS are drawn by themselves, so that seeds of before keep all
+    their faults.
     """
     plan = _draw(random.Random(seed), KINDS, MEAN_GAP_S, seconds)
     plan += _draw(random.Random(f"lives {seed}"), LIFE_KINDS, LIFE_MEAN_GAP_S, seconds)
+    plan += _draw(random.Random(f"unseen {seed}"), UNSEEN_KINDS, UNSEEN_MEAN_GAP_S, seconds)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -195,6 +202,22 @@
     def restart_runner_at_once(self, fault: Fault) -> None:
         self._runner(fault).crash(0.15, keeps_id=True)
 
+    def restart_runner_behind_cut(self, fault: Fault) -> None:
+        """Restart a runner under its id while calls to it are held up, and lose its heartbeats."""
+        runner = self._runner(fault)
+        runner.is_unheard = True
+        runner.link.set_mode(LinkMode.SILENT)
+        time.sleep(fault.for_s / 4)
+        runner.crash(0.15, keeps_id=True, is_seen=False)
+        time.sleep(0.2 + fault.for_s / 4)
+        # The calls that were held up reach the next life.
+        runner.link.set_mode(LinkMode.PASS)
+        runner.is_unheard = False
+
+    def end_runner_behind_cut(self, fault: Fault) -> None:
+        """Let a runner drain, be cut off by resets, say that it leaves, and go on for a while."""
+        self._runner(fault).drain(fault.for_s / 2)
+
     def drain_runner(self, fault: Fault) -> None:
         self._runner(fault).drain()
 
--- a/features/soak/runner.py
+++ b/features/soak/runner.py
@@ -46,7 +46,10 @@
         self.room = ROOM
         self.room_shrunk_at = 0.0
         self._room_before = ROOM
-        self._proxy = proxy
+        # Before the runner, as its target process sees it.
+        self.link = proxy
+        # Whether its heartbeats are lost.
+        self.is_unheard = False
         self._control_address = control_address
         self._history = history
         self._life = 1
@@ -72,7 +75,7 @@
 
     def _beat(self) -> None:
         while not self._stopping.wait(HEARTBEAT_S):
-            if not self._is_down:
+            if not self._is_down and not self.is_unheard:
                 self.send_heartbeat()
 
     def send_heartbeat(self) -> None:
@@ -208,10 +211,11 @@
         self._timers.append(timer)
         timer.start()
 
-    def crash(self, down_s: float, keeps_id: bool = False) -> None:
+    def crash(self, down_s: float, keeps_id: bool = False, is_seen: bool = True) -> None:
         """Lose everything, and come back as another runner on the same machine.
 
-        With `keeps_id` it comes back under its id, and its first heartbeat is a regular one.
+        With `keeps_id` it comes back under its id, and its first heartbeat is a regular one. Its
+        connections are reset if the end `is_seen`.
         """
         former = self.heartbeat()
         with self.lock:
@@ -223,7 +227,8 @@
             self._finish()
             for key in list(self._active):
                 self._end(key, RunEnd.CRASHED, time.monotonic())
-        self._proxy.set_refusing(True)
+        if is_seen:
+            self.link.set_refusing(True)
         self._later(down_s, lambda: self._come_back(keeps_id))
 
     def _come_back(self, keeps_id: bool) -> None:
@@ -236,23 +241,31 @@
             self.end_count = 0
             self._lease_until = float("inf")
             self._draining_since = self._drain_acknowledged_at = None
-        self._proxy.set_refusing(False)
+        self.link.set_refusing(False)
         self._is_down = False
         if not keeps_id:
+            self.is_unheard = False
             self.send_heartbeat()
 
-    def drain(self) -> None:
-        """Announce the end, leave after 4 s, and come back as another runner."""
+    def drain(self, unseen_s: float = 0.0) -> None:
+        """Announce the end, leave after 4 s, and come back as another runner.
+
+        With `unseen_s` the runner goes on for that long after it has said that it leaves, and its
+        connections are refused from 0.5 s before.
+        """
         with self.lock:
             if self._is_down or self._draining_since is not None:
                 return
             self._draining_since = time.monotonic()
         self.send_heartbeat()
-        self._later(4.0, self._leave)
+        if unseen_s:
+            self._later(3.5, lambda: self.link.set_refusing(True))
+        self._later(4.0, lambda: self._leave(unseen_s))
 
-    def _leave(self) -> None:
+    def _leave(self, unseen_s: float) -> None:
+        self.is_unheard = True
         self.send_departure()
-        self.crash(1.0)
+        self._later(unseen_s, lambda: self.crash(1.0))
 
     def set_room(self, room: int) -> None:
         """Change the room, which the next heartbeat announces."""
