--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -18,7 +18,7 @@
 from review.lab3.proxy import Proxy
 from review.lab3.recorder import Recorder
 from review.lab3.runner import RunnerStandin, SeenRun
-from review.lab3.store import StoreStandin
+from review.lab3.store import StoreProcess
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 GRACE_S = 6.0
@@ -164,8 +164,8 @@
         self._network = _free_network()
         self._hosts = 0
         self.store_address = f"{self.new_ip()}:8524"
-        self.store = StoreStandin(self.store_address)
-        stack.callback(self.store.server.kill)
+        self.store = StoreProcess(self.store_address)
+        stack.callback(self.store.close)
         self.entries: list[Process] = []
         self.targets: list[Process] = []
         self.runners: list[RunnerStandin] = []
@@ -222,7 +222,7 @@
         while not test():
             if time.monotonic() > give_up_at:
                 raise CannotRunError(f"{what} within {timeout_s:.0f} s")
-            time.sleep(0.02)
+            time.sleep(0.05)
 
     def wait_until_serving(self) -> None:
         """Wait until an owner has given its token to each runner."""
--- a/review/lab3/recorder.py
+++ b/review/lab3/recorder.py
@@ -21,7 +21,6 @@
         """Write one line with its time."""
         with self._lock:
             self._file.write(f"{self.now():8.3f} {line}\n")
-            self._file.flush()
 
     def close(self) -> None:
         """Close the file."""
--- a/review/lab3/store.py
+++ b/review/lab3/store.py
@@ -1,9 +1,14 @@
 """Stand-in for the platform's store: topics, fenced producers and groups, as PROTOCOL.md has them."""
 
 import base64
+import http.client
+import json
 import struct
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 
 from review.lab3.httpd import Answer, Call, HttpServer, json_answer
 
@@ -26,6 +31,7 @@
         self.records: list[bytes] = []
         self.times: list[float] = []
         self.first = 0
+        self.written = 0
         self.newest: dict[str, tuple[int, bytes]] = {}
         self.epochs: dict[str, int] = {}
         self.answers: dict[str, dict[int, dict]] = {}
@@ -34,6 +40,7 @@
 
     def add(self, content: bytes, is_keyed: bool) -> None:
         self.records.append(content)
+        self.written += len(content)
         self.times.append(time.monotonic())
         if is_keyed:
             key = content[1 : 1 + content[0]].decode()
@@ -66,26 +73,10 @@
         self.server = HttpServer(address, self._handle)
         self.server.start()
 
-    def put(self, topic: str, key: str, value: bytes) -> None:
-        """Append a keyed record, as the operator does."""
-        with self._lock:
-            self._topic(topic).add(bytes((len(key),)) + key.encode() + value, True)
-            self._lock.notify_all()
-
-    def end(self, topic: str) -> int:
-        """The end offset of a topic."""
-        with self._lock:
-            return len(self._topic(topic).records)
-
-    def size(self, topic: str) -> int:
-        """Bytes of the records in a topic that have not expired."""
+    def _size(self, call: Call) -> Answer:
+        """Bytes of all records that were ever appended to a topic; for the trial only."""
         with self._lock:
-            return sum(len(record) for record in self._topic(topic).records)
-
-    def leader(self, group: str) -> str:
-        """The member that holds the partition of a group; empty if there is none."""
-        with self._lock:
-            return self._holder(self._group(group))
+            return json_answer(200, {"size": self._topic(call.query["topic"]).written})
 
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
@@ -211,3 +202,55 @@
             holder = self._holder(self._group(name))
         rows = [[name, 0, holder, 0]] if holder else []
         return json_answer(200, {"parts": rows})
+
+
+class StoreProcess:
+    """The stand-in in a process of its own, as seen by a trial."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "review.lab3.store", address],
+            cwd=Path(__file__).resolve().parent.parent.parent,
+        )
+        for _ in range(100):
+            try:
+                self._call("GET", "/v1/log-owners?group=owner")
+                return
+            except OSError:
+                time.sleep(0.1)
+        raise OSError("the stand-in of the store does not start")
+
+    def _call(self, method: str, path: str, body: bytes = b"") -> dict:
+        host, _, port = self.address.partition(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=5.0)
+        try:
+            conn.request(method, path, body)
+            return json.loads(conn.getresponse().read())
+        finally:
+            conn.close()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append a keyed record, as the operator does."""
+        content = bytes((len(key),)) + key.encode() + value
+        body = _LENGTH.pack(len(content)) + content
+        self._call("POST", f"/v1/log-append?topic={topic}&part=0", body)
+
+    def size(self, topic: str) -> int:
+        """Bytes of all records that were ever appended to a topic."""
+        return self._call("GET", f"/v1/size?topic={topic}")["size"]
+
+    def leader(self, group: str) -> str:
+        """The member that holds the partition of a group; empty if there is none."""
+        rows = self._call("GET", f"/v1/log-owners?group={group}")["parts"]
+        return rows[0][2] if rows else ""
+
+    def close(self) -> None:
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+
+
+if __name__ == "__main__":
+    StoreStandin(sys.argv[1])
+    threading.Event().wait()
