--- a/review/lab3/runner.py
+++ b/review/lab3/runner.py
@@ -78,6 +78,10 @@
         self._lives = 0
         self.life: _Life | None = None
         self._is_closed = False
+        # Cleared while the runner's machine is suspended.
+        self._awake = threading.Event()
+        self._awake.set()
+        self._suspended_at = 0.0
         self.server = HttpServer(address, self._handle)
         self.begin_life()
         threading.Thread(target=self._work, daemon=True).start()
@@ -104,9 +108,31 @@
                 seen.ended_at, seen.how = self._recorder.now(), "crashed"
             self._lock.notify_all()
 
+    def suspend(self) -> None:
+        """Stand still with the machine; the runner's clock does not count this time."""
+        with self._lock:
+            self._suspended_at = time.monotonic()
+            self._awake.clear()
+
+    def wake(self) -> None:
+        """Go on where `suspend` has interrupted."""
+        with self._lock:
+            assert self.life is not None
+            self.life.clock_from += time.monotonic() - self._suspended_at
+            self._awake.set()
+
+    def lease_left_s(self) -> float:
+        """Seconds until the lease of its runs lapses, on its own clock."""
+        with self._lock:
+            life = self.life
+            if life is None or life.lease_until_ms is None:
+                return 0.0
+            return (life.lease_until_ms - self._clock_ms(life)) / 1000
+
     def close(self) -> None:
         """End the server and the threads."""
         self._is_closed = True
+        self._awake.set()
         self.server.kill()
 
     def running(self) -> dict[str, SeenRun]:
@@ -122,7 +148,7 @@
             time.sleep(STEP_S)
             with self._lock:
                 life = self.life
-                if life is None:
+                if life is None or not self._awake.is_set():
                     continue
                 now = self._recorder.now()
                 clock_ms = self._clock_ms(life)
@@ -148,6 +174,7 @@
 
     def _handle(self, call: Call) -> Answer:
         fields = call.fields()
+        self._awake.wait()
         with self._lock:
             life = self.life
             if life is None:
@@ -211,7 +238,8 @@
         self._lock.wait_for(
             lambda: life.ended or self.life is not life, fields.get("wait-ms", 0) / 1000
         )
-        if self.life is not life:
+        if self.life is not life or not self._awake.is_set():
+            # The process that this call waited in has ended, or its machine stands still.
             return 503, b"{}"
         now = self._recorder.now()
         running = [
@@ -228,6 +256,7 @@
 
     def _beat(self) -> None:
         while not self._is_closed:
+            self._awake.wait()
             self.send_heartbeat()
             time.sleep(HEARTBEAT_S)
 
--- a/review/lab3/store.py
+++ b/review/lab3/store.py
@@ -70,9 +70,24 @@
         self._lock = threading.Condition()
         self._topics: dict[str, _Topic] = {}
         self._groups: dict[str, _Group] = {}
+        # The key whose appends get no answer, until when, and how much later they are carried out.
+        self._lost = (b"", 0.0, 0.0)
+        self.writes = self.lost_writes = 0
         self.server = HttpServer(address, self._handle)
         self.server.start()
 
+    def _lose(self, call: Call) -> Answer:
+        """Lose the answers to appends of one key, and carry them out later; for the trial only."""
+        query = call.query
+        until = time.monotonic() + float(query["for"])
+        self._lost = (query["key"].encode(), until, float(query["delay"]))
+        self.writes = self.lost_writes = 0
+        return json_answer(200, {})
+
+    def _count_lost(self, call: Call) -> Answer:
+        """Writes since `_lose`, and those of them whose answer was lost; for the trial only."""
+        return json_answer(200, {"writes": self.writes, "lost": self.lost_writes})
+
     def _size(self, call: Call) -> Answer:
         """Bytes of all records that were ever appended to a topic; for the trial only."""
         with self._lock:
@@ -91,14 +106,24 @@
 
     def _log_append(self, call: Call) -> Answer:
         name = call.query["topic"]
+        key, until, delay_s = self._lost
+        is_lost = bool(key) and key in call.body and time.monotonic() < until
         with self._lock:
             topic = self._topic(name)
+            if time.monotonic() < until:
+                self.writes += 1
+                self.lost_writes += is_lost
+        if is_lost:
+            time.sleep(delay_s)
         with topic.lock:
             time.sleep(len(call.body) / PART_BYTES_PER_S)
             with self._lock:
                 answer = self._append(topic, name.startswith("keyed."), call)
                 self._lock.notify_all()
-                return answer
+        if is_lost:
+            # The connection ends without an answer.
+            raise OSError("the answer is lost")
+        return answer
 
     def _append(self, topic: _Topic, is_keyed: bool, call: Call) -> Answer:
         producer = call.query.get("producer", "")
@@ -240,6 +265,14 @@
         """Bytes of all records that were ever appended to a topic."""
         return self._call("GET", f"/v1/size?topic={topic}")["size"]
 
+    def lose(self, key: str, for_s: float, delay_s: float) -> None:
+        """Lose the answers to appends of one key for a while, and carry them out later."""
+        self._call("POST", f"/v1/lose?key={key}&for={for_s}&delay={delay_s}")
+
+    def count_lost(self) -> dict[str, int]:
+        """The writes since `lose`, and those of them whose answer was lost."""
+        return self._call("GET", "/v1/count-lost")
+
     def leader(self, group: str) -> str:
         """The member that holds the partition of a group; empty if there is none."""
         rows = self._call("GET", f"/v1/log-owners?group={group}")["parts"]
