--- a/review/lab3/fleet.py
+++ b/review/lab3/fleet.py
@@ -26,6 +26,8 @@
 # The restart of a process that was killed takes the platform a short while.
 RESTART_S = 0.5
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A script may run for 120 s.
+MAX_TRIAL_S = 112
 BOUNDS = {
     "seed-lag-s": 3, "addr-reuse-s": 2, "contact-ms": 3000, "ack-ms": 4000, "catch-up-s": 4,
     "drain-ms": 2500, "grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": 2500,
@@ -302,11 +304,18 @@
     return found
 
 
+def _give_up(number: int, frame: object) -> None:
+    raise CannotRunError(f"it was ended by {signal.Signals(number).name}")
+
+
 def play(case: Path, trial: Callable[[Fleet, bool], list[str]]) -> None:
     """Run a trial, write its record, and exit with 1 if it found the rule broken."""
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
     recorder = Recorder(case / "record.txt")
     status = NOT_RUN
+    signal.signal(signal.SIGTERM, _give_up)
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.alarm(MAX_TRIAL_S)
     with ExitStack() as stack:
         stack.callback(recorder.close)
         try:
