--- a/review/11/case.py
+++ b/review/11/case.py
@@ -10,6 +10,8 @@
 CUT_S = 12.0
 TASK_S = 90.0
 JOBS = 3
+# The tasks have to start within this many seconds, or the case could not run.
+START_LIMIT_S = 10
 CAPACITY = {"cpu": 64000, "mem-mb": 262144, "gpu": 8}
 STEP = {"count": 1, "cpu": 7500, "mem-mb": 1000, "gpu": 1, "est-runtime-ms": 90000}
 
@@ -46,7 +48,7 @@
     fleet.wait_until_serving()
     for number in range(JOBS):
         fleet.submit(f"{number + 1:016x}", str(TASK_S), [STEP])
-    fleet.wait_for("all tasks run", lambda: len(fleet.runs()) == JOBS, 10.0)
+    fleet.wait_for("all tasks run", lambda: len(fleet.runs()) == JOBS, START_LIMIT_S)
     # Both entries are stopped and started in turn; this is planned work, and no trouble yet.
     first.restart(signal.SIGTERM)
     fleet.wait_for("the second entry leads", lambda: fleet.leader() is second, 15.0)
