Keep what an owner could not store out of what it has read

Cause: a new owner copied the mapping of a job's tasks from the entry's JobTable, but not the TaskProgress values, and changed these in place. An owner that is cut off takes the runs of silent targets for lost after 9 s, cannot store that and resigns; the changes stayed in the table, and the next term in the same process took them for stored.

Evidence: in the case's logs the second entry logs `run lost` and `progress not stored` under epoch 3, the first one adopts the three runs under epoch 5 and writes nothing, and the second one places all three again under epoch 11.

Ruled out: a table that is behind (all three jobs were loaded, and nobody had written their progress since); runs stored as lost by the other entry; a late append of the cut-off term, which its epoch fences.

Change: Progress and TaskProgress are frozen, TrackedJob takes the progress over in one place and replaces the values that it changes; mypy refuses changes of the mapping. `owner elected` states how many runs were adopted.

--- a/comfreyshelf/fleet/attempts.py
+++ b/comfreyshelf/fleet/attempts.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from comfreyshelf.fleet.jobs import RunNumber, TaskName, TaskProgress, split_full_name
+from comfreyshelf.fleet.jobs import RunNumber, TaskName, split_full_name
 from comfreyshelf.fleet.messages import CrashedRun, RunnerCrash
 from comfreyshelf.fleet.tracked_job import TrackedJob
 
@@ -35,6 +35,9 @@
     UNEXPLAINED = "no run had just been started, so any of them may have caused it"
 
 
+_SUSPICION_BY_BLAME = {Blame.SOLE: SOLE_SUSPICION, Blame.SHARED: SHARED_SUSPICION}
+
+
 def blames(crash: RunnerCrash) -> list[tuple[CrashedRun, Blame]]:
     """What a crash says of each run.
 
@@ -59,17 +62,18 @@
     ]
 
 
-def record_crash(task: TaskProgress, run: RunNumber, blame: Blame) -> bool:
+def record_crash(tracked: TrackedJob, name: TaskName, run: RunNumber, blame: Blame) -> bool:
     """Count a crash against a task; returns False if it does not count, or has counted."""
+    task = tracked.task_progress(name)
     if blame is Blame.NONE or run in task.crashed_runs:
         return False
-    task.crashed_runs = (*task.crashed_runs, run)
-    if blame is Blame.SOLE:
-        task.suspicion += SOLE_SUSPICION
-    elif blame is Blame.SHARED:
-        task.suspicion += SHARED_SUSPICION
-    if blame in (Blame.SOLE, Blame.UNEXPLAINED):
-        task.unexplained_crashes += 1
+    is_unexplained = blame in (Blame.SOLE, Blame.UNEXPLAINED)
+    tracked.update_task(
+        name,
+        crashed_runs=(*task.crashed_runs, run),
+        suspicion=task.suspicion + _SUSPICION_BY_BLAME.get(blame, 0),
+        unexplained_crashes=task.unexplained_crashes + int(is_unexplained),
+    )
     return True
 
 
@@ -77,18 +81,18 @@
     """Count a failed run against a task and its gang; returns False if the run has counted."""
     if run in tracked.task_progress(name).failed_runs:
         return False
-    members = [tracked.task_progress(member) for member in tracked.gang_members(name)]
-    failures = max(member.failures for member in members) + 1
+    members = tracked.gang_members(name)
+    failures = max(tracked.task_progress(member).failures for member in members) + 1
     for member in members:
-        member.failures = failures
-        member.failed_runs = (*member.failed_runs, run)
+        failed_runs = (*tracked.task_progress(member).failed_runs, run)
+        tracked.update_task(member, failures=failures, failed_runs=failed_runs)
     return True
 
 
 def is_suspect(tracked: TrackedJob, names: Iterable[TaskName]) -> bool:
     """Whether one of the tasks may have crashed a runner, so that its next start is a trial."""
-    progress_by_task = tracked.progress.tasks
-    return any(name in progress_by_task and progress_by_task[name].suspicion > 0 for name in names)
+    tasks = tracked.tasks
+    return any(name in tasks and tasks[name].suspicion > 0 for name in names)
 
 
 def give_up_reason(tracked: TrackedJob, name: TaskName) -> str:
--- a/comfreyshelf/fleet/dry_run.py
+++ b/comfreyshelf/fleet/dry_run.py
@@ -235,7 +235,7 @@
             for tracked in self.jobs.values()
             if tracked.priority == 0
             and tracked.job.organisation == organisation
-            and not tracked.progress.phase.is_final
+            and not tracked.phase.is_final
         )
 
     def _step_answer(self, tracked: TrackedJob, number: int, capacity: StepCapacity) -> StepAnswer:
--- a/comfreyshelf/fleet/guarantee.py
+++ b/comfreyshelf/fleet/guarantee.py
@@ -80,7 +80,7 @@
     needed_accelerators: Counter[OrganisationId] = Counter()
     urgent = []
     for tracked in jobs:
-        if tracked.priority == 0 and not tracked.progress.phase.is_final:
+        if tracked.priority == 0 and not tracked.phase.is_final:
             needed_accelerators[tracked.job.organisation] += tracked.widest_step_accelerators()
             urgent.append(tracked)
     covered_accelerators: Counter[OrganisationId] = Counter()
--- a/comfreyshelf/fleet/job_loading.py
+++ b/comfreyshelf/fleet/job_loading.py
@@ -4,7 +4,6 @@
 from comfreyshelf.fleet.job_table import StoredJob
 from comfreyshelf.fleet.jobs import (
     JobPhase,
-    Progress,
     TaskName,
     check_size,
     parse_task_name,
@@ -38,22 +37,19 @@
                 self._claim_forecast.record(job, accepted_at)
             if is_final:
                 return
-            progress = Progress(
-                stored.progress.phase, dict(stored.progress.tasks), stored.progress.ended_at
-            )
-            tracked = TrackedJob(job, progress, queue, self.policies.durations)
+            tracked = TrackedJob(job, stored.progress, queue, self.policies.durations)
             tracked.accepted_at = accepted_at
             tracked.check_progress()
             self.jobs[job.id] = tracked
-            for name, task in progress.tasks.items():
+            for name, task in tracked.tasks.items():
                 if task.target and not task.done:
                     self._adopt_run(tracked, name, now)
-        if stored.cancelled and not tracked.progress.phase.is_final:
+        if stored.cancelled and not tracked.phase.is_final:
             self._finish_job(tracked, JobPhase.CANCELLED, unix_now, "cancelled by its caller")
 
     def _adopt_run(self, tracked: TrackedJob, name: TaskName, now: float) -> None:
         """Track the run that an earlier owner ordered for a task."""
-        task = tracked.progress.tasks[name]
+        task = tracked.task_progress(name)
         _, step_number, _ = parse_task_name(name)
         active = ActiveRun(
             tracked,
--- a/comfreyshelf/fleet/jobs.py
+++ b/comfreyshelf/fleet/jobs.py
@@ -1,5 +1,6 @@
 """Data types of jobs, steps, task progress, targets and the operators' configuration."""
 
+from collections.abc import Mapping
 from enum import Enum
 from typing import NewType
 
@@ -161,7 +162,7 @@
     return max(1, min(occurrences, int(overdue_ms // job.every_ms) + 1))
 
 
-class TaskProgress(msgspec.Struct, array_like=True):
+class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
     """Stored progress of one task; `target` is empty while no run of the task is ordered.
 
     `run` is the number of the newest run, `incarnation` the start of its target.
@@ -187,14 +188,16 @@
     unexplained_crashes: int = 0
 
 
-class Progress(msgspec.Struct):
+class Progress(msgspec.Struct, frozen=True):
     """Stored progress of a job; tasks that were never ordered are missing from `tasks`.
 
-    `ended_at` is in seconds since the Unix epoch, 0 while the job has not ended.
+    `ended_at` is in seconds since the Unix epoch, 0 while the job has not ended. Nobody changes
+    progress in place: what was read from the store stays as it was read, whatever an owner of it
+    plans on. A TrackedJob has tasks of its own, with new values for those that change.
     """
 
     phase: JobPhase = JobPhase.QUEUED
-    tasks: dict[TaskName, TaskProgress] = {}
+    tasks: Mapping[TaskName, TaskProgress] = {}
     ended_at: float = 0.0
 
 
--- a/comfreyshelf/fleet/moves/reservations.py
+++ b/comfreyshelf/fleet/moves/reservations.py
@@ -153,7 +153,7 @@
 def _why_void(reservation: Reservation, moves: MovePass) -> str:
     """Why a reservation no longer holds; empty if it does."""
     tracked = reservation.tracked
-    if moves.fleet.jobs.get(tracked.job.id) is not tracked or tracked.progress.phase.is_final:
+    if moves.fleet.jobs.get(tracked.job.id) is not tracked or tracked.phase.is_final:
         return "job_ended"
     if any(tracked.task_progress(name).done for name in reservation.unit.tasks):
         return "done"
--- a/comfreyshelf/fleet/moves/units_at_risk.py
+++ b/comfreyshelf/fleet/moves/units_at_risk.py
@@ -107,7 +107,7 @@
 def _whole_unit(active: ActiveRun, risk: Risk) -> UnitAtRisk | None:
     """The unit of a run; None unless all of its tasks run and none is being stopped."""
     tracked = active.tracked
-    if tracked.queue is None or tracked.progress.phase.is_final:
+    if tracked.queue is None or tracked.phase.is_final:
         return None
     members = tracked.gang_members(active.task)
     runs = [tracked.active_runs[name] for name in members if name in tracked.active_runs]
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -241,7 +241,12 @@
         for stored in self._job_table.accepted_jobs():
             self._load_job(self._core, stored, now)
         self._learned.begin_term(epoch, self._core.policies.learned)
-        log_event("owner elected", epoch=epoch, jobs=len(self._core.jobs))
+        log_event(
+            "owner elected",
+            epoch=epoch,
+            jobs=len(self._core.jobs),
+            runs=sum(len(tracked.active_runs) for tracked in self._core.jobs.values()),
+        )
 
     def _read_operators(self, core: OwnerCore, elected_at: float) -> None:
         """Read the operators' topic once, as the previous owner may have known more of it.
--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -128,11 +128,11 @@
             for crashed, blame in blames(crash):
                 job, name = split_full_name(crashed.task)
                 tracked, run = self.jobs.get(job), RunNumber(crashed.run)
-                if tracked is None or name not in tracked.progress.tasks:
+                if tracked is None or name not in tracked.tasks or tracked.phase.is_final:
                     continue
-                task = tracked.progress.tasks[name]
-                if tracked.progress.phase.is_final or not record_crash(task, run, blame):
+                if not record_crash(tracked, name, run, blame):
                     continue
+                task = tracked.task_progress(name)
                 self._dirty_jobs.add(job)
                 self.count("crashes_suspected")
                 self.log_event(
@@ -151,7 +151,7 @@
         """Drop the suspicion of a task whose run has outlived its first seconds."""
         task = active.tracked.task_progress(active.task)
         if task.suspicion and listed_at - active.first_reported_at > YOUNG_RUN_S:
-            task.suspicion = 0
+            active.tracked.update_task(active.task, suspicion=0)
             self._dirty_jobs.add(active.tracked.job.id)
             self.log_event("task cleared", task=active.full_name, run=active.run)
 
@@ -183,7 +183,7 @@
     def _drop_unreported_runs(self, target: TargetId, why: str) -> None:
         self.needs_plan = True
         for active in self._unreported_runs.pop(target):
-            active.tracked.task_progress(active.task).target = TargetId("")
+            active.tracked.update_task(active.task, target=TargetId(""))
             active.tracked.active_runs.pop(active.task, None)
             self._dirty_jobs.add(active.tracked.job.id)
             self._log_lost_run(active, why)
@@ -230,7 +230,7 @@
             self._clear_suspicion(active, view.listed_at)
             if row.checkpoint:
                 for member in active.tracked.gang_members(active.task):
-                    active.tracked.task_progress(member).checkpoint = row.checkpoint
+                    active.tracked.update_task(member, checkpoint=row.checkpoint)
         self._apply_speed(view)
         for name in [name for name in view.unwanted_runs if name not in listed]:
             del view.unwanted_runs[name]
@@ -282,7 +282,7 @@
         # The run was considered lost.
         job, task = split_full_name(name)
         tracked = self.jobs.get(job)
-        if tracked is None or tracked.progress.phase.is_final or task not in tracked.progress.tasks:
+        if tracked is None or tracked.phase.is_final or task not in tracked.tasks:
             return
         if kind is EndKind.DONE:
             # The run that replaced it is stopped.
--- a/comfreyshelf/fleet/run_ends.py
+++ b/comfreyshelf/fleet/run_ends.py
@@ -33,7 +33,7 @@
         active = tracked.active_runs.get(name)
         if not why:
             return
-        task = tracked.progress.tasks[name]
+        task = tracked.task_progress(name)
         if active is None or active.run in (*task.failed_runs, *task.crashed_runs):
             full_name = full_task_name(tracked.job.id, name)
             self._finish_job(tracked, JobPhase.FAILED, unix_now, f"{full_name} {why}")
@@ -50,8 +50,8 @@
         view.active_runs.pop(active.full_name, None)
         active.tracked.active_runs.pop(active.task, None)
         view.orders_changed = self.needs_plan = True
-        tracked, task = active.tracked, active.tracked.task_progress(active.task)
-        task.target = TargetId("")
+        tracked = active.tracked
+        task = tracked.update_task(active.task, target=TargetId(""))
         self._dirty_jobs.add(tracked.job.id)
         self.log_event(
             "run ended",
@@ -71,7 +71,7 @@
         )
         if checkpoint:
             for member in tracked.gang_members(active.task):
-                tracked.task_progress(member).checkpoint = checkpoint
+                tracked.update_task(member, checkpoint=checkpoint)
         lasting = active.step.lasting
         is_expected = active.stopping_since is not None or not self.zone_gate.may_start_on(view)
         self._record_health(view, tracked.job.id, kind, now, is_expected)
@@ -85,7 +85,7 @@
                 record_failure(tracked, active.task, active.run)
         if kind is not EndKind.DONE:
             self._give_up_if_spent(tracked, active.task, unix_now)
-        if kind is not EndKind.DONE and not tracked.progress.phase.is_final:
+        if kind is not EndKind.DONE and not tracked.phase.is_final:
             self._break_gang(active)
 
     def _measure_accuracy(self, active: ActiveRun, kind: EndKind, now: float) -> dict[str, float]:
@@ -125,17 +125,15 @@
     ) -> None:
         self._dirty_jobs.add(tracked.job.id)
         for name in tracked.gang_members(task):
-            progress = tracked.task_progress(name)
-            progress.done = True
-            progress.checkpoint = ""
+            task_progress = tracked.update_task(name, done=True, checkpoint="")
             # Gang members of the same run end by themselves; a later run has to be stopped.
-            if progress.run != run:
+            if task_progress.run != run:
                 self._order_stop(tracked, name, None, StopCause.SUPERSEDED)
         if tracked.is_done():
             self._finish_job(tracked, JobPhase.COMPLETED, unix_now, "all tasks are done")
 
     def _finish_job(self, tracked: TrackedJob, phase: JobPhase, unix_now: float, why: str) -> None:
-        if tracked.progress.phase.is_final:
+        if tracked.phase.is_final:
             return
         tracked.set_phase(phase, unix_now)
         self._dirty_jobs.add(tracked.job.id)
@@ -148,7 +146,7 @@
             why=why,
             took_s=round(unix_now - tracked.accepted_at, 2),
         )
-        for name in list(tracked.progress.tasks):
+        for name in list(tracked.tasks):
             self._order_stop(tracked, name, None, STOP_CAUSE_BY_PHASE[phase])
 
     def _order_stop(
@@ -193,4 +191,4 @@
         """End a job as failed and return its progress, without that of its tasks."""
         tracked = self.jobs[job]
         self._finish_job(tracked, JobPhase.FAILED, unix_now, why)
-        return Progress(tracked.progress.phase, {}, tracked.progress.ended_at)
+        return Progress(tracked.phase, {}, tracked.ended_at)
--- a/comfreyshelf/fleet/state_copy.py
+++ b/comfreyshelf/fleet/state_copy.py
@@ -11,7 +11,6 @@
 import msgspec
 
 from comfreyshelf.fleet.active_run import ActiveRun
-from comfreyshelf.fleet.jobs import TaskProgress
 from comfreyshelf.fleet.prediction.model import DurationModel, JobDurations
 from comfreyshelf.fleet.speed.target_speeds import TargetSpeeds
 
@@ -36,9 +35,9 @@
     MethodType,
     BuiltinFunctionType,
 )
-# Fields to copy of the most frequent records; their other fields are immutable. Listing them halves
-# the time that a copy takes.
-_MUTABLE_FIELDS = {TaskProgress: (), ActiveRun: ("tracked",)}
+# Fields to copy of the most frequent records; their other fields are immutable. Listing them saves
+# much of the time that a copy takes.
+_MUTABLE_FIELDS: dict[type, tuple[str, ...]] = {ActiveRun: ("tracked",)}
 
 
 # The results of `_choose_copier`.
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -1,6 +1,6 @@
 """The owner's in-memory state of a job: its runs, estimates, deadline and startable tasks."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import Enum
 
 import msgspec
@@ -24,6 +24,7 @@
 # A job that takes longer than this many times its objective counts as too late: its result is worth
 # nothing to its caller.
 TOO_LATE_OBJECTIVE_RATIO = 3.0
+_NOT_STARTED = TaskProgress()
 
 
 class ProgressError(UserError):
@@ -58,7 +59,10 @@
         self, job: Job, progress: Progress, queue: Queue | None, durations: DurationModel
     ) -> None:
         self.job = job
-        self.progress = progress
+        self.phase = progress.phase
+        # When the job ended, in seconds since the Unix epoch; 0 while it has not.
+        self.ended_at = progress.ended_at
+        self._tasks = dict(progress.tasks)
         self.queue = queue
         # The active run of each task that has one.
         self.active_runs: dict[TaskName, ActiveRun] = {}
@@ -77,7 +81,7 @@
 
     def check_progress(self) -> None:
         """Raise ProgressError if the stored progress names a task that the job does not have."""
-        for name in self.progress.tasks:
+        for name in self._tasks:
             _, step_number, index = parse_task_name(name)
             steps = self.job.steps
             if step_number >= len(steps) or index >= steps[step_number].count:
@@ -151,7 +155,7 @@
 
     def _remaining_step_s(self, step_number: int) -> float:
         duration_s = self.task_duration_s(step_number)
-        progress_by_task = self.progress.tasks
+        progress_by_task = self._tasks
         return max(
             (
                 self.remaining_s_by_task.get(name, duration_s)
@@ -182,9 +186,28 @@
         ) * 1000 // self.job.every_ms + 1
         return range(max(0, min(self.job.times, int(due_count))))
 
+    @property
+    def tasks(self) -> Mapping[TaskName, TaskProgress]:
+        """The progress of all tasks that were ever ordered."""
+        return self._tasks
+
+    @property
+    def progress(self) -> Progress:
+        """The job's progress at this moment, as it is to be stored."""
+        return Progress(self.phase, dict(self._tasks), self.ended_at)
+
     def task_progress(self, name: TaskName) -> TaskProgress:
-        """The progress of a task, which is created on first use."""
-        return self.progress.tasks.setdefault(name, TaskProgress())
+        """The progress of a task, also of one that was never ordered."""
+        return self._tasks.get(name, _NOT_STARTED)
+
+    def update_task(self, name: TaskName, **changes: object) -> TaskProgress:
+        """Give fields of a task's progress new values, and return the new progress.
+
+        For example, `update_task(name, done=True, checkpoint="")`.
+        """
+        task = msgspec.structs.replace(self.task_progress(name), **changes)
+        self._tasks[name] = task
+        return task
 
     def step_tasks(self, occurrence: int, step_number: int) -> tuple[TaskName, ...]:
         """The names of all tasks of a step in one occurrence."""
@@ -200,7 +223,7 @@
 
     def is_step_done(self, occurrence: int, step_number: int) -> bool:
         """Whether all tasks of a step are done in one occurrence."""
-        progress_by_task = self.progress.tasks
+        progress_by_task = self._tasks
         return all(
             name in progress_by_task and progress_by_task[name].done
             for name in self.step_tasks(occurrence, step_number)
@@ -216,16 +239,15 @@
 
     def startable_units(self, unix_now: float, early_start_s: float) -> Iterator[Unit]:
         """Units that are due, whose preceding steps are done, and that are not ordered yet."""
-        if self.progress.phase.is_final or self.queue is None:
+        if self.phase.is_final or self.queue is None:
             return
         service = self.queue.service
-        not_started = TaskProgress()
         for occurrence in self.due_occurrences(unix_now, early_start_s):
             for step_number, step in enumerate(self.job.steps):
                 if not all(self.is_step_done(occurrence, preceding) for preceding in step.after):
                     continue
                 task_names = self.step_tasks(occurrence, step_number)
-                task_states = [self.progress.tasks.get(name, not_started) for name in task_names]
+                task_states = [self._tasks.get(name, _NOT_STARTED) for name in task_names]
                 if step.gang:
                     if not any(task.done or task.target for task in task_states):
                         yield Unit(service, step, occurrence, step_number, task_names)
@@ -266,6 +288,6 @@
 
     def set_phase(self, phase: JobPhase, unix_now: float) -> None:
         """Set the phase; `unix_now` becomes the time of the end if the phase is final."""
-        self.progress.phase = phase
+        self.phase = phase
         if phase.is_final:
-            self.progress.ended_at = unix_now
+            self.ended_at = unix_now
--- a/comfreyshelf/fleet/unit_placing.py
+++ b/comfreyshelf/fleet/unit_placing.py
@@ -253,9 +253,9 @@
         # Tasks on their way to reserved room count, too, before they have started there.
         counts = Counter(self.policies.moves.reserved_targets(tracked, unit))
         for name in tracked.step_tasks(unit.occurrence, unit.step_number):
-            task = tracked.progress.tasks.get(name)
-            if task is not None and task.target:
-                counts[task.target] += 1
+            target = tracked.task_progress(name).target
+            if target:
+                counts[target] += 1
         return lambda target: counts[target]
 
     def _reserve_for_blocked(self, tracked: TrackedJob, unit: Unit, planning: PlanningPass) -> int:
@@ -285,9 +285,14 @@
         checkpoint = tracked.task_progress(unit.tasks[0]).checkpoint
         for name, target in zip(unit.tasks, assignment.targets, strict=True):
             view = self.targets[target]
-            task = tracked.task_progress(name)
-            task.run, task.target, task.incarnation = run, target, view.incarnation
-            task.resumed_from, task.machine = checkpoint, view.machine
+            tracked.update_task(
+                name,
+                run=run,
+                target=target,
+                incarnation=view.incarnation,
+                resumed_from=checkpoint,
+                machine=view.machine,
+            )
             active = ActiveRun(
                 tracked, name, run, target, view.incarnation, unit.step.demand, view.machine, now
             )
--- a/features/fleet_pauses.feature
+++ b/features/fleet_pauses.feature
@@ -64,6 +64,24 @@
     And a target reports to it
     Then the target gets no start, and is told that the entry does not own the schedule
 
+  Scenario Outline: An owner that was cut off takes nothing that it could not store for stored
+    # Guards against an entry that gives runs up while it is cut off, cannot store that, and starts
+    # their tasks once more when it leads again, while they run or after they are done.
+    Given stored jobs of one task each
+    And an entry is elected as owner in generation 5
+    And their tasks run on two targets
+    And the entry loses the lead, and is elected as owner in generation 7
+    When it is cut off for <seconds> seconds and resigns, <times> times in a row
+    And <change> on the targets, and it is elected as owner in generation 9
+    Then no task starts again
+
+    Examples:
+      | seconds | times | change           |
+      | 12      | 1     | nothing changes  |
+      | 12      | 2     | nothing changes  |
+      | 30      | 1     | nothing changes  |
+      | 12      | 1     | the tasks end    |
+
   Scenario: An entry does not take over twice in one generation of the group
     # Guards against a term whose appends the store takes for repeats of the last term's, and keeps
     # nothing of: an owner that stops is told so, and a renewal that was under way confirms its lead
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -10,19 +10,28 @@
 from comfreyshelf.fleet.messages import Orders, Report
 from comfreyshelf.fleet.ownership import OwnerTask, ReportReceived
 from comfreyshelf.fleet.settings import FleetSettings
-from comfreyshelf.fleet.store import Batch, FencedError, KeyedRecord, Membership, Store, Writer
+from comfreyshelf.fleet.store import (
+    Batch,
+    FencedError,
+    KeyedRecord,
+    Membership,
+    Store,
+    StoreSilentError,
+    Writer,
+)
 from comfreyshelf.ids import TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import CONFIG
 
 
 class FakeStore(Store):
-    """One topic in memory; it refuses appends of epochs below `fence`."""
+    """One topic in memory; it refuses appends of epochs below `fence`, and may not answer."""
 
     def __init__(self) -> None:
         self.records: list[KeyedRecord] = []
         self.writers: list[Writer] = []
         self.fence = 0
+        self.is_silent = False
 
     def append(
         self,
@@ -31,6 +40,8 @@
         writer: Writer | None = None,
         max_timeout_s: float = float("inf"),
     ) -> int:
+        if self.is_silent:
+            raise StoreSilentError("no answer", "ask again")
         if writer is not None:
             self.writers.append(writer)
             if writer.epoch < self.fence:
--- a/features/steps/fleet_evacuation_steps.py
+++ b/features/steps/fleet_evacuation_steps.py
@@ -321,7 +321,7 @@
     world = context.world
     world.wait(seconds)
     assert not world.starts("job")
-    assert world.core.jobs[JobId("job")].progress.phase is JobPhase.QUEUED
+    assert world.core.jobs[JobId("job")].phase is JobPhase.QUEUED
     assert world.wait_reasons("job") == ["its targets are in evacuated zones"]
     assert world.counts.count("units_waiting_for_zones") == 1
 
--- a/features/steps/fleet_pauses_steps.py
+++ b/features/steps/fleet_pauses_steps.py
@@ -12,6 +12,7 @@
 from comfreyshelf.fleet.bounds import Bounds
 from comfreyshelf.fleet.job_table import job_record, progress_record
 from comfreyshelf.fleet.jobs import (
+    EndKind,
     Incarnation,
     Job,
     Progress,
@@ -216,6 +217,63 @@
     assert orders[-1].token == 0
 
 
+@given("their tasks run on two targets")
+def run_on_two_targets(context: Context) -> None:
+    context.targets = [FakeTarget(0), FakeTarget(1)]
+    report_running_tasks(context)
+    starts = {target: orders.starts for target, orders in context.owner.hub.sent}
+    for target in context.targets:
+        for start in starts[target.id]:
+            target.running[start.task] = RunningRow(start.task, start.run, "", 10)
+    assert all(len(target.running) == 1 for target in context.targets)
+    report_running_tasks(context)
+
+
+def report_running_tasks(context: Context) -> None:
+    for target in context.targets:
+        context.owner.report(target.report(context.owner.now))
+
+
+@given("the entry loses the lead, and is elected as owner in generation {generation:d}")
+def elect_again(context: Context, generation: int) -> None:
+    context.owner.task.handle(Membership(0, False, context.owner.now))
+    context.owner.elect(generation)
+    report_running_tasks(context)
+
+
+@when("it is cut off for {seconds:d} seconds and resigns, {times:d} times in a row")
+def cut_owner_off(context: Context, seconds: int, times: int) -> None:
+    for number in range(times):
+        if number:
+            context.owner.elect(7 + number)
+            report_running_tasks(context)
+        context.owner.store.is_silent = True
+        for _ in range(seconds):
+            context.owner.now += 1
+            context.owner.task.tick()
+        context.owner.store.is_silent = False
+        assert context.owner.terms_ended == number + 1
+
+
+@when("{change} on the targets, and it is elected as owner in generation {generation:d}")
+def elect_after_cut(context: Context, change: str, generation: int) -> None:
+    if change == "the tasks end":
+        for target in context.targets:
+            for task in list(target.running):
+                target.end(task, EndKind.DONE)
+    context.owner.hub.sent.clear()
+    context.owner.elect(generation)
+
+
+@then("no task starts again")
+def check_nothing_starts(context: Context) -> None:
+    report_running_tasks(context)
+    report_running_tasks(context)
+    orders = [orders for _, orders in context.owner.hub.sent]
+    assert orders
+    assert not any(o.starts or o.stops for o in orders), orders
+
+
 @when("it is told that it does not lead, and then that it leads in generation {generation:d}")
 def resign_and_confirm(context: Context, generation: int) -> None:
     context.owner.task.handle(Membership(0, False, context.owner.now))
--- a/features/steps/fleet_where_steps.py
+++ b/features/steps/fleet_where_steps.py
@@ -332,7 +332,7 @@
         )
         world.accept(ASKED, steps, **options)
         world.core.plan(world.now, world.unix_now)
-        progress = world.core.jobs[ASKED].progress.tasks
+        progress = world.core.jobs[ASKED].tasks
         context.pairs.append((answer, progress, stopped))
 
 
