Store the cancel of an unknown job before it is answered with 410

Cause: a job that no read shows was taken for one that never will be. DELETE answered 410 and wrote nothing. Only the entry of the submission knew that an append was open, and only for as long as it lived.

Ruled out: an entry that has not read far enough (the store does not have the job yet); a stored cancel that misses a job read later (the table applies records in any order).

Change: the cancel of an unknown job is stored under `e/ID/DIGEST`, a key for each organisation, before the 410, and holds for a job of that organisation that arrives later. It is removed with its job, or after the time for which ended jobs are kept; 1,000 an organisation at most, then 429. Removing a record deletes what that record held, and no longer all that is known of the job.

--- a/comfreyshelf/fleet/http_api.py
+++ b/comfreyshelf/fleet/http_api.py
@@ -6,7 +6,13 @@
 
 from comfreyshelf.errors import UserError
 from comfreyshelf.fleet.codec import Codec
-from comfreyshelf.fleet.job_table import JobTable, StoredJob, cancel_record, job_record
+from comfreyshelf.fleet.job_table import (
+    JobTable,
+    StoredJob,
+    cancel_record,
+    early_cancel_record,
+    job_record,
+)
 from comfreyshelf.fleet.jobs import FleetConfig, Queue, check_size
 from comfreyshelf.fleet.store import KeyedRecord, StoreBusyError, StoreSilentError
 from comfreyshelf.fleet.web import Call, Reply
@@ -32,6 +38,9 @@
 MIN_APPEND_TIMEOUT_S = 0.2
 # A request that may not wait any longer still waits for a probe, as a slow store takes 0.3 s.
 MIN_PROBE_WAIT_S = 0.4
+# Limit of the cancels of unknown jobs that are kept for an organisation. They are removed after
+# some minutes.
+MAX_EARLY_CANCELS = 1000
 _JOB_ID = re.compile(r"^[0-9a-fA-F]{16}$")
 DEFAULT_MAX_BODY_BYTES = 262_144
 
@@ -109,15 +118,15 @@
                 call, 404, "the path does not end in a job id of 16 hexadecimal digits"
             )
         job = JobId(job_path)
+        organisation_id = organisation.id if organisation else OrganisationId("")
         try:
             match call.method:
                 case "POST":
-                    organisation_id = organisation.id if organisation else OrganisationId("")
                     return self._submit(call, job, queue, organisation_id)
                 case "GET":
                     return self._get_state(call, job)
                 case "DELETE":
-                    return self._cancel(call, job)
+                    return self._cancel(call, job, organisation_id)
         except StoreBusyError as exc:
             return self._refuse(call, 503, str(exc))
         except StoreSilentError as exc:
@@ -237,11 +246,27 @@
             return self._refuse(call, 410, "no such job")
         return Reply(200, self._codec.encode_phase(stored.phase))
 
-    def _cancel(self, call: Call, job: JobId) -> Reply:
+    def _cancel(self, call: Call, job: JobId, organisation: OrganisationId) -> Reply:
         stored = self._find_job(job)
         if stored is None:
-            return self._refuse(call, 410, "no such job")
+            return self._cancel_early(call, job, organisation)
         if not stored.phase.is_final:
             self._write(call, cancel_record(job, time.time()))
             log_event("cancelled", job=job)
         return Reply(200, b"{}")
+
+    def _cancel_early(self, call: Call, job: JobId, organisation: OrganisationId) -> Reply:
+        """Cancel a job that is unknown, so that it does not run if it arrives after the answer.
+
+        The store may still carry out an append of the job that got no answer, at whatever entry.
+        """
+        if not self._job_table.is_cancelled_early(job, organisation):
+            if self._job_table.count_early_cancels(organisation) >= MAX_EARLY_CANCELS:
+                why = f"{MAX_EARLY_CANCELS} jobs that do not exist were cancelled lately"
+                return self._refuse(call, 429, why)
+            self._write(call, early_cancel_record(job, organisation, time.time()))
+            self._metrics.count("early_cancels")
+            log_event("cancelled early", job=job, organisation=organisation)
+        if self._job_table.get(job) is not None:
+            return Reply(200, b"{}")
+        return self._refuse(call, 410, "no such job")
--- a/comfreyshelf/fleet/job_loading.py
+++ b/comfreyshelf/fleet/job_loading.py
@@ -44,7 +44,7 @@
             for name, task in tracked.tasks.items():
                 if task.target and not task.done:
                     self._adopt_run(tracked, name, now)
-        if stored.cancelled and not tracked.phase.is_final:
+        if stored.is_cancelled and not tracked.phase.is_final:
             self._finish_job(tracked, JobPhase.CANCELLED, unix_now, "cancelled by its caller")
 
     def _adopt_run(self, tracked: TrackedJob, name: TaskName, now: float) -> None:
--- a/comfreyshelf/fleet/ownership.py
+++ b/comfreyshelf/fleet/ownership.py
@@ -16,7 +16,6 @@
     JobTable,
     StoredJob,
     progress_record,
-    removal_records,
     split_records,
 )
 from comfreyshelf.fleet.jobs import NO_INCARNATION, FleetConfig, Token
@@ -50,7 +49,7 @@
 TICK_S = 0.25
 # Room for the key of a record and the lengths that the store adds to it.
 RECORD_MARGIN_BYTES = 256
-# How often the records of ended jobs are removed from the store.
+# How often records that are no longer needed are removed from the store.
 REMOVAL_INTERVAL_S = 10.0
 # Token 0 tells a target process that this entry does not own the schedule.
 NO_TOKEN = Token(0)
@@ -320,7 +319,8 @@
         now = monotonic()
         if now - self._last_removal_at > REMOVAL_INTERVAL_S:
             self._last_removal_at = now
-            records += self._removal_records()
+            status_retention_s = self._settings.bounds.status_retention_s
+            records += self._job_table.removal_records(time.time() - 2 * status_retention_s)
         for batch in split_records(records, self._settings.max_append_bytes):
             if not self._append(core, batch):
                 return self._core is core
@@ -377,15 +377,6 @@
             log_event("progress not stored", how=how, why=str(exc), records=records)
         self._last_write_succeeded = False
 
-    def _removal_records(self) -> list[KeyedRecord]:
-        """Records that delete the jobs that ended more than twice the status retention ago."""
-        ended_before = time.time() - 2 * self._settings.bounds.status_retention_s
-        removals: list[KeyedRecord] = []
-        for stored in self._job_table.accepted_jobs():
-            if stored.job is not None and 0 < stored.progress.ended_at < ended_before:
-                removals += removal_records(stored.job.id)
-        return removals
-
     def _send_orders(self, core: OwnerCore) -> None:
         assert self._hub is not None
         proven_at = max(self._membership_confirmed_at, self._append_confirmed_at)
--- a/features/owner_task_world.py
+++ b/features/owner_task_world.py
@@ -8,7 +8,7 @@
 from comfreyshelf.fleet.hub import Hub
 from comfreyshelf.fleet.job_table import JobTable
 from comfreyshelf.fleet.messages import Orders, Report
-from comfreyshelf.fleet.ownership import OwnerTask, ReportReceived
+from comfreyshelf.fleet.ownership import JobChanged, OwnerTask, ReportReceived
 from comfreyshelf.fleet.settings import FleetSettings
 from comfreyshelf.fleet.store import (
     Batch,
@@ -19,7 +19,7 @@
     StoreSilentError,
     Writer,
 )
-from comfreyshelf.ids import TargetId
+from comfreyshelf.ids import JobId, TargetId
 from comfreyshelf.metrics import Metrics
 from features.owner_world import CONFIG
 
@@ -90,7 +90,8 @@
         self.store, self.hub, self.metrics = store or FakeStore(), FakeHub(), Metrics()
         stack.enter_context(mock.patch.object(ownership, "monotonic", lambda: self.now))
         self.table = JobTable()
-        self.sync = JobSync(self.store, self.table, lambda job: None)
+        self._changed: list[JobId] = []
+        self.sync = JobSync(self.store, self.table, self._changed.append)
         settings = FleetSettings("e", "z", "127.0.0.1", "", "", 0, **settings_options)
         self.task = OwnerTask(settings, self.table, self.metrics)
         self.terms_ended = 0
@@ -107,5 +108,12 @@
         """Deliver a confirmation of the lead that the store was asked for some seconds ago."""
         self.task.handle(Membership(generation, True, self.now - asked_ago_s))
 
+    def read_jobs(self) -> None:
+        """Read the records of jobs, and tell the owner which have changed."""
+        self.sync.catch_up()
+        changed, self._changed[:] = list(self._changed), []
+        for job in changed:
+            self.task.handle(JobChanged(job))
+
     def report(self, report: Report) -> None:
         self.task.handle(ReportReceived(report, self.now))
