Soak: isolate a leader that leads again, and carry submissions out late

Change: target processes reach the pipes through proxies, and `--isolation` cuts a leader that has taken over off for 12 s and lets it lead again, while tasks run that outlast the soak; appends of callers' records may be left unanswered and be carried out up to 6 s later; callers cancel submissions without an answer; a stop takes the runner 0.15 s, and it lists progress.

--- a/features/platform_standins.py
+++ b/features/platform_standins.py
@@ -229,9 +229,15 @@
                 # The process that this call was waiting in has ended.
                 return self._answer(503)
             self._finish()
-        rows = [[task, run, "", 50] for task, (run, _) in self.running.items()]
+        rows = [
+            [task, run, "", self.percent_done(task, run)] for task, (run, _) in self.running.items()
+        ]
         return self._answer(200, running=rows, ended=self._unread_ends(fields))
 
+    def percent_done(self, task: str, run: int) -> int:
+        """How much of a run is listed as done."""
+        return 50
+
     def _unread_ends(self, fields: dict) -> list[list]:
         """Forget the ends that a call acknowledges for good, and return the others."""
         self.ended = [end for end in self.ended if end[0] > fields["ack-cursor"]]
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -21,3 +21,10 @@
       | 689  | a departure after its crash made a runner's end a planned one      |
       | 780  | a start that the next life carried out counted as a crash          |
       | 841  | a call that acknowledged ends waited at the next life              |
+      | 903  | a job ran whose submission was carried out after its cancel        |
+
+  Scenario: Callers and runners see no broken promise when an isolated leader leads again
+    # Guards against an entry that leads, is cut off for longer than its lead lasts, and takes what it
+    # has changed meanwhile for stored when it leads again. Seeds 5, 6, 8, 9 and 10 showed it.
+    When a soak of 12 seconds with seed 6 is played, in which a leader is isolated
+    Then no promise was broken
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -19,10 +19,11 @@
     entries: int = 3,
     targets: int = 5,
     callers: int = 3,
+    isolation: bool = False,
     logs: Path = Path("target/soak"),
 ) -> None:
     """Play one seed; print what it broke and exit with 1 if it broke anything."""
-    history = play(Soak(seed, seconds, entries, targets, callers), logs / f"seed-{seed}")
+    history = play(Soak(seed, seconds, entries, targets, callers, isolation), logs / f"seed-{seed}")
     accepted = sum(job.fate.name == "ACCEPTED" for job in history.jobs.values())
     typer.echo(
         f"seed {seed}: {len(history.jobs)} jobs, {accepted} accepted, {len(history.runs)} runs, "
@@ -42,9 +43,11 @@
     entries: int = 3,
     targets: int = 5,
     callers: int = 3,
+    isolation: bool = False,
 ) -> None:
     """Play all seeds from `first` to `last`, some at a time, each in a process of its own."""
     sizes = f"--seconds={seconds} --entries={entries} --targets={targets} --callers={callers}"
+    sizes += " --isolation" if isolation else ""
 
     def play_seed(seed: int) -> int:
         command = [sys.executable, "-m", "features.soak", "one", str(seed), *sizes.split()]
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -15,6 +15,10 @@
 CALL_TIMEOUT_S = 3.5
 MAX_TRIES = 6
 CANCEL_SHARE = 0.1
+# How often a caller gives a submission up that got no answer, and cancels it.
+GIVE_UP_SHARE = 0.5
+# Tasks that outlast a soak, and still progress from one second to the next.
+LONG_JOBS, LONG_TASKS, LONG_WORK_S = 4, 2, 90.0
 DEADLY_SHARE = 0.06
 FAILING_SHARE = 0.1
 GANG_SHARE = 0.3
@@ -52,9 +56,19 @@
 class Caller(threading.Thread):
     """Submits jobs one after the other until it is told to stop."""
 
-    def __init__(self, number: int, seed: int, fleet: SoakFleet, history: History) -> None:
+    def __init__(
+        self,
+        number: int,
+        seed: int,
+        fleet: SoakFleet,
+        history: History,
+        deadly_share: float = DEADLY_SHARE,
+    ) -> None:
+        """`deadly_share` is the share of jobs that crash their runners."""
         super().__init__(daemon=True)
+        self._deadly_share = deadly_share
         self._rng = random.Random(f"{seed}/{number}")
+        self._cancel_rng = random.Random(f"cancels {seed}/{number}")
         self._number = number
         self._fleet = fleet
         self._history = history
@@ -68,9 +82,11 @@
         while not self.stopping.wait(self._rng.uniform(0.1, 0.8)):
             count += 1
             job = self._draw_job(f"{self._number:08x}{count:08x}")
-            self._submit(job)
+            self.submit(job)
             if job.fate is JobFate.ACCEPTED and self._rng.random() < CANCEL_SHARE:
-                self._cancel(job)
+                cancel(self._fleet, job, self._connections, self._rng)
+            if job.fate is JobFate.OPEN:
+                cancel(self._fleet, job, self._connections, self._cancel_rng)
             for _ in range(self._rng.randrange(3)):
                 self._ask(job)
 
@@ -80,7 +96,7 @@
         payload = Payload(
             round(rng.uniform(0.1, 1.5), 2),
             rng.choice((1, 2, 3)) if draw < FAILING_SHARE else 0,
-            draw > 1 - DEADLY_SHARE,
+            draw > 1 - self._deadly_share,
         )
         text = msgspec.json.encode(payload).decode()
         job = SeenJob(job_id, text, rng.randint(1, 4), rng.random() < GANG_SHARE)
@@ -88,7 +104,8 @@
             self._history.jobs[job_id] = job
         return job
 
-    def _submit(self, job: SeenJob) -> None:
+    def submit(self, job: SeenJob) -> None:
+        """Submit a job at one entry after the other until one accepts it, or give it up."""
         step = {
             "count": job.tasks,
             "cpu": 1000,
@@ -105,18 +122,10 @@
                 return
             if status not in REFUSED_STATUSES:
                 job.fate = JobFate.OPEN
+                if self._cancel_rng.random() < GIVE_UP_SHARE:
+                    return
             time.sleep(self._rng.uniform(0.05, 0.4))
 
-    def _cancel(self, job: SeenJob) -> None:
-        time.sleep(self._rng.uniform(0.0, 1.0))
-        for _ in range(MAX_TRIES):
-            job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
-            entry = self._rng.choice(self._fleet.entries)
-            status, _ = self._connections.call(entry, "DELETE", f"/q/{job.id}")
-            if status in (200, 410):
-                job.cancelled_at = time.monotonic()
-                return
-
     def _ask(self, job: SeenJob) -> None:
         entry = self._rng.choice(self._fleet.entries)
         status, answer = self._connections.call(entry, "GET", f"/q/{job.id}")
@@ -132,6 +141,28 @@
         self._shown_states[job.id, entry.name, entry.starts] = job.state = state
 
 
+def submit_long_jobs(caller: Caller, history: History) -> list[SeenJob]:
+    """Submit jobs whose tasks outlast the soak."""
+    payload = msgspec.json.encode(Payload(LONG_WORK_S)).decode()
+    jobs = [SeenJob(f"ffffffff{number:08x}", payload, LONG_TASKS) for number in range(LONG_JOBS)]
+    for job in jobs:
+        history.jobs[job.id] = job
+        caller.submit(job)
+    return jobs
+
+
+def cancel(fleet: SoakFleet, job: SeenJob, connections: Connections, rng: random.Random) -> None:
+    """Cancel a job after up to a second, at one entry after the other until one acknowledges it."""
+    time.sleep(rng.uniform(0.0, 1.0))
+    for _ in range(MAX_TRIES):
+        job.cancel_sent_at = job.cancel_sent_at or time.monotonic()
+        entry = rng.choice(fleet.entries)
+        status, _ = connections.call(entry, "DELETE", f"/q/{job.id}")
+        if status in (200, 410):
+            job.cancelled_at = time.monotonic()
+            return
+
+
 class KeyWatcher(threading.Thread):
     """Asks each entry with the newest keys; what one has withdrawn has to stay withdrawn there."""
 
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -11,13 +11,17 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from features.platform_standins import CONFIG, StoreStandin
+from comfreyshelf.fleet.web import Call, Reply, WebServer
+from features.platform_standins import CONFIG
 from features.soak.history import History
 from features.soak.proxy import Proxy
 from features.soak.runner import SoakRunner
+from features.soak.store import SoakStore
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 STORE_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT, PIPE_PORT, RUNNER_PORT = range(7001, 7007)
+# Target processes reach the pipes of entries through links at this port.
+PIPE_LINK_PORT = 7010
 # A process that has not ended this long after SIGTERM is killed.
 GRACE_S = 6.0
 STORE_THREADS = 64
@@ -30,6 +34,8 @@
     def __init__(self, name: str, role: str, ip: str, folder: Path, link: Proxy) -> None:
         self.name, self.role, self.ip = name, role, ip
         self.link = link
+        # From the target processes to an entry.
+        self.pipe_link: Proxy | None = None
         self.starts = 0
         self._log = (folder / f"{name}.log").open("ab")
         self._settings = folder / f"{name}.json"
@@ -55,6 +61,11 @@
         }
         self._settings.write_text(json.dumps(fields), encoding="utf-8")
 
+    @property
+    def links(self) -> list[Proxy]:
+        """All links of the process but that to its runner."""
+        return [self.link, self.pipe_link] if self.pipe_link is not None else [self.link]
+
     def start(self) -> None:
         """Start the process, unless it runs."""
         with self._lock:
@@ -98,10 +109,20 @@
 
 
 class SoakFleet:
-    """All processes and stand-ins of one soak; an exit stack closes them."""
+    """All processes and stand-ins of one soak; an exit stack closes them.
+
+    With `has_isolation` entries know no peers, so that none reaches the store through another one,
+    and an entry can be cut off from all other processes.
+    """
 
     def __init__(
-        self, stack: ExitStack, folder: Path, entries: int, targets: int, history: History
+        self,
+        stack: ExitStack,
+        folder: Path,
+        entries: int,
+        targets: int,
+        history: History,
+        has_isolation: bool = False,
     ) -> None:
         # Soaks that run at the same time use other loopback addresses.
         self._network = f"127.{2 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
@@ -109,21 +130,26 @@
         self._stack = stack
         self._folder = folder
         store_address = f"{self._new_ip()}:{STORE_PORT}"
-        self.store = StoreStandin(store_address, STORE_THREADS)
+        self.store = SoakStore(store_address, STORE_THREADS)
         self.config = copy.deepcopy(CONFIG)
         self.keys = {"key"}
         self.publish_keys()
         self.store.server.start()
         stack.callback(self.store.server.stop)
         self.entries = [self._member(f"entry-{n}", "entry", store_address) for n in range(entries)]
+        target_store_address = self._serve_targets()
+        for entry in self.entries:
+            pipe_link = Proxy(f"{entry.ip}:{PIPE_LINK_PORT}", f"{entry.ip}:{PIPE_PORT}")
+            stack.callback(pipe_link.stop)
+            entry.pipe_link = pipe_link
         self.targets = [
-            self._member(f"target-{n}", "target", store_address) for n in range(targets)
+            self._member(f"target-{n}", "target", target_store_address) for n in range(targets)
         ]
         self.runners: list[SoakRunner] = []
         self.runner_links: list[Proxy] = []
         seeds = [f"{member.ip}:{CONTROL_PORT}" for member in self.entries[:3]]
         for member in self.entries:
-            member.write_settings(seeds, "")
+            member.write_settings([] if has_isolation else seeds, "")
         for member in self.targets:
             runner_address, link_address = (f"{member.ip}:{RUNNER_PORT + n}" for n in (0, 1))
             link = Proxy(link_address, runner_address)
@@ -156,6 +182,31 @@
         self._stack.callback(link.stop)
         return Member(name, role, ip, self._folder, link)
 
+    def _serve_targets(self) -> str:
+        """Serve the store to target processes at an address of its own, which is returned.
+
+        The names of members, which state the addresses of their pipes, name the links there.
+        """
+        pipe, link = f":{PIPE_PORT}/".encode(), f":{PIPE_LINK_PORT}/".encode()
+
+        def handle(call: Call) -> Reply:
+            reply = self.store.handle(call)
+            if not call.path.endswith("/log-owners"):
+                return reply
+            return Reply(reply.status, reply.body.replace(pipe, link))
+
+        address = f"{self._new_ip()}:{STORE_PORT}"
+        server = WebServer(address, STORE_THREADS, handle, lambda: 4 << 20)
+        server.start()
+        self._stack.callback(server.stop)
+        return address
+
+    @property
+    def leader(self) -> Member | None:
+        """The entry that leads, None if there is none."""
+        name = self.store.leader
+        return next((entry for entry in self.entries if entry.name == name), None)
+
     def publish_keys(self) -> None:
         """Publish a configuration with the present keys, as the operator does."""
         self.config["version"] += 1
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -20,6 +20,17 @@
 LIFE_MEAN_GAP_S = 1.5
 # The same for runners that end or start again while their target process cannot see it.
 UNSEEN_MEAN_GAP_S = 2.5
+# The same for appends of callers' records that are carried out late.
+LATE_MEAN_GAP_S = 4.0
+# The same for the faults beside an entry that is cut off.
+ISOLATION_MEAN_GAP_S = 3.0
+# Longer than an owner works on without a confirmation of its lead.
+ISOLATION_S = 12.0
+ISOLATION_BEGINS_S = 3.0
+# The isolated entry leads again after this many restarts of other ones, or not at all.
+MAX_LEAD_CHANGES = 5
+# The lead changes within this time, and what the new owner does with it shows.
+LEAD_CHANGE_S = 3.0
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENT, LinkMode.ONE_WAY)
 
 
@@ -66,15 +77,40 @@
 UNSEEN_KINDS = ("restart_runner_behind_cut", "end_runner_behind_cut")
 
 
+LATE_KINDS = ("carry_appends_out_late",)
+
+
+# None of them ends or stops an entry, so that the isolated one keeps what it knows.
+ISOLATION_KINDS = (
+    "terminate_target",
+    "pause_target",
+    "hang_up",
+    "harm_runner_link",
+    "make_store_busy",
+    "lose_store_answer",
+    "change_room",
+)
+
+
+def draw_isolation_plan(seed: int, seconds: float) -> list[Fault]:
+    """An entry that leads is cut off past its lead and leads again, beside other faults."""
+    rng = random.Random(f"isolation {seed}")
+    plan = _draw(rng, ISOLATION_KINDS, ISOLATION_MEAN_GAP_S, seconds)
+    begins_at = ISOLATION_BEGINS_S + rng.uniform(0.0, 2.0)
+    plan.append(Fault(round(begins_at, 2), "isolate_leader", 0, 0, ISOLATION_S))
+    return sorted(plan, key=lambda fault: fault.at)
+
+
 def draw_plan(seed: int, seconds: float) -> list[Fault]:
     """The faults of a soak of some seconds; the same seed gives the same plan.
 
-    Those of LIFE_KINDS and UNSEEN_KINDS are drawn by themselves, so that seeds of before keep all
-    their faults.
+    Those of LIFE_KINDS, UNSEEN_KINDS and LATE_KINDS are drawn by themselves, so that seeds of
+    before keep all their faults.
     """
     plan = _draw(random.Random(seed), KINDS, MEAN_GAP_S, seconds)
     plan += _draw(random.Random(f"lives {seed}"), LIFE_KINDS, LIFE_MEAN_GAP_S, seconds)
     plan += _draw(random.Random(f"unseen {seed}"), UNSEEN_KINDS, UNSEEN_MEAN_GAP_S, seconds)
+    plan += _draw(random.Random(f"late {seed}"), LATE_KINDS, LATE_MEAN_GAP_S, seconds)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -114,8 +150,9 @@
             thread.join()
         self._fleet.store.fault_mode = ""
         for member in self._fleet.members:
-            member.link.set_mode(LinkMode.PASS)
-            member.link.set_refusing(False)
+            for link in member.links:
+                link.set_mode(LinkMode.PASS)
+                link.set_refusing(False)
             member.send_signal(signal.SIGCONT)
             member.start()
         for runner in self._fleet.runners:
@@ -193,6 +230,39 @@
     def lose_store_answer(self, fault: Fault) -> None:
         self._fleet.store.fault_mode = "lost"
 
+    def carry_appends_out_late(self, fault: Fault) -> None:
+        """Leave appends of callers' records unanswered, and carry them out up to 6 s later."""
+        self._fleet.store.late_by_s = 1.0 + fault.pick / 2000
+        time.sleep(fault.for_s / 2)
+        self._fleet.store.late_by_s = 0.0
+
+    def isolate_leader(self, fault: Fault) -> None:
+        """Cut a leader that has taken over off from all others, and let it lead again."""
+        self._change_lead()
+        isolated = self._fleet.leader
+        if isolated is None:
+            self._history.note("no entry leads that could be isolated")
+            return
+        self._history.note(f"{isolated.name} is isolated")
+        for link in isolated.links:
+            link.set_mode(LinkMode.SILENT)
+        time.sleep(fault.for_s)
+        for link in isolated.links:
+            link.set_mode(LinkMode.PASS)
+        time.sleep(LEAD_CHANGE_S)
+        for _ in range(MAX_LEAD_CHANGES):
+            if self._fleet.leader is isolated:
+                self._history.note(f"{isolated.name} leads again")
+                return
+            self._change_lead()
+
+    def _change_lead(self) -> None:
+        """Stop and start the entry that leads, as planned, and wait for the next one."""
+        leader = self._fleet.leader
+        if leader is not None:
+            self._restart(leader, signal.SIGTERM, LEAD_CHANGE_S)
+        time.sleep(LEAD_CHANGE_S)
+
     def _runner(self, fault: Fault) -> SoakRunner:
         return self._fleet.runners[fault.number % len(self._fleet.runners)]
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,5 +1,6 @@
 """Plays one soak and checks it."""
 
+import random
 import shutil
 import tempfile
 import time
@@ -8,11 +9,20 @@
 
 import msgspec
 
-from features.soak.callers import Caller, KeyWatcher, ask_until_ended, is_key_taken
+from features.soak.callers import (
+    DEADLY_SHARE,
+    Caller,
+    Connections,
+    KeyWatcher,
+    ask_until_ended,
+    cancel,
+    is_key_taken,
+    submit_long_jobs,
+)
 from features.soak.checks import MAX_ATTEMPTS, check_history
 from features.soak.fleet import SoakFleet
 from features.soak.history import History, JobFate
-from features.soak.plan import Faults, draw_plan
+from features.soak.plan import Faults, draw_isolation_plan, draw_plan
 from features.soak.runner import Payload
 
 START_TIMEOUT_S = 120.0
@@ -23,13 +33,18 @@
 
 
 class Soak(msgspec.Struct, frozen=True):
-    """Size and seed of one soak."""
+    """Size and seed of one soak.
+
+    With `isolation` an entry that leads is cut off past its lead and leads again, while tasks run
+    that outlast the soak.
+    """
 
     seed: int
     seconds: float = 12.0
     entries: int = 3
     targets: int = 5
     callers: int = 3
+    isolation: bool = False
 
 
 def play(soak: Soak, folder: Path | None = None) -> History:
@@ -40,7 +55,7 @@
             folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
-        fleet = SoakFleet(stack, folder, soak.entries, soak.targets, history)
+        fleet = SoakFleet(stack, folder, soak.entries, soak.targets, history, soak.isolation)
         fleet.wait_until_serving(START_TIMEOUT_S)
         faults = _play_faults(soak, fleet, history)
         _check_ends(fleet, faults, history)
@@ -55,13 +70,17 @@
 
 def _play_faults(soak: Soak, fleet: SoakFleet, history: History) -> Faults:
     """Play the plan while callers are at work, then let the fleet heal."""
-    callers = [Caller(n, soak.seed, fleet, history) for n in range(soak.callers)]
+    # Runners that crash would end the tasks that outlast the soak.
+    deadly_share = 0.0 if soak.isolation else DEADLY_SHARE
+    callers = [Caller(n, soak.seed, fleet, history, deadly_share) for n in range(soak.callers)]
+    long_jobs = submit_long_jobs(callers[0], history) if soak.isolation else []
     watcher = KeyWatcher(fleet, history)
     for thread in (*callers, watcher):
         thread.start()
     faults = Faults(fleet, history)
     history.began_at = began_at = time.monotonic()
-    for fault in draw_plan(soak.seed, soak.seconds):
+    draw = draw_isolation_plan if soak.isolation else draw_plan
+    for fault in draw(soak.seed, soak.seconds):
         time.sleep(max(0.0, began_at + fault.at - time.monotonic()))
         faults.carry_out(fault)
     time.sleep(max(0.0, began_at + soak.seconds - time.monotonic()))
@@ -69,6 +88,8 @@
         thread.stopping.set()
         thread.join()
     faults.heal()
+    for job in long_jobs:
+        cancel(fleet, job, Connections(), random.Random(soak.seed))
     history.note("the faults are over")
     return faults
 
--- a/features/soak/runner.py
+++ b/features/soak/runner.py
@@ -19,6 +19,8 @@
 ROOM = 8
 # A task that crashes its runner does so this long after its start.
 CRASH_AFTER_S = 0.02
+# A run ends this long after it was told to stop; the fleet is told to expect up to 0.2 s.
+STOP_S = 0.15
 
 
 class Payload(msgspec.Struct):
@@ -59,6 +61,8 @@
         self.former_heartbeats: list[tuple[str, dict]] = []
         self._lease_until = float("inf")
         self._active: dict[tuple[str, int], SeenRun] = {}
+        # When the runs that were told to stop end.
+        self._stops_at: dict[tuple[str, int], float] = {}
         self._lives_ended: dict[int, list[SeenRun]] = {}
         self._draining_since: float | None = None
         self._drain_acknowledged_at: float | None = None
@@ -128,6 +132,7 @@
 
     def _end(self, key: tuple[str, int], end: RunEnd, ended_at: float) -> None:
         seen = self._active.pop(key)
+        self._stops_at.pop(key, None)
         self.running.pop(seen.task, None)
         seen.end, seen.ended_at = end, ended_at
 
@@ -142,7 +147,10 @@
         for key, seen in list(self._active.items()):
             payload = msgspec.json.decode(seen.payload, type=Payload)
             work_ends_at = seen.began_at + payload.work_s
-            if now >= work_ends_at <= self._lease_until:
+            stops_at = self._stops_at.get(key, float("inf"))
+            if now >= stops_at <= min(work_ends_at, self._lease_until):
+                self._list_end(key, RunEnd.STOPPED, stops_at)
+            elif now >= work_ends_at <= self._lease_until:
                 end = RunEnd.FAILED if seen.run <= payload.fails else RunEnd.DONE
                 self._list_end(key, end, work_ends_at)
             elif now > self._lease_until:
@@ -195,7 +203,7 @@
         task, run = fields["task"], fields["run-id"]
         self.highest_runs[task] = max(run, self.highest_runs.get(task, 0))
         if (task, run) in self._active:
-            self._list_end((task, run), RunEnd.STOPPED, time.monotonic())
+            self._stops_at.setdefault((task, run), time.monotonic() + STOP_S)
         return self._answer(200)
 
     def hold(self, fields: dict) -> Reply:
@@ -205,6 +213,11 @@
             seen.is_acknowledged = True
         return super().hold(fields)
 
+    def percent_done(self, task: str, run: int) -> int:
+        seen = self._active[task, run]
+        payload = msgspec.json.decode(seen.payload, type=Payload)
+        return min(99, int(100 * (time.monotonic() - seen.began_at) / payload.work_s))
+
     def _later(self, seconds: float, action: Callable[[], None]) -> None:
         timer = threading.Timer(seconds, action)
         timer.daemon = True
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,6 +11,11 @@
     context.history = play(Soak(seed, float(seconds)))
 
 
+@when("a soak of {seconds:d} seconds with seed {seed:d} is played, in which a leader is isolated")
+def play_isolation(context: Context, seconds: int, seed: int) -> None:
+    context.history = play(Soak(seed, float(seconds), isolation=True))
+
+
 @then("no promise was broken")
 def check_no_promise_broken(context: Context) -> None:
     history = context.history
