--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -112,7 +112,7 @@
     """All processes and stand-ins of one soak; an exit stack closes them.
 
     With `has_isolation` entries know no peers, so that none reaches the store through another one,
-    and an entry can be cut off from all other processes.
+    and an entry can be cut off from the store and the target processes.
     """
 
     def __init__(
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -237,7 +237,7 @@
         self._fleet.store.late_by_s = 0.0
 
     def isolate_leader(self, fault: Fault) -> None:
-        """Cut a leader that has taken over off from all others, and let it lead again."""
+        """Cut a leader that has taken over off from store and targets, and let it lead again."""
         self._change_lead()
         isolated = self._fleet.leader
         if isolated is None:
