Set the checkpoint of a gang only when it is new

All members share one checkpoint, so a value that the task already has changes nothing.

What is planned does not change.

--- a/comfreyshelf/fleet/report_handling.py
+++ b/comfreyshelf/fleet/report_handling.py
@@ -229,8 +229,7 @@
             self.policies.speeds.observe(active, now)
             self._clear_suspicion(active, view.listed_at)
             if row.checkpoint:
-                for member in active.tracked.gang_members(active.task):
-                    active.tracked.update_task(member, checkpoint=row.checkpoint)
+                active.tracked.record_checkpoint(active.task, row.checkpoint)
         self._apply_speed(view)
         for name in [name for name in view.unwanted_runs if name not in listed]:
             del view.unwanted_runs[name]
--- a/comfreyshelf/fleet/run_ends.py
+++ b/comfreyshelf/fleet/run_ends.py
@@ -70,8 +70,7 @@
             ),
         )
         if checkpoint:
-            for member in tracked.gang_members(active.task):
-                tracked.update_task(member, checkpoint=checkpoint)
+            tracked.record_checkpoint(active.task, checkpoint)
         lasting = active.step.lasting
         is_expected = active.stopping_since is not None or not self.zone_gate.may_start_on(view)
         self._record_health(view, tracked.job.id, kind, now, is_expected)
--- a/comfreyshelf/fleet/tracked_job.py
+++ b/comfreyshelf/fleet/tracked_job.py
@@ -209,6 +209,13 @@
         self._tasks[name] = task
         return task
 
+    def record_checkpoint(self, name: TaskName, checkpoint: str) -> None:
+        """Set the newest checkpoint of a task and its gang, which always share one."""
+        if checkpoint == self.task_progress(name).checkpoint:
+            return
+        for member in self.gang_members(name):
+            self.update_task(member, checkpoint=checkpoint)
+
     def step_tasks(self, occurrence: int, step_number: int) -> tuple[TaskName, ...]:
         """The names of all tasks of a step in one occurrence."""
         count = self.job.steps[step_number].count
